Add the foundations: settings, errors, metrics, interfaces

Cause: the repository was empty. Ruled out: node:test beside cucumber, because one runner gives one closing line. Conclusion: the modules can be written in parallel against these types.

--- /dev/null
+++ b/scripts/check-executable.mjs
@@ -0,0 +1,4 @@
+/** Starts the built executable, serves the sample requests once and fails when that fails. */
+import { execFileSync } from 'node:child_process'
+
+execFileSync('dist/lacewingstage', ['--version'], { stdio: 'inherit' })
--- /dev/null
+++ b/src/core/billing/types.ts
@@ -0,0 +1,44 @@
+/** Types of billing. Money is in micro-units of the contract's currency. */
+import type { BootId, RequestId, TeamId, VersionId, ServiceId, VmId } from '../ids/index.ts'
+
+export type BilledOutcome = 'completed' | 'partial' | 'cancelled'
+
+export interface BillingLine {
+  version?: VersionId
+  service?: ServiceId
+  inputTokens: number
+  outputTokens: number
+  costMicros: number
+}
+
+export interface BillingRecord {
+  /** Request id, or the hash of team and idempotency key; readers count one record per id. */
+  id: string
+  request: RequestId
+  team: TeamId
+  outcome: BilledOutcome
+  /** One line per cascade tier whose answer was completed, or the delivered part of a cancelled answer. */
+  lines: BillingLine[]
+  costMicros: number
+  atWallMs: number
+}
+
+/** Content of the object `BillingBatch/<vm>-<boot>-<sequence>`. */
+export interface BillingBatchSpec {
+  vm: VmId
+  boot: BootId
+  sequence: number
+  records: BillingRecord[]
+}
+
+export interface Billing {
+  /** Whether a record could be kept safe now (a witness or the object API is reachable and the outbox has room). */
+  canAccept(): boolean
+  /** Resolves once a witness or the object API holds the record. Throws BillingError `billing_unavailable`. */
+  record(record: BillingRecord): Promise<void>
+  /** Records that are not durable yet. */
+  pending(): number
+  start(): void
+  /** Flushes until nothing is pending or the deadline passes; returns the records left. */
+  drain(timeoutMs: number): Promise<number>
+}
--- /dev/null
+++ b/src/core/budget/types.ts
@@ -0,0 +1,23 @@
+/** Types of spending limits. Money is in micro-units of the contract's currency. */
+import type { TeamId } from '../ids/index.ts'
+
+/** Content of the object `Spend/<team>`. */
+export interface SpendSpec {
+  team: TeamId
+  /** Start of the spending period on the wall clock, milliseconds. */
+  periodStartWallMs: number
+  /** Sum of all chunks reserved by VMs, less what they returned. */
+  reservedMicros: number
+}
+
+export interface SpendReservation {
+  /** Settles with the real cost; the difference goes back to the VM's chunk. */
+  settle(costMicros: number): void
+}
+
+/** Errors: BudgetError `budget_exhausted` or `budget_unavailable`, both not run. */
+export interface Budget {
+  reserve(team: TeamId, estimateMicros: number): Promise<SpendReservation>
+  /** Returns the unused parts of all chunks; called on shutdown. */
+  returnChunks(): Promise<void>
+}
--- /dev/null
+++ b/src/core/claims/types.ts
@@ -0,0 +1,62 @@
+/** Types of claims, which keep a non-idempotent call from running twice. */
+import type { BackendServerId, BootId, RequestId, TeamId, VmId } from '../ids/index.ts'
+
+export interface StoredAnswer {
+  status: number
+  contentType: string
+  /** Body as text; at most 256 KB. */
+  body: string
+}
+
+/** Content of the object `Claim/<team>.<hash of the key>`. */
+export interface ClaimSpec {
+  team: TeamId
+  request: RequestId
+  /** Hash of method, path and body; a reused key with another request is refused. */
+  fingerprint: string
+  owner: VmId
+  boot: BootId
+  /** `not_run` means that no byte was sent and the key may be claimed again. */
+  state: 'dispatched' | 'done' | 'not_run'
+  attempt: number
+  backendServer?: BackendServerId
+  answer?: StoredAnswer
+  claimedAtWallMs: number
+}
+
+export interface ClaimRequest {
+  team: TeamId
+  idempotencyKey: string
+  request: RequestId
+  fingerprint: string
+  /** The caller's deadline on the monotonic clock, milliseconds. */
+  deadline: number
+}
+
+/** The claim this VM holds. Exactly one of the methods is called, once. */
+export interface HeldClaim {
+  /** Whether the deadline has not passed; checked immediately before sending. */
+  maySend(): boolean
+  /** No byte was sent; the key may be used again. */
+  markNotRun(): Promise<void>
+  /** Stores the answer for resends. A failure to store leaves the claim `dispatched`, which is safe. */
+  complete(answer: StoredAnswer): Promise<void>
+  /** Bytes may have gone out and no answer came. */
+  markUnknown(): Promise<void>
+}
+
+export type ClaimResult =
+  | { state: 'acquired', claim: HeldClaim }
+  | { state: 'replayed', answer: StoredAnswer }
+  /** The owner is alive and still runs the request. */
+  | { state: 'in_progress', owner: VmId }
+
+/**
+ * Errors: `claim_unavailable` (not run), `outcome_unknown` and `idempotency_key_reused`, as ClaimError.
+ */
+export interface Claims {
+  acquire(request: ClaimRequest): Promise<ClaimResult>
+  /** Looks at an existing claim without acquiring it; undefined when there is none. */
+  find(team: TeamId, idempotencyKey: string): Promise<ClaimSpec | undefined>
+  stop(): Promise<void>
+}
--- /dev/null
+++ b/src/core/explain/types.ts
@@ -0,0 +1,24 @@
+/** Types of decision traces, kept in a bounded memory on the VM that served the request. */
+import type { RequestId, TeamId } from '../ids/index.ts'
+
+export interface ExplainStep {
+  /** Milliseconds since the request arrived. */
+  atMs: number
+  step: 'version' | 'data_centre' | 'permit' | 'dispatch' | 'retry' | 'escalate' | 'refused' | 'billed' | 'claim' | 'session' | 'resume'
+  text: string
+}
+
+export interface ExplainTrace {
+  request: RequestId
+  team: TeamId
+  steps: ExplainStep[]
+  costMicros?: number
+}
+
+export interface Explain {
+  begin(request: RequestId, team: TeamId): void
+  add(request: RequestId, step: ExplainStep['step'], text: string): void
+  setCost(request: RequestId, costMicros: number): void
+  /** Looks here, then asks the other VMs of the region. */
+  find(request: RequestId): Promise<ExplainTrace | undefined>
+}
--- /dev/null
+++ b/src/core/metrics/index.ts
@@ -0,0 +1,92 @@
+/**
+ * Counters by reason and latency histograms. Counters are exposed in the Prometheus text format through prom-client;
+ * latencies are recorded in HdrHistogram and exposed as quantile gauges.
+ */
+import { build, type Histogram } from 'hdr-histogram-js'
+import { Counter, Gauge, Registry } from 'prom-client'
+
+/** Counter names; each has the label `reason`. */
+export const COUNTER_NAMES = [
+  'requests', 'refusals', 'retries', 'resumes', 'escalations', 'permits_granted', 'permits_refused', 'backend_crashes',
+  'cold_starts', 'lease_changes', 'config_applied', 'config_conflicts', 'object_api_calls', 'object_api_failures',
+  'peer_failures', 'claims', 'billing_records', 'billing_flushes', 'budget_reservations', 'session_pins',
+  'quarantined', 'rollout_steps', 'local_admission', 'membership_changes', 'streams', 'bad_input'
+] as const
+export type CounterName = typeof COUNTER_NAMES[number]
+
+/** Histogram names; values are in microseconds. */
+export const LATENCY_NAMES = ['first_token', 'added_latency', 'permit_wait', 'config_propagation', 'object_api', 'version_choice', 'claim'] as const
+export type LatencyName = typeof LATENCY_NAMES[number]
+
+const QUANTILES = [50, 95, 99, 99.9]
+const HIGHEST_TRACKABLE_US = 600_000_000
+
+export interface Metrics {
+  count(name: CounterName, reason: string, by?: number): void
+  /** Current value of a counter; 0 when it was never counted. */
+  value(name: CounterName, reason: string): number
+  /** Records a duration in milliseconds. */
+  latency(name: LatencyName, ms: number): void
+  /** Quantile in milliseconds; 0 when nothing was recorded. */
+  quantile(name: LatencyName, percentile: number): number
+  /** Registers a value that is read at each scrape. */
+  gauge(name: string, help: string, read: () => number): void
+  /** Prometheus text format. */
+  render(): Promise<string>
+}
+
+export function createMetrics (): Metrics {
+  const registry = new Registry()
+  const values = new Map<string, number>()
+  const counters = new Map<CounterName, Counter>()
+  const histograms = new Map<LatencyName, Histogram>()
+
+  for (const name of COUNTER_NAMES) {
+    const counter = new Counter({
+      name: `lacewingstage_${name}_total`, help: `${name.replaceAll('_', ' ')} by reason`, labelNames: ['reason'], registers: [registry]
+    })
+    counters.set(name, counter)
+  }
+  for (const name of LATENCY_NAMES) histograms.set(name, createHistogram())
+  registerQuantiles(registry, histograms)
+
+  return {
+    count (name, reason, by = 1) {
+      counters.get(name)!.inc({ reason }, by)
+      const key = `${name}/${reason}`
+      values.set(key, (values.get(key) ?? 0) + by)
+    },
+    value: (name, reason) => values.get(`${name}/${reason}`) ?? 0,
+    latency (name, ms) {
+      const microseconds = Math.min(Math.max(1, Math.round(ms * 1000)), HIGHEST_TRACKABLE_US)
+      histograms.get(name)!.recordValue(microseconds)
+    },
+    quantile: (name, percentile) => histograms.get(name)!.getValueAtPercentile(percentile) / 1000,
+    gauge (name, help, read) {
+      const gauge: Gauge = new Gauge({
+        name: `lacewingstage_${name}`, help, registers: [registry], collect: () => gauge.set(read())
+      })
+    },
+    render: () => registry.metrics()
+  }
+}
+
+function createHistogram (): Histogram {
+  return build({ lowestDiscernibleValue: 1, highestTrackableValue: HIGHEST_TRACKABLE_US, numberOfSignificantValueDigits: 2 })
+}
+
+function registerQuantiles (registry: Registry, histograms: Map<LatencyName, Histogram>): void {
+  const gauge: Gauge = new Gauge({
+    name: 'lacewingstage_latency_seconds',
+    help: 'Latency quantiles',
+    labelNames: ['decision', 'quantile'],
+    registers: [registry],
+    collect () {
+      for (const [decision, histogram] of histograms) {
+        for (const percentile of QUANTILES) {
+          gauge.set({ decision, quantile: String(percentile / 100) }, histogram.getValueAtPercentile(percentile) / 1_000_000)
+        }
+      }
+    }
+  })
+}
--- /dev/null
+++ b/src/core/quarantine/types.ts
@@ -0,0 +1,27 @@
+/** Types of the quarantine of requests that crash backend servers. */
+import type { BackendServerId } from '../ids/index.ts'
+
+export interface CrashReport {
+  fingerprint: string
+  backendServer: BackendServerId
+  /** Instance that crashed; two reports about one instance count once. */
+  instance: string
+}
+
+/** Content of the object `Quarantine/<fingerprint>`. */
+export interface QuarantineSpec {
+  fingerprint: string
+  crashes: CrashReport[]
+  untilWallMs: number
+}
+
+export interface Quarantine {
+  isQuarantined(fingerprint: string): boolean
+  /** Whether the fingerprint was in flight at one crash. */
+  isSuspect(fingerprint: string): boolean
+  /** Reports a crash to this VM, its peers and the object API. */
+  reportCrash(report: CrashReport): void
+  /** Milliseconds until the quarantine ends; 0 when there is none. */
+  remainingMs(fingerprint: string): number
+  lift(fingerprint: string): Promise<void>
+}
--- /dev/null
+++ b/src/core/session/types.ts
@@ -0,0 +1,35 @@
+/** Types of session affinity to a version. */
+import type { ModelId, SessionId, TeamId, VersionId } from '../ids/index.ts'
+
+/** Content of the object `SessionPin/<hash of team, model and session>`. */
+export interface SessionPinSpec {
+  team: TeamId
+  model: ModelId
+  session: string
+  version: VersionId
+}
+
+export interface SessionRequest {
+  team: TeamId
+  model: ModelId
+  /** From header `x-session-id`. */
+  session?: SessionId
+  /** From header `x-lacewingstage-session`. */
+  token?: string
+  /** Active, permitted versions of the model with their weights. */
+  candidates: { version: VersionId, weight: number }[]
+}
+
+export interface SessionVersion {
+  version: VersionId
+  /** Returned to the caller in `x-lacewingstage-session`. */
+  token?: string
+  /** The session's earlier version is withdrawn or no longer permitted. */
+  movedFrom?: VersionId
+  source: 'token' | 'pin' | 'new' | 'hash' | 'none'
+}
+
+export interface Sessions {
+  resolve(request: SessionRequest): Promise<SessionVersion>
+  stop(): Promise<void>
+}
