--- /dev/null
+++ b/src/core/admission/backend-table.ts
@@ -0,0 +1,129 @@
+/**
+ * The leader's table of the backend servers of its data centre: configuration, warmth, reachability and load. The
+ * load is the permits granted here plus requests that only the backend server's own report shows, for example those
+ * of a VM that did not register its permits. Reports lag, so they never lower the count of known permits.
+ */
+import type { BackendServer, ConfigView } from '../config/types.ts'
+import type { BackendServerId, DataCentreId } from '../ids/index.ts'
+import { createWarmth, type Warmth } from './cold-start.ts'
+import type { Permits } from './permits.ts'
+import type { HealthReport, PermitRequest } from './types.ts'
+
+export interface BackendEntry {
+  id: BackendServerId
+  spec: BackendServer
+  warmth: Warmth
+  /** Whether a probe sent after the takeover wait was answered; nothing is granted before. */
+  verified: boolean
+  /** Requests in flight according to the backend server that no permit explains. */
+  unexplained: number
+  /** Times of recent releases, which a lagging report may still count. */
+  releasedAt: number[]
+  probing: boolean
+  probedAt: number
+  failures: number
+  unreachable: boolean
+}
+
+export interface LoadReport {
+  report: HealthReport
+  /** When the probe was sent. */
+  sentAt: number
+}
+
+export interface BackendTable {
+  /** Takes over added, changed and removed backend servers from the configuration. */
+  refresh(): void
+  get(id: BackendServerId): BackendEntry | undefined
+  all(): BackendEntry[]
+  /** Backend servers that have the request's version or service, whatever their state. */
+  serving(request: Pick<PermitRequest, 'version' | 'service'>): BackendEntry[]
+  load(entry: BackendEntry): number
+  noteRelease(entry: BackendEntry): void
+  /** Applies a load report: counts unexplained load and reclaims permits of dead VMs that it shows to be gone. */
+  applyLoad(entry: BackendEntry, report: LoadReport): void
+}
+
+export interface BackendTableOptions {
+  view: ConfigView
+  dataCentre: DataCentreId
+  permits: Permits
+  permitStartMs: number
+  loadReportLagMs: number
+  now: () => number
+}
+
+export function createBackendTable (options: BackendTableOptions): BackendTable {
+  const { view, dataCentre, permits, loadReportLagMs, now } = options
+  const entries = new Map<BackendServerId, BackendEntry>()
+
+  function refresh (): void {
+    const present = new Set<BackendServerId>()
+    for (const { name, spec } of view.list('BackendServer')) {
+      if (spec.dataCentre !== dataCentre) continue
+      const id = name as BackendServerId
+      present.add(id)
+      const known = entries.get(id)
+      // Another address is another process, about which nothing is known.
+      if (known && known.spec.address === spec.address) known.spec = spec
+      else entries.set(id, createEntry(id, spec))
+    }
+    for (const id of entries.keys()) if (!present.has(id)) entries.delete(id)
+  }
+
+  function load (entry: BackendEntry): number {
+    return permits.count(entry.id) + entry.unexplained
+  }
+
+  function noteRelease (entry: BackendEntry): void {
+    entry.releasedAt = entry.releasedAt.filter(at => now() - at <= 2 * loadReportLagMs)
+    entry.releasedAt.push(now())
+  }
+
+  function applyLoad (entry: BackendEntry, { report, sentAt }: LoadReport): void {
+    reclaim(entry, report.inFlight, sentAt, options)
+    const recent = entry.releasedAt.filter(at => at >= sentAt - loadReportLagMs).length
+    entry.unexplained = Math.max(0, report.inFlight - permits.count(entry.id) - recent)
+  }
+
+  return {
+    refresh,
+    get: id => entries.get(id),
+    all: () => [...entries.values()],
+    serving: ({ version, service }) => [...entries.values()].filter(({ spec }) =>
+      version === undefined ? service !== undefined && spec.service === service : spec.versions.includes(version)),
+    load,
+    noteRelease,
+    applyLoad
+  }
+}
+
+function createEntry (id: BackendServerId, spec: BackendServer): BackendEntry {
+  return {
+    id,
+    spec,
+    warmth: createWarmth(),
+    verified: false,
+    unexplained: 0,
+    releasedAt: [],
+    probing: false,
+    probedAt: -Infinity,
+    failures: 0,
+    unreachable: false
+  }
+}
+
+/**
+ * Reclaims permits of dead VMs as far as the report shows that their requests are gone. The report reflects a moment
+ * not earlier than `loadReportLagMs` before the probe. Permits granted `permitStartMs` before that moment had started
+ * by then or never will, so the reported load minus their number bounds the requests of dead VMs.
+ */
+function reclaim (entry: BackendEntry, reported: number, sentAt: number, { permits, permitStartMs, loadReportLagMs }: BackendTableOptions): void {
+  const records = permits.of(entry.id)
+  const reclaimable = records.filter(record => record.reclaimAt !== undefined && record.reclaimAt <= sentAt)
+  if (reclaimable.length === 0) return
+  const settledBefore = sentAt - loadReportLagMs - permitStartMs
+  const settled = records.filter(record => record.reclaimAt === undefined && record.grantedAt <= settledBefore)
+  const keep = Math.max(0, reported - settled.length)
+  for (const record of reclaimable.slice(keep)) permits.remove(record.id)
+}
--- /dev/null
+++ b/src/core/admission/held-permits.ts
@@ -0,0 +1,38 @@
+/** Permits that an entry VM holds, with the time by which each must have started. */
+import type { DataCentreId, PermitId, TeamId } from '../ids/index.ts'
+import type { HeldPermit, Permit } from './types.ts'
+
+export interface HeldRecord {
+  permit: Permit
+  team: TeamId
+  fingerprint: string
+  suspect: boolean
+  startDeadline: number
+  /** Granted by local admission, not by a leader. */
+  isLocal: boolean
+}
+
+export interface HeldPermits {
+  add(record: HeldRecord): void
+  get(id: PermitId): HeldRecord | undefined
+  /** Removes a permit; false when it was released before. */
+  remove(id: PermitId): boolean
+  all(): Iterable<HeldRecord>
+  /** What the VM registers with the leader of a data centre. */
+  toRegister(dataCentre: DataCentreId): HeldPermit[]
+  size(): number
+}
+
+export function createHeldPermits (): HeldPermits {
+  const records = new Map<PermitId, HeldRecord>()
+  return {
+    add: record => { records.set(record.permit.id, record) },
+    get: id => records.get(id),
+    remove: id => records.delete(id),
+    all: () => records.values(),
+    toRegister: dataCentre => [...records.values()]
+      .filter(({ permit }) => permit.dataCentre === dataCentre)
+      .map(({ permit, team, fingerprint, suspect }) => ({ id: permit.id, backendServer: permit.backendServer, team, fingerprint, suspect })),
+    size: () => records.size
+  }
+}
--- /dev/null
+++ b/src/core/admission/prefix-index.ts
@@ -0,0 +1,76 @@
+/**
+ * What each backend server's prefix cache is expected to hold: the prefixes sent to it, corrected by its cache events.
+ * The events come late and with gaps. After a gap, prefixes that no later event or request confirms count half,
+ * because the lost events may have removed them.
+ */
+import { MAX_PREFIXES_PER_BACKEND_SERVER } from './constants.ts'
+import type { BackendServerId } from '../ids/index.ts'
+import type { CacheEvent } from './types.ts'
+
+const UNCERTAIN_WEIGHT = 0.5
+
+interface CacheView {
+  instance: string | undefined
+  sequence: number | undefined
+  /** Counts the gaps; entries confirmed before the last gap are uncertain. */
+  generation: number
+  /** Generation in which each prefix was last confirmed, in order of use. */
+  prefixes: Map<string, number>
+}
+
+export interface PrefixIndex {
+  noteSent(backendServer: BackendServerId, prefixHashes: readonly string[]): void
+  apply(event: CacheEvent): void
+  /** Forgets everything about a backend server, whose restart emptied its cache. */
+  clear(backendServer: BackendServerId): void
+  /** Share of the prompt that is expected to be cached; the hashes come longest first. */
+  cachedShare(backendServer: BackendServerId, prefixHashes: readonly string[]): number
+}
+
+export function createPrefixIndex ({ maxPrefixes = MAX_PREFIXES_PER_BACKEND_SERVER } = {}): PrefixIndex {
+  const caches = new Map<BackendServerId, CacheView>()
+
+  function cacheOf (backendServer: BackendServerId): CacheView {
+    const known = caches.get(backendServer)
+    if (known) return known
+    const created: CacheView = { instance: undefined, sequence: undefined, generation: 0, prefixes: new Map() }
+    caches.set(backendServer, created)
+    return created
+  }
+
+  function confirm (cache: CacheView, prefixes: readonly string[]): void {
+    for (const prefix of prefixes) {
+      cache.prefixes.delete(prefix)
+      cache.prefixes.set(prefix, cache.generation)
+    }
+    for (const oldest of cache.prefixes.keys()) {
+      if (cache.prefixes.size <= maxPrefixes) break
+      cache.prefixes.delete(oldest)
+    }
+  }
+
+  return {
+    noteSent: (backendServer, prefixHashes) => confirm(cacheOf(backendServer), prefixHashes),
+    apply ({ backendServer, instance, sequence, stored, removed }) {
+      const cache = cacheOf(backendServer)
+      if (cache.instance === instance && cache.sequence !== undefined) {
+        if (sequence <= cache.sequence) return
+        if (sequence > cache.sequence + 1) cache.generation++
+      }
+      cache.instance = instance
+      cache.sequence = sequence
+      for (const prefix of removed) cache.prefixes.delete(prefix)
+      confirm(cache, stored)
+    },
+    clear: backendServer => { caches.delete(backendServer) },
+    cachedShare (backendServer, prefixHashes) {
+      const cache = caches.get(backendServer)
+      if (!cache) return 0
+      const index = prefixHashes.findIndex(prefix => cache.prefixes.has(prefix))
+      if (index === -1) return 0
+      const isCertain = cache.prefixes.get(prefixHashes[index]!) === cache.generation
+      const share = (prefixHashes.length - index) / prefixHashes.length
+      return isCertain ? share : share * UNCERTAIN_WEIGHT
+    }
+  }
+}
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -38,7 +38,10 @@
   backendServer: BackendServerId
   address: string
   version?: VersionId
-  /** The first byte must be sent within this time after the answer was received, milliseconds. */
+  /**
+   * The first byte must be sent within this time after the grant, milliseconds. The entry VM counts from the time it
+   * asked plus `queuedMs`, which is never later than the grant, however late the answer arrives.
+   */
   startWithinMs: number
 }
 
@@ -108,6 +111,8 @@
   teamInFlight: { team: TeamId, inFlight: number }[]
   /** Backend servers last seen warm, for local admission during an outage of the object API. */
   warmBackendServers: BackendServerId[]
+  /** Set in the last summary of a leader whose lease has ended. */
+  leaseLost?: boolean
 }
 
 /** Answer of a backend server to a health probe. */
@@ -134,4 +139,63 @@
   /** Latest summary of each data centre. */
   summaries(): LeaderSummary[]
   heldCount(): number
+  /** Starts sending summaries of the local schedulers and resending releases. */
+  start(): void
+  stop(): void
 }
+
+export interface FirstByteReport {
+  id: PermitId
+  instance: string
+}
+
+/** Change of a backend server's prefix cache. Events come late and with gaps, which `sequence` shows. */
+export interface CacheEvent {
+  backendServer: BackendServerId
+  instance: string
+  /** Grows by one with each event of an instance. */
+  sequence: number
+  stored: string[]
+  removed: string[]
+}
+
+/** Leader side: admits work to every backend server of one data centre during one epoch of its lease. */
+export interface Scheduler {
+  /** `ask` identifies this call, so that it can be abandoned when its answer is lost. */
+  request(request: PermitRequest, from: VmId, ask?: string): Promise<PermitAnswer>
+  /** Withdraws a call whose answer the VM did not receive; a permit it produced is released as not sent. */
+  abandon(ask: string, from: VmId): void
+  /** Repeated and unknown releases have no effect. */
+  release(release: PermitRelease, from: VmId): void
+  /** Registers the permits a VM holds, whoever granted them. */
+  sync(sync: PermitSync): void
+  memberDead(vm: VmId): void
+  firstByte(report: FirstByteReport, from: VmId): void
+  cacheEvent(event: CacheEvent): void
+  summary(): LeaderSummary
+  start(): void
+  /** Refuses what is queued with `not_leader`. */
+  stop(): void
+}
+
+/** What the choice of backend server knows about one that may take the request now. */
+export interface BackendCandidate {
+  backendServer: BackendServerId
+  warm: boolean
+  slots: number
+  /** Requests that the leader knows or assumes to be in flight there. */
+  inFlight: number
+  /** Prompt tokens that are expected to be computed before a new request's own. */
+  pendingTokens: number
+  /** Share of the request's prompt that is expected in the prefix cache, 0 to 1. */
+  cachedShare: number
+  /** An identical request was sent here before. */
+  sentBefore: boolean
+}
+
+/** Chooses one of the candidates, of which there is at least one. */
+export type BackendChoice = (choice: {
+  estimatedTokens: number
+  candidates: readonly BackendCandidate[]
+  random: () => number
+}) => BackendCandidate
