--- a/src/core/admission/backend-table.ts
+++ b/src/core/admission/backend-table.ts
@@ -48,7 +48,6 @@
   view: ConfigView
   dataCentre: DataCentreId
   permits: Permits
-  permitStartMs: number
   loadReportLagMs: number
   now: () => number
 }
@@ -115,15 +114,15 @@
 
 /**
  * Reclaims permits of dead VMs as far as the report shows that their requests are gone. The report reflects a moment
- * not earlier than `loadReportLagMs` before the probe. Permits granted `permitStartMs` before that moment had started
- * by then or never will, so the reported load minus their number bounds the requests of dead VMs.
+ * not earlier than `loadReportLagMs` before the probe. Requests of live VMs whose first byte was seen by then are part
+ * of the reported load, so the rest of it bounds the requests of dead VMs. Permits without a first byte do not count:
+ * they may never have started and may be given back while the request of the dead VM still runs.
  */
-function reclaim (entry: BackendEntry, reported: number, sentAt: number, { permits, permitStartMs, loadReportLagMs }: BackendTableOptions): void {
+function reclaim (entry: BackendEntry, reported: number, sentAt: number, { permits, loadReportLagMs }: BackendTableOptions): void {
   const records = permits.of(entry.id)
   const reclaimable = records.filter(record => record.reclaimAt !== undefined && record.reclaimAt <= sentAt)
   if (reclaimable.length === 0) return
-  const settledBefore = sentAt - loadReportLagMs - permitStartMs
-  const settled = records.filter(record => record.reclaimAt === undefined && record.grantedAt <= settledBefore)
-  const keep = Math.max(0, reported - settled.length)
+  const running = records.filter(({ reclaimAt, firstByteAt }) => reclaimAt === undefined && firstByteAt <= sentAt - loadReportLagMs)
+  const keep = Math.max(0, reported - running.length)
   for (const record of reclaimable.slice(keep)) permits.remove(record.id)
 }
--- a/src/core/admission/backend-watch.ts
+++ b/src/core/admission/backend-watch.ts
@@ -55,9 +55,8 @@
   function observe (record: PermitRecord, instance: string): void {
     const entry = table.get(record.backendServer)
     if (!entry) return
-    record.firstByteSeen = true
-    const observation = { instance, grant: record.grant, number: nextNumber(), now: now() }
-    if (!observeFirstByte(entry.warmth, entry.spec, observation)) return
+    record.firstByteAt = Math.min(record.firstByteAt, now())
+    if (!observeFirstByte(entry.warmth, { instance, grant: record.grant, number: nextNumber() })) return
     noteCold(entry, 'instance')
     prober.probe(entry)
   }
--- a/src/core/admission/cold-start.ts
+++ b/src/core/admission/cold-start.ts
@@ -2,10 +2,10 @@
  * Cold start of one backend server. A cold one bears `coldAllowance` requests in flight. A warm one may turn cold
  * unannounced, so it gets at most `coldAllowance` grants since the last proof that its instance is warm.
  *
- * Grants, probes and turns to cold are numbered in the order in which the leader made or saw them. A proof covers the
- * grants up to a number: a health probe covers those made before it was sent, a first byte those up to its own
- * permit. Whatever was granted later may meet a backend server that has turned cold in the meantime. A proof that is
- * older than the last turn to cold is ignored.
+ * Grants, probes and turns to cold are numbered in the order in which the leader made or saw them. The proof is a health
+ * probe, and it covers the grants made before it was sent; whatever was granted later may meet a backend server that
+ * has turned cold in the meantime. What is older than the last turn to cold is ignored. A first byte only shows whether
+ * the instance is still the same: a backend server that turned cold without a restart answers too.
  */
 import { RAMP_STEP_MS } from './constants.ts'
 import type { HealthReport } from './types.ts'
@@ -44,7 +44,6 @@
   grant: number
   /** Number of this observation. */
   number: number
-  now: number
 }
 
 export function createWarmth (): Warmth {
@@ -100,19 +99,12 @@
 }
 
 /** Applies a first byte; returns true when it shows that the backend server restarted and is cold. */
-export function observeFirstByte (warmth: Warmth, capacity: Capacity, { instance, grant, number, now }: FirstByteObservation): boolean {
-  if (grant < warmth.coldSince) return false
+export function observeFirstByte (warmth: Warmth, { instance, grant, number }: FirstByteObservation): boolean {
+  if (grant < warmth.coldSince || warmth.instance === instance) return false
   const wasWarm = warmth.state === 'warm'
-  if (warmth.instance !== instance) {
-    turnCold(warmth, number)
-    warmth.instance = instance
-    return wasWarm
-  }
-  // A cold instance answers too; only a health report says that its cold start is over.
-  if (!wasWarm) return false
-  prove(warmth, grant)
-  ramp(warmth, capacity, now)
-  return false
+  turnCold(warmth, number)
+  warmth.instance = instance
+  return wasWarm
 }
 
 function prove (warmth: Warmth, upTo: number): void {
--- a/src/core/admission/grants.ts
+++ b/src/core/admission/grants.ts
@@ -29,7 +29,7 @@
 }
 
 export type GrantResult =
-  | { state: 'granted', answer: PermitAnswer & { granted: true }, record: PermitRecord }
+  | { state: 'granted', answer: PermitAnswer & { granted: true }, entry: BackendEntry }
   | { state: 'blocked', by: Waiting['blockedBy'], passedOver: PassedOver[] }
   | { state: 'refused', reason: PermitRefusalReason, passedOver: PassedOver[] }
 
@@ -79,7 +79,7 @@
       warm: entry.warmth.state === 'warm',
       slots: entry.spec.slots,
       inFlight: table.load(entry),
-      pendingTokens: permits.of(entry.id).reduce((sum, record) => sum + (record.firstByteSeen ? 0 : record.pendingTokens), 0),
+      pendingTokens: permits.of(entry.id).reduce((sum, record) => sum + (record.firstByteAt < Infinity ? 0 : record.pendingTokens), 0),
       cachedShare: prefixes.cachedShare(entry.id, request.prefixHashes),
       sentBefore: homes.get(request.fingerprint) === entry.id
     }
@@ -101,7 +101,7 @@
       target,
       ask,
       pendingTokens: (1 - candidate.cachedShare) * request.estimatedTokens,
-      firstByteSeen: false,
+      firstByteAt: Infinity,
       reclaimAt: undefined
     }
     permits.add(created)
@@ -126,7 +126,7 @@
       version: request.version,
       startWithinMs: permitStartMs
     }
-    return { state: 'granted', record: created, answer: { granted: true, permit, passedOver, queuedMs: clock.now() - enqueuedAt } }
+    return { state: 'granted', entry, answer: { granted: true, permit, passedOver, queuedMs: clock.now() - enqueuedAt } }
   }
 
   function tryGrant (waiting: Waiting): GrantResult {
--- a/src/core/admission/permits.ts
+++ b/src/core/admission/permits.ts
@@ -20,7 +20,8 @@
   ask: string | undefined
   /** Prompt tokens the backend server computes before the first byte. */
   pendingTokens: number
-  firstByteSeen: boolean
+  /** When the first byte was reported; Infinity before. */
+  firstByteAt: number
   /** Set when the VM died: the time from which the permit may be reclaimed. */
   reclaimAt: number | undefined
 }
--- a/src/core/admission/queue-runner.ts
+++ b/src/core/admission/queue-runner.ts
@@ -6,7 +6,7 @@
 import type { VmId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { BackendTable } from './backend-table.ts'
-import { inFlightLimit } from './cold-start.ts'
+import { inFlightLimit, needsProof } from './cold-start.ts'
 import { DEFAULT_RETRY_AFTER_MS } from './constants.ts'
 import type { Eligibility, QuarantineView } from './eligibility.ts'
 import { createFairQueue } from './fair-queue.ts'
@@ -64,7 +64,9 @@
     waiting.answer({ granted: false, refusal: { reason, retryAfterMs: Math.ceil(retryAfterMs), passedOver } })
   }
 
-  function grant (waiting: Waiting, { answer }: GrantResult & { state: 'granted' }): void {
+  function grant (waiting: Waiting, { answer, entry }: GrantResult & { state: 'granted' }): void {
+    // The proof for the next grant is fetched now, so that the next request need not wait for it.
+    if (needsProof(entry.warmth, entry.spec)) prober.probe(entry)
     queue.take(waiting)
     leave(waiting)
     retryBudget.noteGrant(waiting.request.isRetry)
--- a/src/core/admission/scheduler.ts
+++ b/src/core/admission/scheduler.ts
@@ -56,7 +56,7 @@
   let number = 0
   const nextNumber = (): number => ++number
   const permits = createPermits(now)
-  const table = createBackendTable({ view, dataCentre, permits, permitStartMs, loadReportLagMs, now })
+  const table = createBackendTable({ view, dataCentre, permits, loadReportLagMs, now })
   const eligibility = createEligibility({ table, permits, quarantine })
   const prefixes = createPrefixIndex()
   const teamLimits = createTeamLimits({ view, dataCentre, peerSummaries: options.peerSummaries })
@@ -178,7 +178,7 @@
 
   function register (permit: PermitSync['held'][number], vm: VmId): void {
     permits.add({
-      ...permit, vm, grant: -1, grantedAt: now(), target: '', ask: undefined, pendingTokens: 0, firstByteSeen: false, reclaimAt: undefined
+      ...permit, vm, grant: -1, grantedAt: now(), target: '', ask: undefined, pendingTokens: 0, firstByteAt: Infinity, reclaimAt: undefined
     })
   }
 
