Count load that no permit explains until reports show that it is gone

The request of a VM that died before a takeover was known only from the load report; the next report was explained by a new permit whose request had not started, and the slot was given out again.

Change: unexplained load rises by what exceeds all permits and falls only with the load that running permits do not account for. Held permits are registered with whether their first byte was seen.

Ruled out: taking the reported load as it is, because it lags behind releases and would keep slots empty for a report lag after each of them.

Conclusion: load is an upper bound whoever granted it.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -21,14 +21,32 @@
     And admission is asked by 8 VMs for 2 permits each
     And admission learns of it by <sign>
     Then admission has overloaded no cold backend server
+    And admission has counted a cold start by <reason>
 
     Examples:
-      | event      | sign                     |
-      | restarts   | a probe                  |
-      | restarts   | a first byte             |
-      | restarts   | lost connections         |
-      | turns cold | a probe                  |
-      | turns cold | a late first byte        |
+      | event      | sign                     | reason   |
+      | restarts   | a probe                  | instance |
+      | restarts   | a first byte             | instance |
+      | restarts   | lost connections         | instance |
+      | turns cold | a probe                  | report   |
+      | turns cold | a late first byte        | report   |
+
+  Scenario: a lost connection turns a backend server cold before a probe is answered
+    Given admission leads 1 warm backend servers with 8 slots and an allowance of 1
+    And admission has 3 requests running
+    And admission has probes that take 100 ms
+    When admission loses the connection of a running request
+    And admission is asked by 4 VMs for 1 permits each
+    Then admission has granted 3 permits
+    And admission has counted a cold start by crash
+
+  Scenario: a backend server that restarts and reports warm at once is ramped up again
+    Given admission leads 1 warm backend servers with 8 slots and an allowance of 1
+    When the admission backend server restarts warm without warning
+    And admission is asked by 8 VMs for 1 permits each
+    Then admission has granted 1 permits
+    When admission waits 2500 ms
+    Then admission has granted 8 permits
 
   Scenario Outline: load reports that lag <lag> ms neither hide nor invent load
     Given admission leads 1 warm backend servers with 4 slots, an allowance of 4 and reports that lag <lag> ms
@@ -69,34 +87,35 @@
     When admission loses its lease during a pause and a running request ends
     Then admission refused the last request with "not_leader" and 250 ms to wait
 
-  Scenario Outline: permits of a dead VM are kept while <case>
+  Scenario Outline: permits of a VM that <event> are kept while the backend server <case>
     Given admission leads 1 cold backend servers with 8 slots and an allowance of 1
     And admission has 1 requests running
     And admission has a queued request
-    When admission learns that the VM with the running request died
+    When admission learns that the VM with the running request <event>
     And admission waits <waited> ms while the backend server <case>
     Then admission has granted <granted> permits
     And admission has overloaded no cold backend server
 
     Examples:
-      | case                      | waited | granted |
-      | has dropped the request   | 1900   | 1       |
-      | has dropped the request   | 2600   | 2       |
-      | still runs the request    | 9000   | 1       |
+      | event     | case                      | waited | granted |
+      | died      | has dropped the request   | 1900   | 1       |
+      | died      | has dropped the request   | 2600   | 2       |
+      | died      | still runs the request    | 9000   | 1       |
+      | restarted | has dropped the request   | 2600   | 2       |
 
   Scenario Outline: a release that arrives <order> frees one slot once
     Given admission leads 1 cold backend servers with 8 slots and an allowance of 2
     And admission has 2 requests running
     When admission gets a release <order>
     And admission is asked by 3 VMs for 1 permits each
-    Then admission has <in flight> requests in flight
+    Then admission has granted <granted> permits
     And admission has overloaded no cold backend server
 
     Examples:
-      | order                                        | in flight |
-      | twice                                        | 2         |
-      | from another VM                              | 2         |
-      | before the registration with a new leader    | 2         |
+      | order                                        | granted |
+      | twice                                        | 3       |
+      | from another VM                              | 2       |
+      | before the registration with a new leader    | 3       |
 
   Scenario Outline: a request that waits while the <object> is <change> is refused as <reason>
     Given admission leads 1 cold backend servers with 8 slots and an allowance of 1
@@ -158,17 +177,20 @@
       | 100   | 50      | 10      |
       | 2     | 5       | 1       |
 
-  Scenario Outline: <case> go to <servers> backend servers
-    Given admission leads 3 warm backend servers with 8 slots and an allowance of 4
-    When admission gets 3 requests that are <case>
-    Then admission has sent them to <servers> backend servers
+  Scenario Outline: <case> requests go to <servers> backend servers with <slots> slots
+    Given admission leads 3 warm backend servers with <slots> slots and an allowance of <slots>
+    When admission gets 3 <case> requests with the same prompt prefix
+    Then admission has granted <granted> permits
+    And admission has sent them to <servers> backend servers
 
     Examples:
-      | case                               | servers |
-      | different suspects                 | 3       |
-      | identical suspects                 | 1       |
-      | identical                          | 1       |
-      | suspects by quarantine reports     | 3       |
+      | case                      | slots | granted | servers |
+      | ordinary                  | 8     | 3       | 1       |
+      | identical                 | 1     | 3       | 3       |
+      | identical suspect         | 8     | 3       | 1       |
+      | identical suspect         | 1     | 1       | 1       |
+      | different suspect         | 8     | 3       | 3       |
+      | reported suspect          | 8     | 3       | 3       |
 
   Scenario: a quarantined request is refused
     Given admission leads 1 warm backend servers with 8 slots and an allowance of 1
--- a/features/steps/admission-interleavings.ts
+++ b/features/steps/admission-interleavings.ts
@@ -20,13 +20,15 @@
   finish: 14,
   'late release': 2,
   'give up': 2,
+  tick: 20,
   advance: 10,
   'warm up': 4,
   restart: 2,
   'turn cold': 2,
   'VM dies': 1,
   'drop orphan': 2,
-  'take over': 1
+  'take over': 1,
+  register: 4
 } as const
 type Operation = keyof typeof FREQUENCIES
 const OPERATIONS = (Object.keys(FREQUENCIES) as Operation[]).flatMap(name => Array.from({ length: FREQUENCIES[name] }, () => name))
@@ -40,12 +42,22 @@
   fingerprint: string
   grantedAt: number
   state: 'granted' | 'running' | 'ended' | 'orphan'
+  firstByteSeen: boolean
 }
 
 const VMS = ['vm-1', 'vm-2', 'vm-3'].map(name => brandId<VmId>(name))
 const PERMIT_START_MS = 1000
 
-interface Run { stand: AdmissionStand, tickets: Ticket[], count: number, upAt: Map<string, number>, boots: Map<VmId, number> }
+interface Run {
+  stand: AdmissionStand
+  tickets: Ticket[]
+  count: number
+  /** When a restarting backend server accepts connections again. */
+  upAt: Map<string, number>
+  boots: Map<VmId, number>
+  /** VMs that have registered with the present leader. */
+  registered: Set<VmId>
+}
 
 /** Runs the interleavings; returns the number of overloads, or rejects with the smallest failing interleaving. */
 export async function runInterleavings (seed: number): Promise<number> {
@@ -59,7 +71,8 @@
   const stand = createStand()
   addEngine(stand, 'runner-1', { slots: 4, coldAllowance: 1, reportLagMs: 900 })
   addEngine(stand, 'runner-2', { slots: 4, coldAllowance: 2, reportLagMs: 300 })
-  const run: Run = { stand, tickets: [], count: 0, upAt: new Map(), boots: new Map() }
+  const run: Run = { stand, tickets: [], count: 0, upAt: new Map(), boots: new Map(), registered: new Set() }
+  stand.probeDelayMs = 1
   await stand.clock.advance(SETTLE_MS)
   for (const { operation, which, ms } of steps) {
     await apply(run, operation, which, ms)
@@ -89,6 +102,7 @@
     case 'finish': return end(run, pick(run, 'running', which), true)
     case 'late release': return end(run, pick(run, 'running', which), false)
     case 'give up': return giveUp(run, pick(run, 'granted', which))
+    case 'tick': return stand.clock.advance(1)
     case 'advance': return stand.clock.advance(ms)
     case 'warm up': return engine.warmUp()
     case 'turn cold': return turnCold(run, name, engine)
@@ -99,17 +113,21 @@
       if (orphan) engineOf(run, orphan).end(orphan.id)
       return
     }
-    case 'take over': return takeOver(run, ms)
+    case 'take over':
+      run.registered.clear()
+      return lead(stand)
+    case 'register': return register(run, VMS[which % VMS.length]!)
   }
 }
 
 function ask (run: Run, vm: VmId): void {
   const { stand, tickets } = run
+  register(run, vm)
   const request = permitRequest({ request: `request-${run.count++}`, waitMs: 3000 })
   void stand.scheduler.request(request, vm).then((answer: PermitAnswer) => {
     if (!answer.granted) return
     const { id, backendServer } = answer.permit
-    tickets.push({ vm, id, backendServer, fingerprint: request.fingerprint, grantedAt: stand.clock.now(), state: 'granted' })
+    tickets.push({ vm, id, backendServer, fingerprint: request.fingerprint, grantedAt: stand.clock.now(), state: 'granted', firstByteSeen: false })
   })
 }
 
@@ -130,7 +148,9 @@
 }
 
 function firstByte (run: Run, ticket: Ticket | undefined): void {
-  if (ticket) run.stand.scheduler.firstByte({ id: brandId(ticket.id), instance: engineOf(run, ticket).instance }, ticket.vm)
+  if (!ticket) return
+  ticket.firstByteSeen = true
+  run.stand.scheduler.firstByte({ id: brandId(ticket.id), instance: engineOf(run, ticket).instance }, ticket.vm)
 }
 
 /** Ends a request; a release without the instance is one that was resent late and proves nothing. */
@@ -170,21 +190,20 @@
     if (ticket.state === 'granted') ticket.state = 'ended'
   }
   run.boots.set(vm, (run.boots.get(vm) ?? 0) + 1)
+  run.registered.delete(vm)
   run.stand.scheduler.memberDead(vm)
 }
 
-async function takeOver (run: Run, ms: number): Promise<void> {
-  const { stand, tickets } = run
-  lead(stand)
-  await stand.clock.advance(ms)
-  for (const vm of VMS) {
-    const held = tickets.filter(ticket => ticket.vm === vm && (ticket.state === 'granted' || ticket.state === 'running'))
-    stand.scheduler.sync({
-      vm,
-      boot: brandId(`boot-${run.boots.get(vm) ?? 0}`),
-      held: held.map(ticket => ({
-        id: brandId(ticket.id), backendServer: brandId(ticket.backendServer), team: brandId('team-1'), fingerprint: ticket.fingerprint, suspect: false
-      }))
-    })
-  }
+/** A VM registers once with each leader, at any time but before it asks for a permit. */
+function register (run: Run, vm: VmId): void {
+  if (run.registered.has(vm)) return
+  run.registered.add(vm)
+  const held = run.tickets.filter(ticket => ticket.vm === vm && (ticket.state === 'granted' || ticket.state === 'running'))
+  run.stand.scheduler.sync({
+    vm,
+    boot: brandId(`boot-${run.boots.get(vm) ?? 0}`),
+    held: held.map(({ id, backendServer, fingerprint, firstByteSeen }) => ({
+      id: brandId(id), backendServer: brandId(backendServer), team: brandId('team-1'), fingerprint, suspect: false, firstByteSeen
+    }))
+  })
 }
--- a/features/steps/admission-stand.ts
+++ b/features/steps/admission-stand.ts
@@ -4,7 +4,7 @@
   addressOf, createBasicView, createFakeEngine, createRandom, DATA_CENTRE, permitRequest, putBackendServer, type FakeEngine, type MemoryView
 } from '../../src/bench/admission-fixture.ts'
 import { createScheduler } from '../../src/core/admission/index.ts'
-import type { LeaderSummary, Permit, PermitAnswer, PermitRequest, Scheduler } from '../../src/core/admission/types.ts'
+import type { HealthReport, LeaderSummary, Permit, PermitAnswer, PermitRequest, Scheduler } from '../../src/core/admission/types.ts'
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
 import { brandId, type VmId } from '../../src/core/ids/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
@@ -33,6 +33,8 @@
   scheduler: Scheduler
   epoch: number
   held: boolean
+  /** One-way delay of health probes. */
+  probeDelayMs: number
   asked: Asked[]
   /** Granted requests in the order of the grants. */
   grants: Asked[]
@@ -55,6 +57,7 @@
     peerSummaries: [],
     epoch: 0,
     held: true,
+    probeDelayMs: 0,
     asked: [],
     grants: []
   } as unknown as AdmissionStand
@@ -72,7 +75,7 @@
     epoch,
     isHeld: () => stand.held && stand.epoch === epoch,
     view: stand.view,
-    healthProbe: async address => engineAt(stand, address).health(),
+    healthProbe: address => probe(stand, address),
     quarantine: {
       isQuarantined: fingerprint => stand.quarantined.has(fingerprint),
       isSuspect: fingerprint => stand.suspects.has(fingerprint),
@@ -88,6 +91,14 @@
   stand.scheduler.start()
 }
 
+async function probe (stand: AdmissionStand, address: string): Promise<HealthReport> {
+  const delay = async (): Promise<void> => stand.probeDelayMs > 0 ? stand.clock.sleep(stand.probeDelayMs) : undefined
+  await delay()
+  const report = engineAt(stand, address).health()
+  await delay()
+  return report
+}
+
 function engineAt (stand: AdmissionStand, address: string): FakeEngine {
   return [...stand.engines.values()].find(engine => engine.address === address)!
 }
--- a/src/core/admission/backend-table.ts
+++ b/src/core/admission/backend-table.ts
@@ -40,7 +40,12 @@
   serving(request: Pick<PermitRequest, 'version' | 'service'>): BackendEntry[]
   load(entry: BackendEntry): number
   noteRelease(entry: BackendEntry): void
-  /** Applies a load report: counts unexplained load and reclaims permits of dead VMs that it shows to be gone. */
+  /**
+   * Applies a load report: counts unexplained load and reclaims permits of dead VMs that it shows to be gone. The report
+   * reflects a moment not earlier than `loadReportLagMs` before the probe. Requests of live VMs whose first byte was
+   * seen by then are part of it, and the rest of it bounds the requests of others. Permits without a first byte do not
+   * count: they may never have started and may be given back while the request of a dead VM still runs.
+   */
   applyLoad(entry: BackendEntry, report: LoadReport): void
 }
 
@@ -80,9 +85,23 @@
   }
 
   function applyLoad (entry: BackendEntry, { report, sentAt }: LoadReport): void {
-    reclaim(entry, report.inFlight, sentAt, options)
+    const records = permits.of(entry.id)
+    const running = records.filter(({ reclaimAt, firstByteAt }) => reclaimAt === undefined && firstByteAt <= sentAt - loadReportLagMs)
+    const unaccounted = Math.max(0, report.inFlight - running.length)
+    const reclaimable = records.filter(({ reclaimAt }) => reclaimAt !== undefined && reclaimAt <= sentAt)
+    for (const record of reclaimable.slice(unaccounted)) permits.remove(record.id)
+    entry.unexplained = unexplainedOf(entry, report.inFlight, unaccounted, sentAt)
+  }
+
+  /**
+   * Requests that no permit explains. Before the first verification it is all that is not accounted for. Later it
+   * rises by what exceeds all permits, and falls only when the unaccounted load does.
+   */
+  function unexplainedOf (entry: BackendEntry, reported: number, unaccounted: number, sentAt: number): number {
+    if (!entry.verified) return unaccounted
     const recent = entry.releasedAt.filter(at => at >= sentAt - loadReportLagMs).length
-    entry.unexplained = Math.max(0, report.inFlight - permits.count(entry.id) - recent)
+    const excess = reported - permits.count(entry.id) - recent
+    return Math.min(unaccounted, Math.max(entry.unexplained, excess))
   }
 
   return {
@@ -111,18 +130,3 @@
     unreachable: false
   }
 }
-
-/**
- * Reclaims permits of dead VMs as far as the report shows that their requests are gone. The report reflects a moment
- * not earlier than `loadReportLagMs` before the probe. Requests of live VMs whose first byte was seen by then are part
- * of the reported load, so the rest of it bounds the requests of dead VMs. Permits without a first byte do not count:
- * they may never have started and may be given back while the request of the dead VM still runs.
- */
-function reclaim (entry: BackendEntry, reported: number, sentAt: number, { permits, loadReportLagMs }: BackendTableOptions): void {
-  const records = permits.of(entry.id)
-  const reclaimable = records.filter(record => record.reclaimAt !== undefined && record.reclaimAt <= sentAt)
-  if (reclaimable.length === 0) return
-  const running = records.filter(({ reclaimAt, firstByteAt }) => reclaimAt === undefined && firstByteAt <= sentAt - loadReportLagMs)
-  const keep = Math.max(0, reported - running.length)
-  for (const record of reclaimable.slice(keep)) permits.remove(record.id)
-}
--- a/src/core/admission/held-permits.ts
+++ b/src/core/admission/held-permits.ts
@@ -8,8 +8,7 @@
   fingerprint: string
   suspect: boolean
   startDeadline: number
-  /** Granted by local admission, not by a leader. */
-  isLocal: boolean
+  firstByteSeen: boolean
 }
 
 export interface HeldPermits {
@@ -32,7 +31,8 @@
     all: () => records.values(),
     toRegister: dataCentre => [...records.values()]
       .filter(({ permit }) => permit.dataCentre === dataCentre)
-      .map(({ permit, team, fingerprint, suspect }) => ({ id: permit.id, backendServer: permit.backendServer, team, fingerprint, suspect })),
+      .map(({ permit, team, fingerprint, suspect, firstByteSeen }) =>
+        ({ id: permit.id, backendServer: permit.backendServer, team, fingerprint, suspect, firstByteSeen })),
     size: () => records.size
   }
 }
--- a/src/core/admission/permit-client.ts
+++ b/src/core/admission/permit-client.ts
@@ -82,12 +82,12 @@
   function admitLocally (dataCentre: DataCentreId, request: PermitRequest): PermitAnswer {
     const answer = local.admit(dataCentre, request, exchange.latest(dataCentre)!.summary)
     metrics.count('local_admission', answer.granted ? 'granted' : answer.refusal.reason)
-    if (answer.granted) hold(answer.permit, request, clock.now() + permitStartMs, true)
+    if (answer.granted) hold(answer.permit, request, clock.now() + permitStartMs)
     return answer
   }
 
-  function hold (permit: Permit, { team, fingerprint, suspect }: PermitRequest, startDeadline: number, isLocal: boolean): void {
-    held.add({ permit, team, fingerprint, suspect, startDeadline, isLocal })
+  function hold (permit: Permit, { team, fingerprint, suspect }: PermitRequest, startDeadline: number): void {
+    held.add({ permit, team, fingerprint, suspect, startDeadline, firstByteSeen: false })
   }
 
   async function ask (dataCentre: DataCentreId, link: LeaderLink, request: PermitRequest): Promise<PermitAnswer> {
@@ -119,7 +119,7 @@
     const startDeadline = askedAt + queuedMs + permit.startWithinMs
     const isObsolete = permit.epoch < registration.epoch(permit.dataCentre)
     if (!isLate && !isObsolete && clock.now() < startDeadline) {
-      hold(permit, request, startDeadline, false)
+      hold(permit, request, startDeadline)
       return answer
     }
     reports.add(permit.dataCentre, permit.epoch, { releases: [{ id: permit.id, outcome: 'not_sent' }] })
@@ -156,7 +156,9 @@
       return record !== undefined && clock.now() < record.startDeadline
     },
     reportFirstByte (permit, instance) {
-      if (!held.get(permit.id)) return
+      const record = held.get(permit.id)
+      if (!record) return
+      record.firstByteSeen = true
       local.firstByte(permit, instance)
       reports.add(permit.dataCentre, epochOf(permit), { firstBytes: [{ id: permit.id, instance }] })
     },
--- a/src/core/admission/probes.ts
+++ b/src/core/admission/probes.ts
@@ -1,6 +1,6 @@
 /**
- * Health probes of the backend servers of a data centre: every 250 ms to those that are cold, ramping up, unverified
- * or unreachable, every 2 s to the others, and on demand when a grant needs a proof. One probe per backend server is
+ * Health probes of the backend servers of a data centre: every 250 ms to those that are cold, ramping up, unverified,
+ * unreachable or loaded by requests that no permit explains, every 2 s to the others, and on demand when a grant needs a proof. One probe per backend server is
  * under way at a time.
  */
 import type { Clock, TimerCancel } from '../clock/index.ts'
@@ -64,7 +64,7 @@
 
   function probeDue (): void {
     for (const entry of table.all()) {
-      const isSettled = entry.verified && !entry.unreachable && entry.failures === 0 &&
+      const isSettled = entry.verified && !entry.unreachable && entry.failures === 0 && entry.unexplained === 0 &&
         entry.warmth.state === 'warm' && !isRamping(entry.warmth, entry.spec)
       const periodMs = isSettled ? WARM_PROBE_PERIOD_MS : COLD_PROBE_PERIOD_MS
       if (clock.now() - entry.probedAt >= periodMs) probe(entry)
--- a/src/core/admission/queue-runner.ts
+++ b/src/core/admission/queue-runner.ts
@@ -140,11 +140,6 @@
   }
 
   function runOnce (): void {
-    if (queue.size() === 0) return
-    if (!isHeld()) {
-      refuseAll('not_leader')
-      return
-    }
     const blocked = new Set<string>()
     let next = nextGrant(blocked)
     while (next) next = nextGrant(blocked)
@@ -154,7 +149,10 @@
   function nextGrant (blocked: Set<string>): boolean {
     for (const waiting of queue.inOrder()) {
       if (blocked.has(waiting.target) || blocked.has(waiting.team)) continue
-      if (!isHeld()) return false
+      if (!isHeld()) {
+        refuseAll('not_leader')
+        return false
+      }
       const result = granter.tryGrant(waiting)
       if (result.state === 'refused') refuse(waiting, result.reason, DEFAULT_RETRY_AFTER_MS, result.passedOver)
       if (result.state === 'blocked') noteBlocked(waiting, result, blocked)
--- a/src/core/admission/scheduler.ts
+++ b/src/core/admission/scheduler.ts
@@ -23,7 +23,7 @@
 import { createTeamLimits } from './team-limits.ts'
 import { createBackendWatch } from './backend-watch.ts'
 import type {
-  BackendChoice, HealthProbe, LeaderSummary, PermitAnswer, PermitRefusalReason, PermitRelease, PermitRequest, PermitSync, Scheduler
+  BackendChoice, HealthProbe, HeldPermit, LeaderSummary, PermitAnswer, PermitRefusalReason, PermitRelease, PermitRequest, PermitSync, Scheduler
 } from './types.ts'
 
 export interface SchedulerOptions {
@@ -176,9 +176,17 @@
     }
   }
 
-  function register (permit: PermitSync['held'][number], vm: VmId): void {
+  function register ({ firstByteSeen, ...permit }: HeldPermit, vm: VmId): void {
     permits.add({
-      ...permit, vm, grant: -1, grantedAt: now(), target: '', ask: undefined, pendingTokens: 0, firstByteAt: Infinity, reclaimAt: undefined
+      ...permit,
+      vm,
+      grant: -1,
+      grantedAt: now(),
+      target: '',
+      ask: undefined,
+      pendingTokens: 0,
+      firstByteAt: firstByteSeen ? now() : Infinity,
+      reclaimAt: undefined
     })
   }
 
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -83,6 +83,8 @@
   team: TeamId
   fingerprint: string
   suspect: boolean
+  /** The first byte of the answer has arrived, so the backend server's load report includes the request. */
+  firstByteSeen?: boolean
 }
 
 export interface PermitSync {
