--- /dev/null
+++ b/features/data-centre.feature
@@ -0,0 +1,26 @@
+Feature: Data centre choice
+
+  Scenario Outline: data centre choice when <situation>
+    Given data centre choice between own, near and far with free slots everywhere
+    When the data centre choice is made while <situation>
+    Then the data centre choice is "<order>"
+
+    Examples:
+      | situation                                  | order           |
+      | nothing is wrong                           | own, near, far  |
+      | own is out of service                      | near, far       |
+      | own does not serve the version             | near, far       |
+      | the backend servers of own are leaving     | near, far       |
+      | own already refused                        | near, far       |
+      | the version is withdrawn                   |                 |
+      | own has no free slot                       | near, own, far  |
+      | all of the region queue for a second       | far, own, near  |
+      | own has no leader that grants              | near, far, own  |
+      | own was not heard of                       | near, far, own  |
+      | the team has used its share of own         | near, far, own  |
+      | the team has used its whole limit          | own, near, far  |
+
+  Scenario: a returning data centre gets load in proportion to its warm backend servers
+    Given data centre choice between own, near and far with free slots everywhere
+    When the data centre choice is made 2000 times with seed 7 while 1 of 4 backend servers of own are warm
+    Then the data centre choice went to own about 500 times
