Measure takeover, choice of backend server and overload

Change: benchmarks takeover, backend-choice and overload on an event clock, with a model of an engine (serial prompt computation, shared decoding, limited prefix cache with late and lost events, falls over when overloaded cold).

Ruled out: a cluster simulator; the drivers are event loops at the interfaces.

--- /dev/null
+++ b/src/bench/engine-model.ts
@@ -0,0 +1,151 @@
+/**
+ * Model of a model engine for benchmarks: prompts are computed one after the other, faster where a prefix is cached;
+ * answers are decoded together, slower the more there are; the prefix cache has limited memory and reports its
+ * changes late and with gaps. A cold engine that gets more than it bears falls over and starts again.
+ */
+import type { CacheEvent, HealthReport } from '../core/admission/types.ts'
+import type { BackendServerId } from '../core/ids/index.ts'
+import type { EventClock } from './event-clock.ts'
+
+/** Prompt tokens computed per millisecond. */
+const PREFILL_TOKENS_PER_MS = 8
+/** Slowing of prompt computation by each answer being decoded. */
+const PREFILL_SLOWDOWN = 0.04
+const DECODE_MS_PER_TOKEN = 12
+/** Time a token takes longer for each other answer being decoded. */
+const DECODE_MS_PER_TOKEN_AND_ANSWER = 1.2
+const CACHE_EVENT_DELAY_MS = 800
+const CACHE_EVENT_LOSS = 0.1
+
+export interface ModelWork {
+  id: string
+  /** Hashes of the leading blocks, longest first. */
+  prefixHashes: string[]
+  tokensPerBlock: number
+  promptTokens: number
+  outputTokens: number
+}
+
+export interface EngineModelOptions {
+  id: BackendServerId
+  clock: EventClock
+  random: () => number
+  cacheBlocks: number
+  reportLagMs: number
+  coldAllowance: number
+  /** Time from a restart until the engine is warm. */
+  warmUpMs: number
+  /** Share of requests that the engine answers with an error. */
+  failureShare?: () => number
+  onCacheEvent?: (event: CacheEvent) => void
+}
+
+export interface EngineModel {
+  readonly instance: string
+  readonly inFlight: number
+  readonly isWarm: boolean
+  /** Times it fell over because it got more than it bears while cold. */
+  readonly falls: number
+  /** Time to the first token that a request would have now, milliseconds. */
+  expectedFirstTokenMs(work: ModelWork): number
+  /** Runs a request; resolves with whether it ended well. */
+  run(work: ModelWork, onFirstToken: () => void): Promise<'completed' | 'failed' | 'crashed'>
+  health(): HealthReport
+  restart(): void
+}
+
+export function createEngineModel (options: EngineModelOptions): EngineModel {
+  const { id, clock, random, cacheBlocks, reportLagMs, coldAllowance, warmUpMs, failureShare = () => 0, onCacheEvent } = options
+  const cache = new Map<string, true>()
+  const running = new Set<string>()
+  let history = [{ at: -Infinity, inFlight: 0 }]
+  let decoding = 0
+  let prefillFreeAt = 0
+  let boot = 1
+  let warmAt = 0
+  let sequence = 0
+  let falls = 0
+
+  const instance = (): string => `${id}#${boot}`
+  const isWarm = (): boolean => clock.now() >= warmAt
+
+  function note (): void {
+    history.push({ at: clock.now(), inFlight: running.size })
+  }
+
+  function uncachedTokens ({ prefixHashes, tokensPerBlock, promptTokens }: ModelWork): number {
+    const index = prefixHashes.findIndex(hash => cache.has(hash))
+    const cachedBlocks = index === -1 ? 0 : prefixHashes.length - index
+    return Math.max(1, promptTokens - cachedBlocks * tokensPerBlock)
+  }
+
+  function prefillMs (work: ModelWork): number {
+    return uncachedTokens(work) / PREFILL_TOKENS_PER_MS * (1 + PREFILL_SLOWDOWN * decoding)
+  }
+
+  function store (hashes: readonly string[]): void {
+    const stored = hashes.filter(hash => !cache.has(hash))
+    for (const hash of [...hashes].reverse()) {
+      cache.delete(hash)
+      cache.set(hash, true)
+    }
+    const removed = [...cache.keys()].slice(0, Math.max(0, cache.size - cacheBlocks))
+    for (const hash of removed) cache.delete(hash)
+    publish(stored, removed)
+  }
+
+  function publish (stored: string[], removed: string[]): void {
+    const event: CacheEvent = { backendServer: id, instance: instance(), sequence: ++sequence, stored, removed }
+    if (!onCacheEvent || random() < CACHE_EVENT_LOSS) return
+    clock.after(CACHE_EVENT_DELAY_MS, () => onCacheEvent(event))
+  }
+
+  function restart (): void {
+    boot++
+    warmAt = clock.now() + warmUpMs
+    prefillFreeAt = clock.now()
+    decoding = 0
+    sequence = 0
+    cache.clear()
+    running.clear()
+    note()
+  }
+
+  async function run (work: ModelWork, onFirstToken: () => void): Promise<'completed' | 'failed' | 'crashed'> {
+    const startedIn = boot
+    running.add(work.id)
+    note()
+    if (!isWarm() && running.size > coldAllowance) {
+      falls++
+      restart()
+    }
+    const prefill = prefillMs(work)
+    prefillFreeAt = Math.max(prefillFreeAt, clock.now()) + prefill
+    store(work.prefixHashes)
+    await clock.sleep(prefillFreeAt - clock.now())
+    if (boot !== startedIn) return 'crashed'
+    onFirstToken()
+    decoding++
+    await clock.sleep(work.outputTokens * (DECODE_MS_PER_TOKEN + DECODE_MS_PER_TOKEN_AND_ANSWER * decoding))
+    if (boot !== startedIn) return 'crashed'
+    decoding--
+    running.delete(work.id)
+    note()
+    return random() < failureShare() ? 'failed' : 'completed'
+  }
+
+  return {
+    get instance () { return instance() },
+    get inFlight () { return running.size },
+    get isWarm () { return isWarm() },
+    get falls () { return falls },
+    expectedFirstTokenMs: work => Math.max(0, prefillFreeAt - clock.now()) + prefillMs(work),
+    run,
+    health () {
+      const index = history.findLastIndex(({ at }) => at <= clock.now() - reportLagMs)
+      history = history.slice(Math.max(0, index))
+      return { instance: instance(), state: isWarm() ? 'warm' : 'cold', inFlight: history[0]!.inFlight }
+    },
+    restart
+  }
+}
--- a/src/core/admission/backend-choice.ts
+++ b/src/core/admission/backend-choice.ts
@@ -12,8 +12,8 @@
 const COLD_PENALTY_TOKENS = 4096
 
 /** Least expected work before the first token: own uncached prompt, prompts waiting there, requests being decoded. */
-export const chooseLeastWork: BackendChoice = ({ estimatedTokens, candidates, random }) =>
-  lowest(candidates, random, candidate => expectedWork(candidate, estimatedTokens))
+export const chooseLeastWork: BackendChoice = ({ request, candidates, random }) =>
+  lowest(candidates, random, candidate => expectedWork(candidate, request.estimatedTokens))
 
 export const chooseLeastRequests: BackendChoice = ({ candidates, random }) =>
   lowest(candidates, random, candidate => candidate.inFlight / candidate.slots)
--- a/src/core/admission/grants.ts
+++ b/src/core/admission/grants.ts
@@ -114,7 +114,7 @@
   function grant (waiting: Waiting, open: BackendEntry[], passedOver: PassedOver[]): GrantResult {
     const { request, enqueuedAt } = waiting
     const candidates = open.map(entry => candidateOf(entry, request))
-    const chosen = options.chooseBackend({ estimatedTokens: request.estimatedTokens, candidates, random: options.random })
+    const chosen = options.chooseBackend({ request, candidates, random: options.random })
     const entry = table.get(chosen.backendServer)!
     const created = record(waiting, entry, chosen)
     const permit = {
--- a/src/core/admission/scheduler.ts
+++ b/src/core/admission/scheduler.ts
@@ -38,6 +38,8 @@
   peerSummaries: () => LeaderSummary[]
   permitStartMs?: number
   loadReportLagMs?: number
+  /** Time without grants after a takeover; another than the default only serves to measure what the wait prevents. */
+  settleMs?: number
   maxQueue?: number
   retryBudgetShare?: number
   chooseBackend?: BackendChoice
@@ -50,7 +52,7 @@
 export function createScheduler (options: SchedulerOptions): Scheduler {
   const {
     identity, dataCentre, epoch, isHeld, view, quarantine, clock, metrics, log, permitStartMs = 1000, loadReportLagMs = 1000,
-    maxQueue = 1000, retryBudgetShare = 0.1, random = Math.random
+    settleMs = permitStartMs + loadReportLagMs, maxQueue = 1000, retryBudgetShare = 0.1, random = Math.random
   } = options
   const now = (): number => clock.now()
   let number = 0
@@ -204,7 +206,7 @@
 
   function start (): void {
     running = true
-    settledAt = now() + permitStartMs + loadReportLagMs
+    settledAt = now() + settleMs
     table.refresh()
     prober.start()
     timers.push(view.onChange(configChanged))
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -197,7 +197,7 @@
 
 /** Chooses one of the candidates, of which there is at least one. */
 export type BackendChoice = (choice: {
-  estimatedTokens: number
+  request: PermitRequest
   candidates: readonly BackendCandidate[]
   random: () => number
 }) => BackendCandidate
