--- /dev/null
+++ b/features/support/fleet.ts
@@ -0,0 +1,176 @@
+/**
+ * A small fleet of real processes on loopback: object API, engines, applications and VMs. Each VM reaches the object
+ * API through a fault proxy of its own, so that tests can cut, delay or freeze it.
+ */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { once } from 'node:events'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { stringify } from 'smol-toml'
+import { sampleConfig, SAMPLE_OPERATOR_KEY, SAMPLE_TEAM_KEY, SAMPLE_VERSIONS } from '../../src/cli/dev/sample-config.ts'
+import { startFaultProxy, type FaultProxy } from '../../src/standin/fault-proxy/index.ts'
+import { startProcess, type RunningProcess } from './processes.ts'
+
+export interface FleetOptions {
+  /** VMs are spread over the data centres in turn. */
+  vms?: number
+  dataCentres?: string[]
+  engines?: number
+  applications?: number
+  /** Options of every engine stand-in. */
+  engineOptions?: Record<string, unknown>
+  applicationOptions?: Record<string, unknown>
+  leaseTtlMs?: number
+}
+
+export interface FleetVm {
+  id: string
+  dataCentre: string
+  url: string
+  peerAddress: string
+  process: RunningProcess
+  objectApiLink: FaultProxy
+}
+
+export interface FleetBackendServer {
+  id: string
+  dataCentre: string
+  address: string
+  process: RunningProcess
+}
+
+export interface Fleet {
+  objectApi: { url: string, process: RunningProcess }
+  vms: FleetVm[]
+  engines: FleetBackendServer[]
+  applications: FleetBackendServer[]
+  dataCentres: string[]
+  /** Starts one more VM, or the VM of this id again with a new process. */
+  startVm(id?: string): Promise<FleetVm>
+  stop(): Promise<void>
+}
+
+export { SAMPLE_OPERATOR_KEY, SAMPLE_TEAM_KEY, SAMPLE_VERSIONS }
+
+const REGION = 'bagmati'
+const READY_POLL_MS = 50
+const READY_TIMEOUT_MS = 30_000
+const PEER_KEY = 'peer-key-for-tests-0123456789'
+const TOKEN_KEY = 'token-key-for-tests-0123456789'
+
+export async function startFleet (options: FleetOptions = {}): Promise<Fleet> {
+  const { vms = 3, dataCentres = ['bag-a', 'bag-b'], engines = 4, applications = 2, leaseTtlMs = 2000 } = options
+  const folder = mkdtempSync(join(tmpdir(), 'lacewingstage-'))
+  const objectApiProcess = await startStandIn('object-api', {})
+  const objectApi = { url: String(objectApiProcess.details['url']), process: objectApiProcess }
+
+  const engineServers = await startBackendServers('engine', engines, dataCentres, {
+    versions: SAMPLE_VERSIONS, slots: 8, coldAllowance: 2, coldMs: 0, coldRequests: 0, firstTokenMs: 5, tokenDelayMs: 2, ...options.engineOptions
+  })
+  const applicationServers = await startBackendServers('application', applications, dataCentres, { ...options.applicationOptions })
+
+  const ports = await freePorts(2 * (vms + 2))
+  const addresses = Array.from({ length: vms + 2 }, (_, index) => ({
+    id: `vm-${index + 1}`,
+    dataCentre: dataCentres[index % dataCentres.length]!,
+    callerAddress: `127.0.0.1:${ports[2 * index]}`,
+    peerAddress: `127.0.0.1:${ports[2 * index + 1]}`
+  }))
+
+  const fleet: Fleet = {
+    objectApi, vms: [], engines: engineServers, applications: applicationServers, dataCentres, startVm, stop
+  }
+
+  async function startVm (id?: string): Promise<FleetVm> {
+    const slot = addresses.find(address => id === undefined ? !fleet.vms.some(vm => vm.id === address.id) : address.id === id)
+    if (!slot) throw new Error('no address left for another VM')
+    const objectApiLink = await startFaultProxy({ target: new URL(objectApi.url).host })
+    const file = join(folder, `${slot.id}.toml`)
+    const seeds = addresses.slice(0, vms).map(({ id: vm, peerAddress }) => ({ vm, peer_address: peerAddress }))
+    writeFileSync(file, stringify({
+      vm: { id: slot.id, region: REGION, data_centre: slot.dataCentre, caller_address: slot.callerAddress, peer_address: slot.peerAddress, seeds },
+      object_api: { url: `http://${objectApiLink.address}`, timeout_ms: 1000 },
+      peer: { shared_keys: [PEER_KEY] },
+      sessions: { token_keys: [TOKEN_KEY] },
+      lease: { lease_ttl_ms: leaseTtlMs, clock_margin_ms: 200 },
+      admission: { permit_start_ms: 500, load_report_lag_ms: 300 },
+      shutdown: { announce_ms: 500 }
+    }))
+    const process = await startProcess(['serve', '--settings', file])
+    const vm = { id: slot.id, dataCentre: slot.dataCentre, url: `http://${slot.callerAddress}`, peerAddress: slot.peerAddress, process, objectApiLink }
+    fleet.vms = [...fleet.vms.filter(other => other.id !== vm.id), vm]
+    return vm
+  }
+
+  async function stop (): Promise<void> {
+    const processes = [...fleet.vms.map(vm => vm.process), ...engineServers.map(server => server.process), ...applicationServers.map(server => server.process), objectApiProcess]
+    await Promise.all(processes.map(process => process.kill()))
+    await Promise.all(fleet.vms.map(vm => vm.objectApiLink.close()))
+    rmSync(folder, { recursive: true })
+  }
+
+  await Promise.all(addresses.slice(0, vms).map(({ id }) => startVm(id)))
+  fleet.vms.sort((a, b) => a.id.localeCompare(b.id))
+  await applySample(fleet)
+  await waitUntil(() => servesModels(fleet), 'every VM lists the models')
+  return fleet
+}
+
+/** Polls until the condition holds; fails the test when it never does. */
+export async function waitUntil (condition: () => Promise<boolean>, what: string): Promise<void> {
+  const limit = Date.now() + READY_TIMEOUT_MS
+  while (!await condition()) {
+    if (Date.now() > limit) throw new Error(`timed out: ${what}`)
+    await new Promise(resolve => setTimeout(resolve, READY_POLL_MS))
+  }
+}
+
+function startStandIn (kind: string, options: Record<string, unknown>): Promise<RunningProcess> {
+  return startProcess(['stand-in', kind, '--options', JSON.stringify(options)])
+}
+
+async function startBackendServers (kind: string, count: number, dataCentres: string[], options: Record<string, unknown>): Promise<FleetBackendServer[]> {
+  const starting = Array.from({ length: count }, async (_, index) => {
+    const id = `${kind}-${index + 1}`
+    const process = await startStandIn(kind, { ...options, instance: id })
+    return { id, dataCentre: dataCentres[index % dataCentres.length]!, address: String(process.details['address']), process }
+  })
+  return await Promise.all(starting)
+}
+
+async function freePorts (count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'))
+  await Promise.all(servers.map(server => once(server, 'listening')))
+  const ports = servers.map(server => (server.address() as { port: number }).port)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return ports
+}
+
+async function applySample (fleet: Fleet): Promise<void> {
+  const changes = sampleConfig({ region: REGION, dataCentres: fleet.dataCentres, engines: fleet.engines, applications: fleet.applications })
+  for (const change of changes) await putObject(fleet.vms[0]!, change.kind, change.name, change.spec)
+}
+
+/** Creates or replaces a configuration object through a VM; returns the HTTP status and body. */
+export async function putObject (vm: FleetVm, kind: string, name: string, spec: unknown, revision?: number): Promise<{ status: number, body: Record<string, unknown> }> {
+  const headers: Record<string, string> = { 'content-type': 'application/json', authorization: `Bearer ${SAMPLE_OPERATOR_KEY}` }
+  if (revision !== undefined) headers['if-match'] = String(revision)
+  const response = await fetch(`${vm.url}/operator/v1/${kind}/${name}`, { method: 'PUT', headers, body: JSON.stringify(spec) })
+  return { status: response.status, body: await response.json() as Record<string, unknown> }
+}
+
+async function servesModels (fleet: Fleet): Promise<boolean> {
+  const answers = await Promise.all(fleet.vms.map(vm => listModels(vm)))
+  return answers.every(models => models.length > 0)
+}
+
+async function listModels (vm: FleetVm): Promise<unknown[]> {
+  try {
+    const response = await fetch(`${vm.url}/v1/models`, { headers: { authorization: `Bearer ${SAMPLE_TEAM_KEY}` } })
+    if (!response.ok) return []
+    return (await response.json() as { data: unknown[] }).data
+  } catch {
+    return []
+  }
+}
--- /dev/null
+++ b/features/support/processes.ts
@@ -0,0 +1,56 @@
+/** Starts and ends processes of the bundled program for integration tests. Every process is ended by its own id. */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { createInterface } from 'node:readline'
+
+const PROGRAM = 'dist/lacewingstage.cjs'
+const MAX_LOG_LINES = 200
+
+export interface RunningProcess {
+  child: ChildProcess
+  /** First line on standard output, decoded. */
+  details: Record<string, unknown>
+  /** Last lines of standard error, for messages of failed tests. */
+  log: string[]
+  kill(): Promise<void>
+  /** Asks for a graceful shutdown and returns the exit code. */
+  terminate(): Promise<number | null>
+  pause(): void
+  resume(): void
+}
+
+/** Starts the program and resolves when it has printed its first line, which is JSON. */
+export async function startProcess (args: string[]): Promise<RunningProcess> {
+  const child = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  const log: string[] = []
+  createInterface({ input: child.stderr! }).on('line', line => {
+    log.push(line)
+    if (log.length > MAX_LOG_LINES) log.shift()
+  })
+  const details = await firstLine(child, log, args)
+  return {
+    child,
+    details,
+    log,
+    kill: () => end(child, 'SIGKILL').then(() => undefined),
+    terminate: () => end(child, 'SIGTERM'),
+    pause: () => { child.kill('SIGSTOP') },
+    resume: () => { child.kill('SIGCONT') }
+  }
+}
+
+async function end (child: ChildProcess, signal: NodeJS.Signals): Promise<number | null> {
+  if (child.exitCode !== null || child.signalCode !== null) return child.exitCode
+  const exited = once(child, 'exit')
+  child.kill(signal)
+  if (signal === 'SIGKILL') child.kill('SIGCONT')
+  await exited
+  return child.exitCode
+}
+
+function firstLine (child: ChildProcess, log: string[], args: string[]): Promise<Record<string, unknown>> {
+  return new Promise((resolve, reject) => {
+    createInterface({ input: child.stdout! }).once('line', line => resolve(JSON.parse(line) as Record<string, unknown>))
+    child.once('exit', code => reject(new Error(`${args.join(' ')} exited with ${code}:\n${log.join('\n')}`)))
+  })
+}
--- /dev/null
+++ b/src/core/vm/leaders.ts
@@ -0,0 +1,102 @@
+/** Runs one scheduler for each data centre lease that this VM holds. */
+import { createScheduler, type HealthProbe, type LeaderSummary, type Scheduler } from '../admission/index.ts'
+import type { Clock } from '../clock/index.ts'
+import type { ConfigView } from '../config/types.ts'
+import type { DataCentreId } from '../ids/index.ts'
+import type { LeaderLease } from '../lease/index.ts'
+import type { Log } from '../logging/index.ts'
+import type { Membership } from '../membership/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { Quarantine } from '../quarantine/index.ts'
+import type { Settings, VmIdentity } from '../settings/index.ts'
+
+export interface Leaders {
+  scheduler(dataCentre: DataCentreId): Scheduler | undefined
+  schedulers(): Scheduler[]
+  start(): void
+  stop(): void
+}
+
+export interface LeadersOptions {
+  identity: VmIdentity
+  lease: LeaderLease
+  view: ConfigView
+  membership: Membership
+  quarantine: Quarantine
+  healthProbe: HealthProbe
+  /** Latest summaries of the leaders, for limits that span data centres. */
+  summaries: () => LeaderSummary[]
+  settings: Settings['admission']
+  clock: Clock
+  metrics: Metrics
+  log: Log
+}
+
+export function createLeaders (options: LeadersOptions): Leaders {
+  const { identity, lease, view, membership, quarantine, healthProbe, summaries, settings, clock, metrics, log } = options
+  const running = new Map<DataCentreId, Scheduler>()
+  let isStarted = false
+
+  function begin (dataCentre: DataCentreId, epoch: number): void {
+    end(dataCentre)
+    const scheduler = createScheduler({
+      identity,
+      dataCentre,
+      epoch,
+      isHeld: () => lease.heldEpoch(dataCentre) === epoch,
+      view,
+      healthProbe,
+      quarantine,
+      peerSummaries: () => summaries().filter(summary => summary.dataCentre !== dataCentre),
+      permitStartMs: settings.permit_start_ms,
+      loadReportLagMs: settings.load_report_lag_ms,
+      maxQueue: settings.max_queue,
+      retryBudgetShare: settings.retry_budget_share,
+      clock,
+      metrics,
+      log
+    })
+    running.set(dataCentre, scheduler)
+    scheduler.start()
+  }
+
+  function end (dataCentre: DataCentreId): void {
+    running.get(dataCentre)?.stop()
+    running.delete(dataCentre)
+  }
+
+  return {
+    scheduler: dataCentre => running.get(dataCentre),
+    schedulers: () => [...running.values()],
+    start () {
+      if (isStarted) return
+      isStarted = true
+      lease.onAcquired(begin)
+      lease.onLost(end)
+      membership.onChange(member => {
+        if (member.state !== 'dead') return
+        for (const scheduler of running.values()) scheduler.memberDead(member.vm)
+      })
+    },
+    stop () {
+      for (const dataCentre of running.keys()) end(dataCentre)
+    }
+  }
+}
+
+/**
+ * Whether this VM should try to lead the data centre now: its own one, or another one of its region that has no
+ * available VM. The VMs that lead foreign data centres are spread by the data centre's position in the list.
+ */
+export function isPreferredLeader (dataCentre: DataCentreId, { identity, membership, dataCentres }: {
+  identity: VmIdentity
+  membership: Membership
+  dataCentres: DataCentreId[]
+}): boolean {
+  if (dataCentre === identity.dataCentre) return true
+  const available = membership.available()
+  if (available.some(member => member.dataCentre === dataCentre)) return false
+  const ordered = available.map(member => member.vm).sort()
+  const position = Math.max(0, [...dataCentres].sort().indexOf(dataCentre))
+  return ordered[position % ordered.length] === identity.vm
+}
--- /dev/null
+++ b/src/core/vm/lifecycle.ts
@@ -0,0 +1,41 @@
+/** Phases of a VM's process, and whether it takes new work. */
+
+export type Phase = 'starting' | 'serving' | 'leaving' | 'stopped'
+
+/** Why new work is refused; undefined while it is taken. */
+export type WorkRefusal = 'vm_not_ready' | 'vm_leaving' | 'vm_isolated'
+
+export interface Lifecycle {
+  phase(): Phase
+  enter(phase: Phase): void
+  refusal(): WorkRefusal | undefined
+  isTakingWork(): boolean
+}
+
+export interface LifecycleOptions {
+  isIsolated: () => boolean
+  /** Whether operators took this VM or its data centre out of service. */
+  isOutOfService: () => boolean
+  onChange?: (phase: Phase) => void
+}
+
+export function createLifecycle ({ isIsolated, isOutOfService, onChange = () => {} }: LifecycleOptions): Lifecycle {
+  let phase: Phase = 'starting'
+
+  function refusal (): WorkRefusal | undefined {
+    if (phase === 'starting') return 'vm_not_ready'
+    if (phase !== 'serving' || isOutOfService()) return 'vm_leaving'
+    if (isIsolated()) return 'vm_isolated'
+    return undefined
+  }
+
+  return {
+    phase: () => phase,
+    enter (next) {
+      phase = next
+      onChange(next)
+    },
+    refusal,
+    isTakingWork: () => refusal() === undefined
+  }
+}
