Add the object API stand-in and its client

Cause: configuration, leases, claims and bills all rest on conditional writes whose answers can be lost. Change: hapi stand-in with Kubernetes conventions and fault controls; wreck client whose writes carry their id and the version they replace, so that reading back proves landed or not landed, and says unknown otherwise. ObjectApi.delete now returns the version of the deletion, which tombstones need.

--- /dev/null
+++ b/src/core/object-api/index.ts
@@ -0,0 +1,203 @@
+/**
+ * Client of the object API. Reads are retried with a jittered backoff within their timeout. A write is sent at most
+ * once; when its answer is lost, its outcome is read back, so that a write takes at most twice its timeout. After a
+ * failed call a write is preceded by a read, so that an outage is refused as certainly not written.
+ */
+import { randomUUID } from 'node:crypto'
+import type { Clock } from '../clock/index.ts'
+import { ObjectApiError } from '../errors/index.ts'
+import type { Log } from '../logging/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import { backoffMs } from './backoff.ts'
+import { DEFAULT_TIMEOUT_MS, READ_RETRIES, WATCH_IDLE_MS } from './constants.ts'
+import { resolveWrite, type PendingWrite, type WriteOutcome } from './resolve.ts'
+import { createTransport, TransportError, type Answer } from './transport.ts'
+import type { ObjectApi, ObjectKind, ObjectList, StoredObject } from './types.ts'
+import { watchKinds } from './watch.ts'
+import { collectionPath, decodeObject, decodeVersioned, encodeObject, objectPath, type VersionedObject, type WireObject } from './wire.ts'
+
+export type { ObjectApi, ObjectKind, ObjectList, StoredObject, WatchEvent } from './types.ts'
+export type { PendingWrite, WriteOutcome } from './resolve.ts'
+
+export interface ObjectApiOptions {
+  url: string
+  timeoutMs?: number
+  clock: Clock
+  metrics: Metrics
+  log?: Log
+  /** A watch without any line for this time is given up. */
+  watchIdleMs?: number
+  /** Source of jitter, 0 to 1. */
+  random?: () => number
+}
+
+export interface ObjectApiClient extends ObjectApi {
+  /** Monotonic time of the last answer from the object API; -Infinity before the first. */
+  lastContact (): number
+  /** Reads back a write whose answer was lost. */
+  resolveWrite (write: PendingWrite, timeoutMs?: number): Promise<WriteOutcome>
+}
+
+export function createObjectApi ({
+  url, timeoutMs: defaultTimeoutMs = DEFAULT_TIMEOUT_MS, clock, metrics, log, watchIdleMs = WATCH_IDLE_MS, random = Math.random
+}: ObjectApiOptions): ObjectApiClient {
+  const transport = createTransport(url)
+  let lastContact = -Infinity
+  let reachable = true
+
+  function noteContact (): void {
+    lastContact = clock.now()
+    if (!reachable) log?.info('object API is reachable again', { url })
+    reachable = true
+  }
+
+  function noteFailure (error: TransportError): void {
+    metrics.count('object_api_failures', error.reason)
+    if (reachable) log?.warn('object API is not reachable', { url, cause: error.message })
+    reachable = false
+  }
+
+  async function call (method: string, path: string, body: object | undefined, timeoutMs: number): Promise<Answer> {
+    const startedAt = clock.now()
+    metrics.count('object_api_calls', method.toLowerCase())
+    try {
+      const answer = await transport.call(method, path, body, timeoutMs)
+      noteContact()
+      metrics.latency('object_api', clock.now() - startedAt)
+      return answer
+    } catch (error) {
+      if (error instanceof TransportError) noteFailure(error)
+      throw error
+    }
+  }
+
+  /** Retries failures of the transport and of the server; a refusal with a 4xx status is an answer. */
+  async function read (path: string, timeoutMs: number, retries = READ_RETRIES): Promise<Answer> {
+    const deadlineMs = clock.now() + timeoutMs
+    for (let attempt = 0; ; attempt++) {
+      const failure = await attemptRead(path, Math.max(1, deadlineMs - clock.now()))
+      if ('answer' in failure) return failure.answer
+      const waitMs = backoffMs(attempt, random)
+      if (attempt >= retries || clock.now() + waitMs >= deadlineMs) throw failure.error
+      metrics.count('retries', 'object_api_read')
+      await clock.sleep(waitMs)
+    }
+  }
+
+  async function attemptRead (path: string, timeoutMs: number): Promise<{ answer: Answer } | { error: ObjectApiError }> {
+    try {
+      const answer = await call('GET', path, undefined, timeoutMs)
+      if (answer.status < 500) return { answer }
+      metrics.count('object_api_failures', `status_${answer.status}`)
+      return { error: unavailable(`the object API answered with status ${answer.status}`) }
+    } catch (error) {
+      return { error: unavailable((error as Error).message, error) }
+    }
+  }
+
+  async function readObject<Spec> (kind: ObjectKind, name: string, timeoutMs: number, retries?: number): Promise<VersionedObject<Spec> | undefined> {
+    const { status, body } = await read(objectPath(kind, name), timeoutMs, retries)
+    if (status === 404) return undefined
+    if (status !== 200) throw refusal(status, body)
+    return decodeVersioned<Spec>(kind, body as WireObject)
+  }
+
+  async function list<Spec> (kind: ObjectKind, timeoutMs: number): Promise<ObjectList<Spec>> {
+    const { status, body } = await read(collectionPath(kind), timeoutMs)
+    if (status !== 200) throw refusal(status, body)
+    const { items, metadata } = body as { items: WireObject[], metadata: { resourceVersion: string } }
+    return { items: items.map(item => decodeObject<Spec>(kind, item)), resourceVersion: Number(metadata.resourceVersion) }
+  }
+
+  function resolve (write: PendingWrite, timeoutMs: number): Promise<WriteOutcome> {
+    const deadlineMs = clock.now() + timeoutMs
+    const remaining = () => Math.max(1, deadlineMs - clock.now())
+    return resolveWrite(write, { read: () => readObject(write.kind, write.name, remaining(), 0), clock, deadlineMs, random })
+  }
+
+  /** Returns the answer's object, or the outcome that was read back as an object or an error. */
+  async function write (pending: PendingWrite, send: () => Promise<Answer>, timeoutMs: number): Promise<StoredObject | undefined> {
+    if (!reachable) await readObject(pending.kind, pending.name, timeoutMs, 0)
+    try {
+      const { status, body } = await send()
+      if (status < 300) return decodeObject(pending.kind, body as WireObject)
+      if (status < 500 || status === 503) throw refusal(status, body)
+      metrics.count('object_api_failures', `status_${status}`)
+    } catch (error) {
+      if (!(error instanceof TransportError)) throw error
+      if (!error.mayHaveArrived) throw unavailable(error.message, error)
+    }
+    return settle(pending, await resolve(pending, timeoutMs))
+  }
+
+  function settle (pending: PendingWrite, result: WriteOutcome): StoredObject | undefined {
+    metrics.count('object_api_calls', `resolved_${result.outcome}`)
+    const { operation, kind, name } = pending
+    const subject = `${operation} of ${kind}/${name}`
+    if (result.outcome === 'landed') return result.object
+    if (result.outcome === 'unknown') {
+      throw new ObjectApiError('object_write_unknown', { detail: `the answer to the ${subject} was lost and its outcome is unknown` })
+    }
+    const detail = `${subject}: the object is at version ${result.current.resourceVersion}`
+    throw new ObjectApiError(operation === 'create' ? 'object_exists' : 'object_conflict', { detail })
+  }
+
+  /** Version of a deletion whose own answer does not tell it: that of a list in which the object is missing. */
+  async function absentSince (kind: ObjectKind, name: string, timeoutMs: number): Promise<number> {
+    const { items, resourceVersion } = await list(kind, timeoutMs)
+    const present = items.find(item => item.name === name)
+    // The object was created again; the version before its own is the newest at which it can have been absent.
+    return present ? present.resourceVersion - 1 : resourceVersion
+  }
+
+  return {
+    async get<Spec> (kind: ObjectKind, name: string, { timeoutMs = defaultTimeoutMs } = {}) {
+      const found = await readObject<Spec>(kind, name, timeoutMs)
+      if (!found) throw new ObjectApiError('object_not_found', { detail: `${kind}/${name} does not exist` })
+      return found.object
+    },
+    list: (kind, { timeoutMs = defaultTimeoutMs } = {}) => list(kind, timeoutMs),
+    async create<Spec> (kind: ObjectKind, name: string, spec: Spec, { timeoutMs = defaultTimeoutMs } = {}) {
+      const writeId = randomUUID()
+      const body = encodeObject({ kind, name, spec, writeId, base: 0 })
+      const send = () => call('POST', collectionPath(kind), body, timeoutMs)
+      return await write({ operation: 'create', kind, name, writeId, base: 0 }, send, timeoutMs) as StoredObject<Spec>
+    },
+    async update<Spec> (kind: ObjectKind, name: string, spec: Spec, resourceVersion: number, { timeoutMs = defaultTimeoutMs } = {}) {
+      const writeId = randomUUID()
+      const body = encodeObject({ kind, name, spec, writeId, base: resourceVersion })
+      const send = () => call('PUT', objectPath(kind, name), body, timeoutMs)
+      return await write({ operation: 'update', kind, name, writeId, base: resourceVersion }, send, timeoutMs) as StoredObject<Spec>
+    },
+    async delete (kind, name, resourceVersion, { timeoutMs = defaultTimeoutMs } = {}) {
+      const body = { kind: 'DeleteOptions', preconditions: { resourceVersion: String(resourceVersion) } }
+      const send = () => call('DELETE', objectPath(kind, name), body, timeoutMs)
+      const pending: PendingWrite = { operation: 'delete', kind, name, writeId: randomUUID(), base: resourceVersion }
+      const deleted = await write(pending, send, timeoutMs)
+      if (deleted && deleted.resourceVersion > resourceVersion) return deleted.resourceVersion
+      return absentSince(kind, name, timeoutMs)
+    },
+    watch (kinds, resourceVersion, signal) {
+      metrics.count('object_api_calls', 'watch', kinds.length)
+      return watchKinds(kinds, resourceVersion, signal, {
+        transport, clock, timeoutMs: defaultTimeoutMs, idleMs: watchIdleMs, onContact: noteContact
+      })
+    },
+    lastContact: () => lastContact,
+    resolveWrite: (pending, timeoutMs = defaultTimeoutMs) => resolve(pending, timeoutMs)
+  }
+}
+
+function unavailable (detail: string, cause?: unknown): ObjectApiError {
+  return new ObjectApiError('object_api_unavailable', cause === undefined ? { detail } : { detail, cause })
+}
+
+/** Converts a status with its reason into an error of the catalogue. */
+function refusal (status: number, body: unknown): ObjectApiError {
+  const { reason, message } = (body ?? {}) as { reason?: string, message?: string }
+  const options = message === undefined ? {} : { detail: message }
+  if (status === 404) return new ObjectApiError('object_not_found', options)
+  if (status === 409) return new ObjectApiError(reason === 'AlreadyExists' ? 'object_exists' : 'object_conflict', options)
+  if (status === 410) return new ObjectApiError('object_gone', options)
+  return new ObjectApiError('object_api_unavailable', { detail: `status ${status}: ${message ?? 'no message'}` })
+}
--- a/src/core/object-api/types.ts
+++ b/src/core/object-api/types.ts
@@ -48,7 +48,8 @@
   create<Spec>(kind: ObjectKind, name: string, spec: Spec, options?: CallOptions): Promise<StoredObject<Spec>>
   /** Replaces the object if it still has `resourceVersion`. */
   update<Spec>(kind: ObjectKind, name: string, spec: Spec, resourceVersion: number, options?: CallOptions): Promise<StoredObject<Spec>>
-  delete(kind: ObjectKind, name: string, resourceVersion: number, options?: CallOptions): Promise<void>
+  /** Returns a version of the store at which the object is gone; it orders the deletion among other writes. */
+  delete(kind: ObjectKind, name: string, resourceVersion: number, options?: CallOptions): Promise<number>
   /** Streams changes of the kinds after `resourceVersion` until the signal aborts or the connection ends. */
   watch(kinds: readonly ObjectKind[], resourceVersion: number, signal: AbortSignal): AsyncIterable<WatchEvent>
 }
--- /dev/null
+++ b/src/standin/object-api/faults.ts
@@ -0,0 +1,87 @@
+/** Faults that the stand-in injects into its calls, and the counters of the calls it received. */
+import type { CallCounters, CallFilter, ObjectApiControl, OutageMode } from './types.ts'
+
+export interface Call {
+  method: string
+  kind: string
+  name: string | undefined
+}
+
+interface CountedFilter { left: number, filter: CallFilter }
+
+interface HeldWrite { perform: () => number, resume: () => void }
+
+export interface Faults {
+  control: ObjectApiControl
+  mode (): OutageMode
+  delayMs (): number
+  counters: CallCounters
+  /** Whether the answer of this write must be dropped; uses up one of the counted drops. */
+  takeDrop (call: Call): boolean
+  takeHold (call: Call): boolean
+  /** Keeps the write until it is released; `resume` runs after it was performed. */
+  hold (perform: () => number, resume: () => void): void
+  /** Registers the end function of a watch or of a hanging call; returns a function that unregisters it. */
+  registerOpen (kind: 'watch' | 'hanging', end: () => void): () => void
+}
+
+export function createFaults ({ compact }: { compact: () => void }): Faults {
+  const counters: CallCounters = { reads: 0, writes: 0, waitingWatches: 0, watchesOpened: 0 }
+  const open = { watch: new Set<() => void>(), hanging: new Set<() => void>() }
+  const drops: CountedFilter[] = []
+  const holds: CountedFilter[] = []
+  let held: HeldWrite[] = []
+  let mode: OutageMode = 'off'
+  let delayMs = 0
+
+  function endAll (kind: 'watch' | 'hanging'): void {
+    for (const end of [...open[kind]]) end()
+  }
+
+  const control: ObjectApiControl = {
+    outage (value) {
+      mode = value === true ? 'refuse' : value === false ? 'off' : value
+      if (mode === 'refuse') endAll('watch')
+      if (mode !== 'hang') endAll('hanging')
+    },
+    delay (ms) { delayMs = ms },
+    dropAnswers: (count, filter = {}) => { drops.push({ left: count, filter }) },
+    holdWrites: (count, filter = {}) => { holds.push({ left: count, filter }) },
+    releaseHeld () {
+      const released = held
+      held = []
+      const codes = released.map(({ perform }) => perform())
+      for (const { resume } of released) resume()
+      return codes
+    },
+    heldWrites: () => held.length,
+    compact,
+    cutWatches: () => endAll('watch'),
+    counters: () => ({ ...counters, waitingWatches: open.watch.size })
+  }
+
+  return {
+    control,
+    counters,
+    mode: () => mode,
+    delayMs: () => delayMs,
+    takeDrop: call => take(drops, call),
+    takeHold: call => take(holds, call),
+    hold: (perform, resume) => { held.push({ perform, resume }) },
+    registerOpen (kind, end) {
+      open[kind].add(end)
+      return () => { open[kind].delete(end) }
+    }
+  }
+}
+
+function take (entries: CountedFilter[], call: Call): boolean {
+  const entry = entries.find(({ left, filter }) => left > 0 && matches(filter, call))
+  if (!entry) return false
+  entry.left -= 1
+  return true
+}
+
+function matches ({ method, kind, name }: CallFilter, call: Call): boolean {
+  return (!method || method.toUpperCase() === call.method) && (!kind || kind === call.kind) && (!name || name === call.name)
+}
--- /dev/null
+++ b/src/standin/object-api/index.ts
@@ -0,0 +1,197 @@
+/**
+ * Stand-in of the platform's object API: an in-memory store behind HTTP that follows the Kubernetes API conventions.
+ * Its faults are controlled in process or over HTTP under `/control`.
+ */
+import Hapi, { type Lifecycle, type Request, type ResponseToolkit } from '@hapi/hapi'
+import type { Log } from '../../core/logging/index.ts'
+import { controlRoutes } from './control-routes.ts'
+import { createFaults, type Call, type Faults } from './faults.ts'
+import { createObjectStore, StatusError, type ObjectStore } from './store.ts'
+import { API_PREFIX, API_VERSION, type ObjectApiControl, type WireObject } from './types.ts'
+import { openWatch } from './watch.ts'
+
+export type { CallCounters, CallFilter, ObjectApiControl, OutageMode } from './types.ts'
+
+/** Requests carry metadata beside the value, so that the limit of the value itself decides. */
+const MAX_REQUEST_BYTES = 4 * 1_048_576
+const MAX_WATCH_SECONDS = 300
+
+export interface ObjectApiServerOptions {
+  host?: string
+  /** 0 chooses a free port. */
+  port: number
+  log?: Log
+  bookmarkMs?: number
+  /** Events kept for watches. */
+  maxHistory?: number
+}
+
+export interface ObjectApiServer {
+  url: string
+  port: number
+  control: ObjectApiControl
+  close (): Promise<void>
+}
+
+export async function startObjectApiServer ({ host = '127.0.0.1', port, log, bookmarkMs = 1000, maxHistory }: ObjectApiServerOptions): Promise<ObjectApiServer> {
+  const store = createObjectStore(maxHistory === undefined ? {} : { maxHistory })
+  const faults = createFaults({ compact: store.compact })
+  const server = Hapi.server({ host, port, routes: { payload: { maxBytes: MAX_REQUEST_BYTES } } })
+  registerApi(server, { store, faults, bookmarkMs })
+  server.route(controlRoutes(faults.control))
+  await server.start()
+  const boundPort = Number(server.info.port)
+  const url = `http://${host}:${boundPort}`
+  log?.info('object API stand-in started', { url })
+  return {
+    url,
+    port: boundPort,
+    control: faults.control,
+    async close () {
+      faults.control.outage('off')
+      faults.control.cutWatches()
+      await server.stop({ timeout: 100 })
+      log?.info('object API stand-in stopped', { url })
+    }
+  }
+}
+
+interface ApiContext { store: ObjectStore, faults: Faults, bookmarkMs: number }
+
+function registerApi (server: Hapi.Server, context: ApiContext): void {
+  const { store } = context
+  const collection = `${API_PREFIX}/{kind}`
+  const member = `${collection}/{name}`
+  const read = (perform: (call: Call) => unknown) => readHandler(context, perform)
+  const write = (status: number, perform: (call: Call, body: WireObject) => WireObject) => writeHandler(context, status, perform)
+
+  server.route([
+    { method: 'GET', path: member, handler: read(({ kind, name }) => store.get(kind, name!)) },
+    { method: 'GET', path: collection, handler: listOrWatchHandler(context) },
+    { method: 'POST', path: collection, handler: write(201, ({ kind }, body) => store.create(kind, body)) },
+    { method: 'PUT', path: member, handler: write(200, ({ kind, name }, body) => store.update(kind, name!, body)) },
+    { method: 'DELETE', path: member, handler: write(200, ({ kind, name }, body) => store.delete(kind, name!, preconditionOf(body))) }
+  ])
+}
+
+function preconditionOf (body: unknown): string | undefined {
+  const options = body as { preconditions?: { resourceVersion?: string } } | null
+  return options?.preconditions?.resourceVersion
+}
+
+function callOf (request: Request): Call {
+  const { kind, name } = request.params as { kind: string, name?: string }
+  const body = request.payload as WireObject | null
+  return { method: request.method.toUpperCase(), kind, name: name ?? body?.metadata?.name }
+}
+
+function cut (request: Request, h: ResponseToolkit): Lifecycle.ReturnValue {
+  request.raw.req.socket.destroy()
+  return h.abandon
+}
+
+/** Applies outage and delay. Returns false when the connection was cut. */
+async function passFaults ({ faults }: ApiContext): Promise<boolean> {
+  if (faults.mode() === 'refuse') return false
+  if (faults.mode() === 'hang') {
+    await new Promise<void>(resolve => {
+      const unregister = faults.registerOpen('hanging', () => {
+        unregister()
+        resolve()
+      })
+    })
+    return false
+  }
+  if (faults.delayMs() > 0) await new Promise(resolve => setTimeout(resolve, faults.delayMs()))
+  return true
+}
+
+function statusAnswer (error: unknown, h: ResponseToolkit): Lifecycle.ReturnValue {
+  if (!(error instanceof StatusError)) throw error
+  const { code, reason, message } = error
+  return h.response({ kind: 'Status', apiVersion: 'v1', status: 'Failure', reason, code, message }).code(code)
+}
+
+function readHandler (context: ApiContext, perform: (call: Call) => unknown): Lifecycle.Method {
+  return async (request, h) => {
+    context.faults.counters.reads += 1
+    if (!await passFaults(context)) return cut(request, h)
+    try {
+      return perform(callOf(request)) as Lifecycle.ReturnValue
+    } catch (error) {
+      return statusAnswer(error, h)
+    }
+  }
+}
+
+function listOrWatchHandler (context: ApiContext): Lifecycle.Method {
+  const list = readHandler(context, ({ kind }) => ({
+    apiVersion: API_VERSION,
+    kind: `${kind}List`,
+    metadata: { resourceVersion: String(context.store.resourceVersion()) },
+    items: context.store.list(kind)
+  }))
+  return (request, h) => request.query.watch ? watch(context, request, h) : list.call(null as never, request, h)
+}
+
+async function watch (context: ApiContext, request: Request, h: ResponseToolkit): Promise<Lifecycle.ReturnValue> {
+  const { store, faults, bookmarkMs } = context
+  faults.counters.reads += 1
+  faults.counters.watchesOpened += 1
+  if (!await passFaults(context)) return cut(request, h)
+  const seconds = Math.min(Number(request.query.timeoutSeconds ?? MAX_WATCH_SECONDS), MAX_WATCH_SECONDS)
+  try {
+    const { stream, end } = openWatch(store, {
+      kind: callOf(request).kind,
+      resourceVersion: Number(request.query.resourceVersion ?? 0),
+      timeoutMs: seconds * 1000,
+      bookmarkMs,
+      isSilent: () => faults.mode() === 'hang'
+    })
+    const unregister = faults.registerOpen('watch', end)
+    const finish = () => {
+      unregister()
+      end()
+    }
+    request.raw.res.once('close', finish)
+    return h.response(stream).type('application/json')
+  } catch (error) {
+    return statusAnswer(error, h)
+  }
+}
+
+function writeHandler (context: ApiContext, status: number, perform: (call: Call, body: WireObject) => WireObject): Lifecycle.Method {
+  const { faults } = context
+  return async (request, h) => {
+    faults.counters.writes += 1
+    const call = callOf(request)
+    const run = () => runWrite(h, status, () => perform(call, request.payload as WireObject))
+    if (!await passFaults(context)) return cut(request, h)
+    if (faults.takeHold(call)) return hold(faults, request, h, run)
+    const drop = faults.takeDrop(call)
+    const result = run()
+    return drop ? cut(request, h) : result.answer
+  }
+}
+
+interface WriteResult { code: number, answer: Lifecycle.ReturnValue }
+
+function runWrite (h: ResponseToolkit, status: number, perform: () => WireObject): WriteResult {
+  try {
+    return { code: status, answer: h.response(perform()).code(status) }
+  } catch (error) {
+    return { code: error instanceof StatusError ? error.code : 500, answer: statusAnswer(error, h) }
+  }
+}
+
+/** A held write is performed at its release, even when its client has gone by then. */
+function hold (faults: Faults, request: Request, h: ResponseToolkit, run: () => WriteResult): Promise<Lifecycle.ReturnValue> {
+  return new Promise(resolve => {
+    let result: WriteResult | undefined
+    const perform = () => {
+      result = run()
+      return result.code
+    }
+    faults.hold(perform, () => resolve(request.raw.req.socket.destroyed ? h.abandon : result!.answer))
+  })
+}
--- /dev/null
+++ b/src/standin/object-api/watch.ts
@@ -0,0 +1,58 @@
+/** Serves one watch as newline-delimited JSON: the events after a version, then each new event, with bookmarks. */
+import { PassThrough } from 'node:stream'
+import type { ObjectStore } from './store.ts'
+import { API_VERSION, type WireEvent, type WireObject } from './types.ts'
+
+export interface WatchOptions {
+  kind: string
+  resourceVersion: number
+  /** The server ends the watch after this time, as the `timeoutSeconds` parameter asks. */
+  timeoutMs: number
+  bookmarkMs: number
+  /** While true, nothing is sent. */
+  isSilent: () => boolean
+}
+
+export interface WatchStream {
+  stream: PassThrough
+  end (): void
+}
+
+/** Throws `Expired` when the history does not reach back to the version. */
+export function openWatch (store: ObjectStore, { kind, resourceVersion, timeoutMs, bookmarkMs, isSilent }: WatchOptions): WatchStream {
+  const pending = store.eventsAfter(kind, resourceVersion)
+  const stream = new PassThrough()
+  const send = (event: WireEvent) => { stream.write(JSON.stringify(event) + '\n') }
+  // A bookmark promises that all events before it were sent, so none may pass while events are withheld.
+  const flush = () => {
+    if (isSilent()) return
+    for (const event of pending.splice(0)) send(event)
+    send(bookmark(kind, store.resourceVersion()))
+  }
+
+  const unsubscribe = store.subscribe(event => {
+    if (event.object.kind !== kind) return
+    if (isSilent() || pending.length > 0) pending.push(event)
+    else send(event)
+  })
+  const timers = [setInterval(flush, bookmarkMs), setTimeout(() => end(), timeoutMs)]
+  for (const timer of timers) timer.unref()
+
+  let ended = false
+  function end (): void {
+    if (ended) return
+    ended = true
+    unsubscribe()
+    for (const timer of timers) clearTimeout(timer)
+    stream.end()
+  }
+
+  // The first bookmark follows at once, so that the response headers reach the client without an event.
+  flush()
+  return { stream, end }
+}
+
+function bookmark (kind: string, resourceVersion: number): WireEvent {
+  const object: WireObject = { apiVersion: API_VERSION, kind, metadata: { name: '', resourceVersion: String(resourceVersion) } }
+  return { type: 'BOOKMARK', object }
+}
