Add configuration, leases and the operators' API

Cause: every VM needs the configuration in force and every data centre one leader. Ruled out: a digest of all object versions in pings, which is about 80 KB at 2,000 objects; atomic changes of several objects, which conditional writes of one object cannot give.

--- /dev/null
+++ b/src/core/config/contradictions.ts
@@ -0,0 +1,103 @@
+/** Finds contradictions between configuration objects: references to absent objects and rules across several objects. */
+import type { ConfigKind } from '../object-api/types.ts'
+import type { ConfigProblem } from './errors.ts'
+import type { ConfigEntry, ConfigView, Rollout } from './types.ts'
+
+export type ConfigContent = Pick<ConfigView, 'get' | 'list'>
+
+type Report = (path: string, message: string, details?: Pick<ConfigProblem, 'missing' | 'ownChangeOnly'>) => void
+
+/** Returns all contradictions of the configuration, not only those of one change. */
+export function findContradictions (content: ConfigContent): ConfigProblem[] {
+  return [
+    ...checkEach(content, 'Contract', checkContract),
+    ...checkEach(content, 'Model', checkModel),
+    ...checkEach(content, 'Version', ({ spec }, report) => requireObject(content, 'Model', spec.model, 'model', report)),
+    ...checkEach(content, 'BackendServer', checkBackendServer),
+    ...checkEach(content, 'VirtualMachine', ({ spec }, report) => requireObject(content, 'DataCentre', spec.dataCentre, 'dataCentre', report)),
+    ...checkEach(content, 'Rollout', checkRollout),
+    ...findDuplicates(content, 'Contract', ({ spec }) => [spec.team], 'team', 'the team'),
+    ...findDuplicates(content, 'Contract', ({ spec }) => spec.keys.map(key => key.sha256), 'keys', 'a key'),
+    ...findDuplicates(content, 'Operator', ({ spec }) => spec.keys.map(key => key.sha256), 'keys', 'a key'),
+    ...findDuplicates(content, 'BackendServer', ({ spec }) => [spec.address], 'address', 'the address'),
+    ...findDuplicates(content, 'Rollout', ({ spec }) => isActive(spec) ? [spec.model] : [], 'model', 'an unfinished rollout of the model')
+  ]
+}
+
+type Check<Kind extends ConfigKind> = (entry: ConfigEntry<Kind>, report: Report, content: ConfigContent) => void
+
+function checkEach<Kind extends ConfigKind> (content: ConfigContent, kind: Kind, check: Check<Kind>): ConfigProblem[] {
+  const problems: ConfigProblem[] = []
+  for (const entry of content.list(kind)) {
+    check(entry, (path, message, details) => problems.push({ kind, name: entry.name, path, message, ...details }), content)
+  }
+  return problems
+}
+
+function requireObject (content: ConfigContent, kind: ConfigKind, name: string, path: string, report: Report): boolean {
+  if (content.get(kind, name)) return true
+  report(path, `names ${kind}/${name}, which does not exist`, { missing: { kind, name } })
+  return false
+}
+
+function checkContract ({ spec }: ConfigEntry<'Contract'>, report: Report, content: ConfigContent): void {
+  const models = content.list('Model')
+  const allowed = new Set<string>()
+  spec.models.forEach((name, index) => {
+    // A contract may name a model or the alias of a cascade.
+    const matching = models.filter(model => model.name === name || model.spec.alias === name)
+    if (matching.length === 0) report(`models.${index}`, `names Model/${name}, which does not exist`, { missing: { kind: 'Model', name } })
+    for (const model of matching) allowed.add(model.name)
+  })
+  spec.versions?.forEach((name, index) => {
+    if (!requireObject(content, 'Version', name, `versions.${index}`, report)) return
+    const { model } = content.get('Version', name)!
+    if (!allowed.has(model)) report(`versions.${index}`, `names a version of model ${model}, which the contract does not allow`)
+  })
+  spec.services.forEach((name, index) => requireObject(content, 'Service', name, `services.${index}`, report))
+}
+
+function checkModel ({ name, spec }: ConfigEntry<'Model'>, report: Report, content: ConfigContent): void {
+  if (spec.alias && spec.alias !== name && content.get('Model', spec.alias)) report('alias', `is the name of Model/${spec.alias}`)
+}
+
+function checkBackendServer ({ spec }: ConfigEntry<'BackendServer'>, report: Report, content: ConfigContent): void {
+  requireObject(content, 'DataCentre', spec.dataCentre, 'dataCentre', report)
+  spec.versions.forEach((name, index) => requireObject(content, 'Version', name, `versions.${index}`, report))
+  if (spec.service) requireObject(content, 'Service', spec.service, 'service', report)
+  if (spec.service && spec.versions.length > 0) report('service', 'a backend server serves either versions or a service')
+}
+
+function checkRollout ({ spec }: ConfigEntry<'Rollout'>, report: Report, content: ConfigContent): void {
+  requireObject(content, 'Model', spec.model, 'model', report)
+  for (const side of ['from', 'to'] as const) {
+    if (!requireObject(content, 'Version', spec[side], side, report)) continue
+    const { model, state } = content.get('Version', spec[side])!
+    if (model !== spec.model) report(side, `is a version of model ${model}, but the rollout is of model ${spec.model}`)
+    // A bad version must stay withdrawable while its rollout runs.
+    if (side === 'to' && spec.state === 'running' && state === 'withdrawn') report(side, 'is withdrawn', { ownChangeOnly: true })
+  }
+  if (spec.from === spec.to) report('to', 'is the same version as `from`')
+  if (spec.stage >= spec.stages.length) report('stage', `is beyond the last stage, ${spec.stages.length - 1}`)
+  const isAscending = spec.stages.every((share, index) => index === 0 || share > spec.stages[index - 1]!)
+  if (!isAscending) report('stages', 'the shares must ascend')
+}
+
+function isActive ({ state }: Rollout): boolean {
+  return state === 'running' || state === 'paused'
+}
+
+function findDuplicates<Kind extends ConfigKind> (
+  content: ConfigContent, kind: Kind, valuesOf: (entry: ConfigEntry<Kind>) => string[], path: string, subject: string
+): ConfigProblem[] {
+  const owners = new Map<string, string>()
+  const problems: ConfigProblem[] = []
+  for (const entry of content.list(kind)) {
+    for (const value of new Set(valuesOf(entry))) {
+      const owner = owners.get(value)
+      if (owner === undefined) owners.set(value, entry.name)
+      else problems.push({ kind, name: entry.name, path, message: `${subject} ${value} belongs to ${kind}/${owner} too` })
+    }
+  }
+  return problems
+}
--- /dev/null
+++ b/src/core/config/exchange.ts
@@ -0,0 +1,138 @@
+/**
+ * Exchange of configuration between VMs: pushes of accepted changes, repair of differences that membership pings
+ * reveal, and probes whether a revision is in force.
+ */
+import type { VmId } from '../ids/index.ts'
+import type { Log } from '../logging/index.ts'
+import type { Membership } from '../membership/types.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { PeerLinks } from '../peer/types.ts'
+import { PULL_TIMEOUT_MS, PUSH_TIMEOUT_MS } from './constants.ts'
+import type { ObjectVersion, ProbeAnswer, PullMessage, PushMessage, RepairAnswer } from './messages.ts'
+import type { ConfigReplica, ConfigSummary } from './replica.ts'
+import type { ConfigRecord } from './types.ts'
+
+export interface ExchangeOptions {
+  replica: ConfigReplica
+  peers: PeerLinks
+  membership: Membership
+  metrics: Metrics
+  log: Log
+  /** When false, pushes are not sent; only measurements turn them off. */
+  push: boolean
+}
+
+export interface Exchange {
+  /** Sends records to the VMs; a lost push is repaired through the digest in pings. */
+  push (records: ConfigRecord[], to: readonly VmId[]): void
+  pushToAll (records: ConfigRecord[]): void
+  /** Fetches what differs from a VM. Returns whether that VM has loaded its configuration; rejects when unreachable. */
+  pullFrom (vm: VmId): Promise<boolean>
+  onSummary (from: VmId, summary: ConfigSummary): void
+  /** Whether the revision is in force on the VM; false when the VM cannot be asked. */
+  probe (vm: VmId, revision: number): Promise<boolean>
+  otherVms (): VmId[]
+}
+
+export function createExchange ({ replica, peers, membership, metrics, log, push: pushEnabled }: ExchangeOptions): Exchange {
+  const pulling = new Set<VmId>()
+  /** Hash that a VM which is not ahead showed last; a difference that lasts for two pings is repaired. */
+  const lastDifference = new Map<VmId, number>()
+
+  peers.handle('config.push', body => {
+    applyRecords((body as PushMessage).records, 'push')
+    return { revision: replica.revision() }
+  })
+  peers.handle('config.pull', body => {
+    const message = body as PullMessage
+    if (message.ask === 'probe') return { inForce: isInForce(message.revision, message.object) } satisfies ProbeAnswer
+    return { synced: replica.isSynced(), snapshot: replica.snapshotFor(message.digest) } satisfies RepairAnswer
+  })
+
+  function applyRecords (records: readonly ConfigRecord[], source: string): void {
+    const applied = replica.apply(records)
+    metrics.count('config_applied', source, applied.length)
+    if (applied.length < records.length) metrics.count('config_applied', `${source}_stale`, records.length - applied.length)
+  }
+
+  function otherVms (): VmId[] {
+    const self = membership.self().vm
+    return membership.members().map(member => member.vm).filter(vm => vm !== self)
+  }
+
+  function push (records: ConfigRecord[], to: readonly VmId[]): void {
+    if (!pushEnabled || records.length === 0) return
+    for (const vm of to) {
+      const message: PushMessage = { records }
+      peers.request(vm, 'config.push', message, { timeoutMs: PUSH_TIMEOUT_MS })
+        .catch(() => metrics.count('peer_failures', 'config_push'))
+    }
+  }
+
+  async function pullFrom (vm: VmId): Promise<boolean> {
+    const message: PullMessage = { ask: 'repair', digest: replica.digest() }
+    const { synced, snapshot } = await peers.request<RepairAnswer>(vm, 'config.pull', message, { timeoutMs: PULL_TIMEOUT_MS })
+    // A VM that is still loading may lack objects, so its state proves no deletion.
+    const applied = synced ? replica.applySnapshot(snapshot) : replica.apply(snapshot.records)
+    metrics.count('config_applied', 'pull', applied.length)
+    return synced
+  }
+
+  function repair (vm: VmId): void {
+    if (pulling.has(vm)) return
+    pulling.add(vm)
+    metrics.count('config_applied', 'repair_started')
+    pullFrom(vm)
+      .catch(error => {
+        metrics.count('peer_failures', 'config_pull')
+        log.debug('configuration could not be pulled', { vm, cause: String(error) })
+      })
+      .finally(() => pulling.delete(vm))
+  }
+
+  function onSummary (from: VmId, summary: ConfigSummary): void {
+    const own = replica.summary()
+    if (summary.hash === own.hash) {
+      lastDifference.delete(from)
+      if (replica.isSynced()) replica.markComplete(summary.completeTo)
+      return
+    }
+    // A VM that is behind pulls by itself; only a lasting difference shows that both sides lack something.
+    const lasts = lastDifference.get(from) === summary.hash
+    lastDifference.set(from, summary.hash)
+    if (summary.revision > own.revision || lasts) repair(from)
+  }
+
+  function isInForce (revision: number, object: ObjectVersion | undefined): boolean {
+    if (replica.completeTo() >= revision) return true
+    if (!object) return false
+    const known = replica.record(object.kind, object.name)
+    return known !== undefined && known.resourceVersion >= object.resourceVersion
+  }
+
+  function objectAt (revision: number): ObjectVersion | undefined {
+    const record = replica.recordAt(revision)
+    return record && { kind: record.kind, name: record.name, resourceVersion: record.resourceVersion }
+  }
+
+  async function probe (vm: VmId, revision: number): Promise<boolean> {
+    const message: PullMessage = { ask: 'probe', revision, object: objectAt(revision) }
+    if (vm === membership.self().vm) return isInForce(revision, message.object)
+    try {
+      const { inForce } = await peers.request<ProbeAnswer>(vm, 'config.pull', message, { timeoutMs: PULL_TIMEOUT_MS })
+      return inForce
+    } catch {
+      metrics.count('peer_failures', 'config_probe')
+      return false
+    }
+  }
+
+  return {
+    push,
+    pushToAll: records => push(records, otherVms()),
+    pullFrom,
+    onSummary,
+    probe,
+    otherVms
+  }
+}
--- /dev/null
+++ b/src/core/config/index.ts
@@ -0,0 +1,187 @@
+/**
+ * Configuration of a VM: the replica that is in force here, and the controller that loads it, stores changes,
+ * distributes them and repairs differences between VMs.
+ */
+import type { Clock } from '../clock/index.ts'
+import { ConfigError, errorMessage } from '../errors/index.ts'
+import type { VmId } from '../ids/index.ts'
+import type { Log } from '../logging/index.ts'
+import type { Membership } from '../membership/types.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { ObjectApi } from '../object-api/types.ts'
+import type { PeerLinks } from '../peer/types.ts'
+import type { VmIdentity } from '../settings/types.ts'
+import { IN_FORCE_POLL_MS, MAX_RETRY_MS, RETRY_MS } from './constants.ts'
+import { ConfigConflictError, ConfigInvalidError } from './errors.ts'
+import { createExchange } from './exchange.ts'
+import type { ConfigReplica, ConfigSummary } from './replica.ts'
+import type { AcceptedChange, ConfigChange, ConfigRecord } from './types.ts'
+import { validateChanges, type Validation } from './validation.ts'
+import { createWatcher, isElected } from './watcher.ts'
+import { storeChanges } from './writer.ts'
+
+export { ConfigConflictError, ConfigInvalidError, describeProblem, type ConfigProblem } from './errors.ts'
+export { createConfigReplica, type ConfigDigest, type ConfigReplica, type ConfigSnapshot, type ConfigSummary } from './replica.ts'
+export type { ConfigDifference, FieldDifference } from './validation.ts'
+export { INTENT_TRIES } from './constants.ts'
+
+export interface ConfigControllerOptions {
+  objectApi: ObjectApi
+  replica: ConfigReplica
+  peers: PeerLinks
+  membership: Membership
+  identity: VmIdentity
+  clock: Clock
+  metrics: Metrics
+  log: Log
+  /** Whether accepted changes are pushed; only measurements turn it off. */
+  push?: boolean
+  /** Whether this VM may watch the object API; only measurements turn it off. */
+  watch?: boolean
+  /** Source of jitter, 0 to 1. */
+  random?: () => number
+}
+
+export interface InForce {
+  revision: number
+  inForce: VmId[]
+  /** VMs that did not confirm the revision within the time, with those that could not be asked. */
+  missing: VmId[]
+}
+
+export interface ConfigController {
+  /** Resolves when the configuration is loaded, from the object API or from peers; the VM is not ready before. */
+  start (): Promise<void>
+  stop (): void
+  /**
+   * Errors: ConfigInvalidError, ConfigConflictError, and ConfigError `config_unavailable` (not stored) or
+   * `config_outcome_unknown`.
+   */
+  change (changes: readonly ConfigChange[]): Promise<AcceptedChange[]>
+  /** Dry run. */
+  check (changes: readonly ConfigChange[]): Pick<Validation, 'problems' | 'differences'>
+  waitInForce (revision: number, timeoutMs: number): Promise<InForce>
+  /** Goes into each membership ping and its answer. */
+  pingPayload (): ConfigSummary
+  onPingPayload (from: VmId, payload: unknown): void
+  /** Catches up with a VM that knows a newer revision. */
+  pullFrom (vm: VmId): Promise<void>
+  isWatching (): boolean
+}
+
+export function createConfigController ({
+  objectApi, replica, peers, membership, identity, clock, metrics, log, push = true, watch = true, random = Math.random
+}: ConfigControllerOptions): ConfigController {
+  const exchange = createExchange({ replica, peers, membership, metrics, log, push })
+  const watcher = createWatcher({ objectApi, replica, membership, clock, metrics, log, onNew: forwardToDataCentre, random })
+  const stopping = new AbortController()
+
+  /** Changes that other clients of the object API made reach the VMs of the data centre that do not watch. */
+  function forwardToDataCentre (records: ConfigRecord[]): void {
+    if (!replica.isSynced() || !isElected(membership)) return
+    const others = membership.members().filter(member => member.dataCentre === identity.dataCentre && member.vm !== identity.vm)
+    exchange.push(records, others.map(member => member.vm))
+  }
+
+  async function load (): Promise<'object_api' | 'peers' | undefined> {
+    try {
+      await watcher.load()
+      return 'object_api'
+    } catch (error) {
+      metrics.count('object_api_failures', 'config_load')
+      log.debug('configuration could not be loaded from the object API', { cause: errorMessage(error) })
+    }
+    const answers = await Promise.allSettled(exchange.otherVms().map(vm => exchange.pullFrom(vm)))
+    const isLoaded = answers.some(answer => answer.status === 'fulfilled' && answer.value)
+    if (isLoaded) replica.markSynced()
+    return isLoaded ? 'peers' : undefined
+  }
+
+  async function loadUntilDone (): Promise<void> {
+    for (let attempt = 0; !stopping.signal.aborted; attempt++) {
+      const source = await load()
+      if (source) {
+        log.info('configuration loaded', { source, revision: replica.revision() })
+        return
+      }
+      metrics.count('retries', 'config_load')
+      await clock.sleep(Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** attempt) * (0.5 + random() / 2))
+    }
+  }
+
+  function apply (record: ConfigRecord, source: string): void {
+    const applied = replica.apply([record])
+    metrics.count('config_applied', source, applied.length)
+  }
+
+  function validate (changes: readonly ConfigChange[]): Validation {
+    if (!replica.isSynced()) throw new ConfigError('vm_not_ready')
+    return validateChanges(replica, changes)
+  }
+
+  async function change (changes: readonly ConfigChange[]): Promise<AcceptedChange[]> {
+    const validation = validate(changes)
+    if (validation.problems.length > 0) {
+      metrics.count('config_conflicts', 'invalid')
+      throw new ConfigInvalidError(validation.problems)
+    }
+    try {
+      return await storeChanges(validation.changes, {
+        objectApi,
+        onStored (record) {
+          apply(record, 'accepted')
+          exchange.pushToAll([record])
+        },
+        onCurrent: record => apply(record, 'conflict')
+      })
+    } catch (error) {
+      if (error instanceof ConfigConflictError) metrics.count('config_conflicts', 'revision')
+      else if (error instanceof ConfigError) metrics.count('config_conflicts', error.kind)
+      throw error
+    }
+  }
+
+  async function waitInForce (revision: number, timeoutMs: number): Promise<InForce> {
+    const deadlineMs = clock.now() + timeoutMs
+    const inForce = new Set<VmId>()
+    for (;;) {
+      const vms = [identity.vm, ...exchange.otherVms()]
+      const open = vms.filter(vm => !inForce.has(vm))
+      await Promise.all(open.map(async vm => {
+        if (await exchange.probe(vm, revision)) inForce.add(vm)
+      }))
+      const missing = vms.filter(vm => !inForce.has(vm))
+      if (missing.length === 0 || clock.now() >= deadlineMs) return { revision, inForce: [...inForce].sort(), missing: missing.sort() }
+      await clock.sleep(Math.min(IN_FORCE_POLL_MS, deadlineMs - clock.now()))
+    }
+  }
+
+  return {
+    async start () {
+      await loadUntilDone()
+      if (watch && !stopping.signal.aborted) watcher.start()
+    },
+    stop () {
+      stopping.abort()
+      watcher.stop()
+    },
+    change,
+    check (changes) {
+      const { problems, differences } = validate(changes)
+      return { problems, differences }
+    },
+    waitInForce,
+    pingPayload: () => replica.summary(),
+    onPingPayload (from, payload) {
+      if (isSummary(payload)) exchange.onSummary(from, payload)
+      else metrics.count('bad_input', 'config_ping_payload')
+    },
+    async pullFrom (vm) { await exchange.pullFrom(vm) },
+    isWatching: () => watcher.isWatching()
+  }
+}
+
+function isSummary (payload: unknown): payload is ConfigSummary {
+  const { revision, hash, completeTo } = (payload ?? {}) as Partial<ConfigSummary>
+  return [revision, hash, completeTo].every(value => typeof value === 'number')
+}
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -44,6 +44,7 @@
   config_conflict: entry(409, 'not_run', 'The object was changed by somebody else in the meantime.', 'Read the object again, compare, and repeat the change on its new revision.'),
   config_not_found: entry(404, 'not_run', 'No such object.', 'List the objects of this kind to see their names.'),
   config_outcome_unknown: entry(504, 'may_have_run', 'It is not known whether the change was stored.', 'Read the object to see whether the change took effect before repeating it.'),
+  config_unavailable: entry(503, 'not_run', 'Configuration cannot be changed while the object API is unavailable.', 'Repeat the change when the object API is back.'),
   object_conflict: entry(409, 'not_run', 'The object has another resourceVersion.', 'Read the object again and repeat the update.'),
   object_exists: entry(409, 'not_run', 'An object of this name exists.', 'Update the existing object instead.'),
   object_not_found: entry(404, 'not_run', 'No such object.', 'Check kind and name.'),
--- /dev/null
+++ b/src/core/operator/intents.ts
@@ -0,0 +1,58 @@
+/**
+ * Changes that state an intent, such as taking a data centre out of service. They apply to whatever the object is
+ * now, so a conflict is answered by reading the object again and repeating the change.
+ */
+import { ConfigConflictError, INTENT_TRIES, type ConfigController } from '../config/index.ts'
+import type { AcceptedChange, ConfigChange, ConfigSpecs, ConfigView } from '../config/types.ts'
+import { ConfigError } from '../errors/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { ConfigKind } from '../object-api/types.ts'
+
+export type DrainableKind = 'DataCentre' | 'VirtualMachine' | 'BackendServer'
+
+export interface IntentContext {
+  config: ConfigController
+  view: ConfigView
+  metrics: Metrics
+}
+
+export interface IntentResult extends AcceptedChange {
+  /** False when the object was in the wanted state already. */
+  changed: boolean
+}
+
+const DRAINED = { DataCentre: 'out_of_service', VirtualMachine: 'leaving', BackendServer: 'leaving' } as const
+
+export function drain (context: IntentContext, kind: DrainableKind, name: string): Promise<IntentResult> {
+  return setState(context, kind, name, DRAINED[kind])
+}
+
+export function restore (context: IntentContext, kind: DrainableKind, name: string): Promise<IntentResult> {
+  return setState(context, kind, name, 'in_service')
+}
+
+export function withdrawVersion (context: IntentContext, name: string): Promise<IntentResult> {
+  return setState(context, 'Version', name, 'withdrawn')
+}
+
+async function setState (context: IntentContext, kind: DrainableKind | 'Version', name: string, state: string): Promise<IntentResult> {
+  for (let attempt = 1; ; attempt++) {
+    try {
+      return await trySetState(context, kind, name, state)
+    } catch (error) {
+      if (!(error instanceof ConfigConflictError) || attempt >= INTENT_TRIES) throw error
+      context.metrics.count('retries', 'operator_intent_conflict')
+    }
+  }
+}
+
+async function trySetState ({ config, view }: IntentContext, kind: ConfigKind, name: string, state: string): Promise<IntentResult> {
+  const entry = view.entry(kind, name)
+  if (!entry) throw new ConfigError('config_not_found', { detail: `${kind}/${name} does not exist` })
+  const { resourceVersion } = entry
+  const spec = entry.spec as { state: string }
+  if (spec.state === state) return { kind, name, resourceVersion, changed: false }
+  const change = { kind, name, spec: { ...spec, state } as unknown as ConfigSpecs[ConfigKind], resourceVersion } as ConfigChange
+  const [accepted] = await config.change([change])
+  return { ...accepted!, changed: true }
+}
