Add peer links, membership, entry points, explain, quarantine and two stand-ins

Cause: the VMs need to find each other, agree on who takes work and exchange messages before the other modules can be joined. Change: authenticated WebSocket links with bounded input and buffers; SWIM membership with incarnations, boot ids, refutation, list exchange and the isolation rule; entry points; decision traces; quarantine by crashes of distinct instances; stand-ins for the platform's VM list and a TCP fault proxy. PeerLinks gains forget and setSharedKeys, Quarantine gains start and stop. Ruled out: authentication in the HTTP upgrade, because a challenge needs a second round trip either way; record extensions of msgpackr, because they keep per-peer state.

--- /dev/null
+++ b/src/core/membership/gossip.ts
@@ -0,0 +1,101 @@
+/** Sends and receives the membership messages: pings, indirect pings and exchanges of the full list. */
+import type { Clock } from '../clock/index.ts'
+import { PeerError } from '../errors/index.ts'
+import type { VmId } from '../ids/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { PeerLinks } from '../peer/index.ts'
+import { EXCHANGE_TIMEOUT_MS } from './constants.ts'
+import { decodeGossip, decodePingRequest, encodeGossip, encodePingRequest, type Gossip } from './messages.ts'
+import { LIVE, type MemberRecord } from './merge.ts'
+import type { MemberTable } from './table.ts'
+import type { UpdateQueue } from './update-queue.ts'
+
+export interface GossipOptions {
+  table: MemberTable
+  queue: UpdateQueue
+  peers: PeerLinks
+  clock: Clock
+  metrics: Metrics
+  pingTimeoutMs: number
+  pingPayload: (() => unknown) | undefined
+  onPingPayload: ((payload: unknown, from: VmId) => void) | undefined
+  /** Called when a VM answered, with the digest of its list. */
+  onAnswer(from: VmId, digest: number): void
+}
+
+export interface GossipMessages {
+  ping(vm: VmId): Promise<void>
+  /** Asks `helper` to ping `vm`; rejects when it got no answer. */
+  pingThrough(helper: VmId, vm: VmId): Promise<void>
+  /** Exchanges the full list. */
+  exchange(vm: VmId): Promise<void>
+  /** Pings without waiting; a failure only delays the spreading. */
+  announce(vm: VmId): void
+}
+
+export function createGossip (options: GossipOptions): GossipMessages {
+  const { table, queue, peers, metrics, pingTimeoutMs, pingPayload, onPingPayload } = options
+
+  function compose (to: VmId, isFullList: boolean): unknown {
+    const updates = isFullList ? table.records() : pendingUpdates(to)
+    return encodeGossip({ sender: table.self(), updates, isFullList, digest: table.digest(), payload: pingPayload?.() })
+  }
+
+  /** Tells the receiver first what is wrong about itself, so that it can refute it with its answer. */
+  function pendingUpdates (to: VmId): MemberRecord[] {
+    const about = table.get(to)
+    const vms = queue.take(table.others().length + 1).filter(vm => vm !== to && vm !== table.self().vm)
+    const records = vms.map(vm => table.get(vm)).filter(record => record !== undefined)
+    return about && about.health !== LIVE ? [about, ...records] : records
+  }
+
+  function absorb (body: unknown, from: VmId): Gossip {
+    const gossip = decodeGossip(body)
+    if (!gossip || gossip.sender.vm !== from) {
+      metrics.count('bad_input', 'membership_malformed')
+      throw new PeerError('peer_rejected', { detail: 'not a membership message' })
+    }
+    if (gossip.sender.region !== table.self().region) {
+      metrics.count('bad_input', 'membership_region')
+      throw new PeerError('peer_rejected', { detail: `this VM belongs to region ${table.self().region}` })
+    }
+    table.hear(gossip.sender)
+    for (const record of gossip.updates) table.hear(record, { fromList: gossip.isFullList })
+    if (gossip.payload !== undefined) onPingPayload?.(gossip.payload, from)
+    return gossip
+  }
+
+  async function send (vm: VmId, isFullList: boolean, timeoutMs: number): Promise<void> {
+    const answer = await peers.request(vm, 'membership.ping', compose(vm, isFullList), { timeoutMs })
+    const { digest } = absorb(answer, vm)
+    if (isFullList) table.setJoined()
+    options.onAnswer(vm, digest)
+  }
+
+  peers.handle('membership.ping', (body, from) => {
+    const { isFullList } = absorb(body, from)
+    return compose(from, isFullList)
+  })
+
+  peers.handle('membership.ping-req', async body => {
+    const request = decodePingRequest(body)
+    if (!request) {
+      metrics.count('bad_input', 'membership_malformed')
+      throw new PeerError('peer_rejected', { detail: 'not a ping request' })
+    }
+    await send(request.vm, false, Math.min(request.timeoutMs, pingTimeoutMs))
+    return null
+  })
+
+  return {
+    ping: vm => send(vm, false, pingTimeoutMs),
+    async pingThrough (helper, vm) {
+      const body = encodePingRequest({ vm, timeoutMs: pingTimeoutMs })
+      await peers.request(helper, 'membership.ping-req', body, { timeoutMs: 2 * pingTimeoutMs })
+    },
+    exchange: vm => send(vm, true, EXCHANGE_TIMEOUT_MS),
+    announce (vm) {
+      send(vm, false, pingTimeoutMs).catch(() => metrics.count('retries', 'membership_announce'))
+    }
+  }
+}
--- /dev/null
+++ b/src/core/membership/membership.ts
@@ -0,0 +1,244 @@
+/**
+ * Membership of the VMs of one region, by SWIM: failure detection, gossip of changes, exchange of full lists on
+ * joining and when lists differ, and the rule that an isolated VM takes no new work.
+ */
+import type { Clock, TimerCancel } from '../clock/index.ts'
+import { errorMessage } from '../errors/index.ts'
+import type { VmId } from '../ids/index.ts'
+import type { Log } from '../logging/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { PeerLinks } from '../peer/index.ts'
+import type { VmIdentity } from '../settings/index.ts'
+import {
+  CONTACT_PERIOD_MS, EXCHANGE_PERIOD_MS, ISOLATION_TIMEOUT_MS, JOIN_FANOUT, LEAVE_FANOUT, PING_PERIOD_MS, PING_TIMEOUT_MS,
+  SUSPECT_TIMEOUT_MS, VM_LIST_PERIOD_MS
+} from './constants.ts'
+import { createDetector, shuffle } from './detector.ts'
+import { createGossip } from './gossip.ts'
+import { DEAD, LIVE, memberState, toMember, type MemberRecord } from './merge.ts'
+import { createPlatformView, type PlatformVm } from './platform.ts'
+import { createMemberTable } from './table.ts'
+import type { Member, Membership, MemberState } from './types.ts'
+import { createUpdateQueue } from './update-queue.ts'
+
+/** A VM that can be contacted to join. */
+export interface Seed {
+  vm: VmId
+  /** `IP:PORT`. */
+  peerAddress: string
+}
+
+export interface MembershipOptions {
+  identity: VmIdentity
+  peerAddress: string
+  callerUrl: string
+  peers: PeerLinks
+  seeds: readonly Seed[]
+  /** Reads the platform's list. */
+  vmList?: (() => Promise<PlatformVm[]>) | undefined
+  vmListPeriodMs?: number
+  /** Time of the last answer of the object API, on the same monotonic clock. */
+  lastObjectApiContact: () => number
+  /** Value that each ping and answer carries. */
+  pingPayload?: (() => unknown) | undefined
+  onPingPayload?: ((payload: unknown, from: VmId) => void) | undefined
+  pingPeriodMs?: number
+  pingTimeoutMs?: number
+  suspectTimeoutMs?: number
+  isolationTimeoutMs?: number
+  clock: Clock
+  metrics: Metrics
+  log: Log
+  random: () => number
+}
+
+export function createMembership (options: MembershipOptions): Membership {
+  const {
+    identity, peerAddress, callerUrl, peers, seeds, vmList, lastObjectApiContact, pingPayload, onPingPayload, clock, metrics, log, random,
+    vmListPeriodMs = VM_LIST_PERIOD_MS, pingPeriodMs = PING_PERIOD_MS, pingTimeoutMs = PING_TIMEOUT_MS,
+    suspectTimeoutMs = SUSPECT_TIMEOUT_MS, isolationTimeoutMs = ISOLATION_TIMEOUT_MS
+  } = options
+  const listeners = new Set<(member: Member) => void>()
+  const cancels: TimerCancel[] = []
+  const reported = new Map<VmId, MemberState>()
+  const queue = createUpdateQueue()
+  const platform = createPlatformView(identity.vm, clock)
+  const createdMs = clock.now()
+  let lastPeerContactMs = createdMs
+  let lastExchangeMs = -Infinity
+  let wasIsolated = false
+  let running = false
+  let cachedMembers: Member[] | undefined
+
+  const table = createMemberTable({
+    self: {
+      ...identity,
+      peerAddress,
+      callerUrl,
+      // Seconds of the wall clock, so that a restarted VM usually starts above the incarnation of its earlier run.
+      incarnation: Math.max(0, Math.floor(clock.wallMs() / 1000)),
+      health: LIVE,
+      leaving: false
+    },
+    clock,
+    metrics,
+    log,
+    suspectTimeoutMs,
+    onUpdate,
+    onForget (vm) {
+      queue.remove(vm)
+      reported.delete(vm)
+      cachedMembers = undefined
+      peers.forget(vm)
+    }
+  })
+  const messages = createGossip({ table, queue, peers, clock, metrics, pingTimeoutMs, pingPayload, onPingPayload, onAnswer })
+  const detector = createDetector({ table, messages, clock, metrics, log, random, pingPeriodMs, onTick: noteIsolation })
+  peers.onDisconnect(vm => { if (running) void detector.probe(vm) })
+
+  function onUpdate (record: MemberRecord, previous: MemberRecord | undefined): void {
+    cachedMembers = undefined
+    queue.push(record.vm)
+    if (record.vm !== identity.vm && record.health !== DEAD) peers.setAddress(record.vm, record.peerAddress)
+    if (record.vm === identity.vm && record.health === LIVE && running) announceSelf()
+    notifyListeners(record, previous?.boot !== record.boot)
+  }
+
+  /** Spreads a new incarnation of this VM without waiting for the next period. */
+  function announceSelf (): void {
+    for (const { vm } of shuffle(table.others(), random).slice(0, 2)) messages.announce(vm)
+  }
+
+  function notifyListeners (record: MemberRecord, isNewRun: boolean): void {
+    const state = stateOf(record)
+    if (!isNewRun && reported.get(record.vm) === state) return
+    reported.set(record.vm, state)
+    const member = toMember(record, isPlatformLeaving(record))
+    for (const listener of listeners) listener(member)
+  }
+
+  function isPlatformLeaving ({ vm }: MemberRecord): boolean {
+    return platform.isLeaving(vm, table.firstSeenMs(vm))
+  }
+
+  function stateOf (record: MemberRecord): MemberState {
+    return memberState(record, isPlatformLeaving(record))
+  }
+
+  function onAnswer (from: VmId, digest: number): void {
+    lastPeerContactMs = clock.now()
+    noteIsolation()
+    const isDue = clock.now() - lastExchangeMs >= EXCHANGE_PERIOD_MS
+    if (digest !== table.digest() && queue.isEmpty() && isDue) void exchange(from)
+  }
+
+  async function exchange (vm: VmId): Promise<boolean> {
+    lastExchangeMs = clock.now()
+    try {
+      await messages.exchange(vm)
+      return true
+    } catch {
+      metrics.count('retries', 'membership_exchange')
+      return false
+    }
+  }
+
+  /** VMs that may be running but are no live members: seeds, listed VMs and members that were declared dead. */
+  function contacts (): Seed[] {
+    const listed = platform.vms().map(({ id, address }) => ({ vm: id, peerAddress: address }))
+    const dead = table.records().filter(({ health, leaving }) => health === DEAD && !leaving)
+    const candidates = new Map([...seeds, ...listed, ...dead].map(({ vm, peerAddress: address }) => [vm, address]))
+    candidates.delete(identity.vm)
+    for (const { vm } of table.others()) candidates.delete(vm)
+    return [...candidates].map(([vm, address]) => ({ vm, peerAddress: address }))
+  }
+
+  function contact ({ vm, peerAddress: address }: Seed): Promise<boolean> {
+    peers.setAddress(vm, address)
+    return exchange(vm)
+  }
+
+  async function contactOne (): Promise<void> {
+    const [chosen] = shuffle(contacts(), random)
+    if (chosen) await contact(chosen)
+  }
+
+  async function readVmList (): Promise<void> {
+    if (!vmList) return
+    try {
+      platform.update(await vmList())
+    } catch (error) {
+      metrics.count('retries', 'vm_list')
+      log.debug('the VM list cannot be read', { error: errorMessage(error) })
+      return
+    }
+    cachedMembers = undefined
+    for (const record of table.records()) notifyListeners(record, false)
+  }
+
+  function isIsolated (): boolean {
+    if (table.isReplaced()) return true
+    const lastContactMs = Math.max(createdMs, lastPeerContactMs, lastObjectApiContact())
+    return clock.now() - lastContactMs >= isolationTimeoutMs
+  }
+
+  function noteIsolation (): void {
+    const isolated = isIsolated()
+    if (isolated === wasIsolated) return
+    wasIsolated = isolated
+    metrics.count('membership_changes', isolated ? 'isolated' : 'connected')
+    if (isolated) log.warn('this VM reaches neither a peer nor the object API; it refuses new work')
+    else log.info('this VM reaches a peer or the object API again')
+  }
+
+  function members (): Member[] {
+    cachedMembers ??= table.records()
+      .filter(({ health }) => health !== DEAD)
+      .sort((left, right) => left.vm < right.vm ? -1 : 1)
+      .map(record => toMember(record, isPlatformLeaving(record)))
+    return cachedMembers
+  }
+
+  function farewell (): void {
+    table.die()
+    const receivers = shuffle(table.others(), random).slice(0, LEAVE_FANOUT)
+    for (const { vm } of receivers) messages.announce(vm)
+  }
+
+  return {
+    self: () => toMember(table.self(), isPlatformLeaving(table.self())),
+    members: () => [...members()],
+    available: () => members().filter(({ state }) => state === 'live' || state === 'suspect'),
+    get (vm) {
+      const record = table.get(vm)
+      return record && toMember(record, isPlatformLeaving(record))
+    },
+    isIsolated,
+    async leave () {
+      table.leave()
+      const receivers = shuffle(table.others(), random).slice(0, LEAVE_FANOUT)
+      await Promise.allSettled(receivers.map(({ vm }) => messages.ping(vm)))
+    },
+    onChange (listener) {
+      listeners.add(listener)
+      return () => { listeners.delete(listener) }
+    },
+    async start () {
+      running = true
+      await readVmList()
+      await Promise.all(shuffle(contacts(), random).slice(0, JOIN_FANOUT).map(contact))
+      detector.start()
+      cancels.push(
+        clock.every(CONTACT_PERIOD_MS, () => void contactOne()),
+        clock.every(vmListPeriodMs, () => void readVmList())
+      )
+    },
+    async stop () {
+      if (!running) return
+      running = false
+      detector.stop()
+      for (const cancel of cancels.splice(0)) cancel()
+      if (table.self().leaving) farewell()
+    }
+  }
+}
--- /dev/null
+++ b/src/core/membership/merge.ts
@@ -0,0 +1,68 @@
+/**
+ * Merge of what is known about one member. Records of one VM form a lattice: the higher incarnation replaces the
+ * lower one; at the same incarnation the boot id that is later in string order does; within one incarnation of one
+ * boot, a member goes from live to suspect to dead and from staying to leaving, never back. Only the member itself
+ * raises its incarnation, so the merge is commutative, associative and idempotent.
+ */
+import type { BootId, DataCentreId, RegionId, VmId } from '../ids/index.ts'
+import type { Member, MemberState } from './types.ts'
+
+export const LIVE = 0
+export const SUSPECT = 1
+export const DEAD = 2
+export type Health = typeof LIVE | typeof SUSPECT | typeof DEAD
+
+export interface MemberRecord {
+  vm: VmId
+  boot: BootId
+  region: RegionId
+  dataCentre: DataCentreId
+  peerAddress: string
+  callerUrl: string
+  incarnation: number
+  health: Health
+  leaving: boolean
+}
+
+/** Returns the join of two records of one VM; returns `known` itself when `heard` adds nothing. */
+export function mergeRecords (known: MemberRecord, heard: MemberRecord): MemberRecord {
+  const order = compareRuns(known, heard)
+  if (order !== 0) return order > 0 ? known : heard
+  const health = Math.max(known.health, heard.health) as Health
+  const leaving = known.leaving || heard.leaving
+  const base = addressKey(known) >= addressKey(heard) ? known : heard
+  if (base === known && health === known.health && leaving === known.leaving) return known
+  return { ...base, health, leaving }
+}
+
+/** Orders two records by incarnation, then boot id; 0 for the same incarnation of the same boot. */
+export function compareRuns (left: MemberRecord, right: MemberRecord): number {
+  if (left.incarnation !== right.incarnation) return left.incarnation - right.incarnation
+  if (left.boot === right.boot) return 0
+  return left.boot < right.boot ? -1 : 1
+}
+
+/** A VM sends one address per boot; the order only keeps the merge independent of the order of messages. */
+function addressKey ({ dataCentre, peerAddress, callerUrl }: MemberRecord): string {
+  return JSON.stringify([dataCentre, peerAddress, callerUrl])
+}
+
+/** State that callers see; `platformLeaving` says that the platform's list shows the VM as leaving. */
+export function memberState ({ health, leaving }: MemberRecord, platformLeaving: boolean): MemberState {
+  if (health === DEAD) return 'dead'
+  if (leaving || platformLeaving) return 'leaving'
+  return health === SUSPECT ? 'suspect' : 'live'
+}
+
+export function toMember (record: MemberRecord, platformLeaving: boolean): Member {
+  const { vm, boot, region, dataCentre, peerAddress, callerUrl, incarnation } = record
+  return { vm, boot, region, dataCentre, peerAddress, callerUrl, incarnation, state: memberState(record, platformLeaving) }
+}
+
+/** Hash of a record; the digest of a list is the sum over its members, so it does not depend on their order. */
+export function recordHash ({ vm, boot, incarnation, health, leaving }: MemberRecord): number {
+  const text = `${vm} ${boot} ${incarnation} ${health} ${leaving ? 1 : 0}`
+  let hash = 0x811c9dc5
+  for (let i = 0; i < text.length; i++) hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193)
+  return hash >>> 0
+}
--- /dev/null
+++ b/src/core/membership/messages.ts
@@ -0,0 +1,97 @@
+/**
+ * Wire form of the membership messages. A member is an array rather than an object, because it travels with every
+ * ping. Decoders return undefined for input of another shape.
+ */
+import { z } from 'zod'
+import type { BootId, DataCentreId, RegionId, VmId } from '../ids/index.ts'
+import { MAX_MEMBERS } from './constants.ts'
+import { DEAD, type Health, type MemberRecord } from './merge.ts'
+
+const LEAVING_FLAG = 4
+
+const name = z.string().min(1).max(128)
+const wireRecord = z.tuple([
+  name, name, name, z.string().max(64), z.string().max(256),
+  z.number().int().nonnegative().max(Number.MAX_SAFE_INTEGER / 2),
+  z.number().int().min(0).max(DEAD + LEAVING_FLAG).refine(flags => (flags & 3) <= DEAD)
+])
+const records = z.array(wireRecord).max(MAX_MEMBERS)
+const gossipSchema = z.object({
+  /** Region of all records. */
+  r: name,
+  /** The sender. */
+  s: wireRecord,
+  /** Updates, or the whole list. */
+  u: records,
+  /** Whether `u` is the whole list, and the answer should be too. */
+  f: z.boolean().optional(),
+  /** Digest of the sender's list. */
+  d: z.number().int().nonnegative(),
+  /** Payload of the configuration replica. */
+  p: z.unknown().optional()
+})
+const pingRequestSchema = z.object({ vm: name, t: z.number().int().min(1).max(10_000) })
+
+export type WireRecord = z.infer<typeof wireRecord>
+
+export interface Gossip {
+  sender: MemberRecord
+  updates: MemberRecord[]
+  isFullList: boolean
+  digest: number
+  payload?: unknown
+}
+
+/** Asks the receiver to ping a VM. */
+export interface PingRequest {
+  vm: VmId
+  timeoutMs: number
+}
+
+export function encodeGossip ({ sender, updates, isFullList, digest, payload }: Gossip): unknown {
+  return {
+    r: sender.region,
+    s: encodeRecord(sender),
+    u: updates.map(encodeRecord),
+    d: digest,
+    ...(isFullList && { f: true }),
+    ...(payload !== undefined && { p: payload })
+  }
+}
+
+export function decodeGossip (body: unknown): Gossip | undefined {
+  const result = gossipSchema.safeParse(body)
+  if (!result.success) return undefined
+  const { r, s, u, f, d, p } = result.data
+  const region = r as RegionId
+  const updates = u.map(record => decodeRecord(record, region))
+  return { sender: decodeRecord(s, region), updates, isFullList: f ?? false, digest: d, payload: p }
+}
+
+export function encodePingRequest ({ vm, timeoutMs }: PingRequest): unknown {
+  return { vm, t: Math.ceil(timeoutMs) }
+}
+
+export function decodePingRequest (body: unknown): PingRequest | undefined {
+  const result = pingRequestSchema.safeParse(body)
+  if (!result.success) return undefined
+  return { vm: result.data.vm as VmId, timeoutMs: result.data.t }
+}
+
+function encodeRecord ({ vm, boot, dataCentre, peerAddress, callerUrl, incarnation, health, leaving }: MemberRecord): WireRecord {
+  return [vm, boot, dataCentre, peerAddress, callerUrl, incarnation, health + (leaving ? LEAVING_FLAG : 0)]
+}
+
+function decodeRecord ([vm, boot, dataCentre, peerAddress, callerUrl, incarnation, flags]: WireRecord, region: RegionId): MemberRecord {
+  return {
+    vm: vm as VmId,
+    boot: boot as BootId,
+    region,
+    dataCentre: dataCentre as DataCentreId,
+    peerAddress,
+    callerUrl,
+    incarnation,
+    health: (flags & 3) as Health,
+    leaving: (flags & LEAVING_FLAG) !== 0
+  }
+}
--- /dev/null
+++ b/src/core/peer/listener.ts
@@ -0,0 +1,156 @@
+/**
+ * Accepts connections of other VMs. Everything before the authentication is bounded: bytes, time and the number of
+ * handshakes.
+ */
+import { createServer as createHttpServer, type IncomingMessage, type Server } from 'node:http'
+import { createServer as createHttpsServer } from 'node:https'
+import type { AddressInfo, Socket } from 'node:net'
+import { WebSocketServer, type WebSocket } from 'ws'
+import type { Clock } from '../clock/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { VmIdentity } from '../settings/index.ts'
+import { HANDSHAKE_TIMEOUT_MS, MAX_CONNECTIONS, MAX_HANDSHAKE_BYTES, MAX_HANDSHAKES } from './constants.ts'
+import { acceptHandshake, type AuthenticatedPeer } from './handshake.ts'
+import { channelBinding, type PeerTls } from './tls.ts'
+
+export interface ListenerOptions {
+  identity: VmIdentity
+  address: string
+  tls: PeerTls | undefined
+  keys(): readonly string[]
+  clock: Clock
+  metrics: Metrics
+  maxMessageBytes: number
+  onConnection(socket: WebSocket, peer: AuthenticatedPeer): void
+}
+
+export interface Listener {
+  listen(): Promise<number>
+  close(): Promise<void>
+}
+
+export function createListener (options: ListenerOptions): Listener {
+  const { clock, metrics, maxMessageBytes, tls } = options
+  const server = createServer(tls)
+  const upgrader = new WebSocketServer({ noServer: true, maxPayload: maxMessageBytes, perMessageDeflate: false, clientTracking: false })
+  const sockets = new Set<Socket>()
+  let handshakes = 0
+
+  server.on('connection', socket => {
+    sockets.add(socket)
+    socket.on('error', () => {})
+    socket.once('close', () => sockets.delete(socket))
+  })
+  server.on('drop', () => metrics.count('peer_failures', 'too_many_connections'))
+  server.on('clientError', (_error, socket) => refuse(socket as Socket, 'peer_malformed'))
+  server.on('tlsClientError', (_error, socket) => refuse(socket, 'peer_unauthenticated'))
+  server.on('request', (_request, response) => {
+    metrics.count('bad_input', 'peer_malformed')
+    response.writeHead(426, { connection: 'close' }).end()
+  })
+  server.on('upgrade', (request: IncomingMessage, socket: Socket, head: Buffer) => {
+    if (handshakes >= MAX_HANDSHAKES) return refuse(socket, 'peer_too_many_handshakes')
+    upgrader.handleUpgrade(request, socket, head, webSocket => authenticate(webSocket, socket))
+  })
+
+  function refuse (socket: Socket, reason: string): void {
+    metrics.count('bad_input', reason)
+    socket.destroy()
+  }
+
+  function authenticate (webSocket: WebSocket, socket: Socket): void {
+    handshakes++
+    const guard = guardHandshake(socket, clock, reason => refuse(socket, reason))
+    webSocket.on('error', error => countSocketError(metrics, error))
+    socket.once('close', finish)
+
+    function finish (): void {
+      if (!guard.release()) return
+      handshakes--
+      socket.off('close', finish)
+    }
+
+    acceptHandshake(webSocket, {
+      identity: options.identity,
+      keys: options.keys,
+      channelBinding: channelBinding(socket),
+      onAuthenticated (peer) {
+        finish()
+        options.onConnection(webSocket, peer)
+      },
+      onFailure (reason) {
+        refuse(socket, reason === 'malformed' ? 'peer_malformed' : `peer_${reason}`)
+      }
+    })
+  }
+
+  return {
+    listen: () => new Promise((resolve, reject) => {
+      const [host, port] = splitAddress(options.address)
+      server.once('error', reject)
+      server.listen({ host, port }, () => resolve((server.address() as AddressInfo).port))
+    }),
+    close: () => new Promise(resolve => {
+      server.close(() => resolve())
+      for (const socket of sockets) socket.destroy()
+    })
+  }
+}
+
+function createServer (tls: PeerTls | undefined): Server {
+  const limits = {
+    maxHeaderSize: MAX_HANDSHAKE_BYTES,
+    headersTimeout: HANDSHAKE_TIMEOUT_MS,
+    requestTimeout: HANDSHAKE_TIMEOUT_MS,
+    connectionsCheckingInterval: HANDSHAKE_TIMEOUT_MS
+  }
+  const server = tls
+    ? createHttpsServer({ ...limits, ...tls, requestCert: true, rejectUnauthorized: true, handshakeTimeout: HANDSHAKE_TIMEOUT_MS })
+    : createHttpServer(limits)
+  server.maxConnections = MAX_CONNECTIONS
+  return server
+}
+
+export interface HandshakeGuard {
+  /** Ends the guard; returns false when it had ended before. */
+  release(): boolean
+}
+
+/** Calls `onExceeded` when a connection that is not authenticated sends too much or takes too long. */
+export function guardHandshake (socket: Socket, clock: Clock, onExceeded: (reason: string) => void): HandshakeGuard {
+  let received = 0
+  let active = true
+  const onData = (chunk: Buffer) => {
+    received += chunk.length
+    if (received > MAX_HANDSHAKE_BYTES) exceed('peer_oversized')
+  }
+  const cancelTimer = clock.after(HANDSHAKE_TIMEOUT_MS, () => exceed('peer_handshake_timeout'))
+  socket.on('data', onData)
+
+  function release (): boolean {
+    if (!active) return false
+    active = false
+    cancelTimer()
+    socket.off('data', onData)
+    return true
+  }
+
+  function exceed (reason: string): void {
+    if (active) onExceeded(reason)
+  }
+  return { release }
+}
+
+/** Counts an error of a WebSocket: input that breaks the protocol, or a connection that was reset. */
+export function countSocketError (metrics: Metrics, error: Error): void {
+  const code = (error as NodeJS.ErrnoException).code ?? ''
+  if (code === 'WS_ERR_UNSUPPORTED_MESSAGE_LENGTH') metrics.count('bad_input', 'peer_oversized')
+  else if (code.startsWith('WS_ERR')) metrics.count('bad_input', 'peer_malformed')
+  else metrics.count('peer_failures', 'connection_error')
+}
+
+/** Splits `IP:PORT`. */
+export function splitAddress (address: string): [host: string, port: number] {
+  const colon = address.lastIndexOf(':')
+  return [address.slice(0, colon), Number(address.slice(colon + 1))]
+}
--- a/src/core/peer/types.ts
+++ b/src/core/peer/types.ts
@@ -24,6 +24,10 @@
 export interface PeerLinks {
   /** Maps a VM to the address its peer port listens on, `IP:PORT`. */
   setAddress(vm: VmId, address: string): void
+  /** Drops the address of a VM and closes the connections to it. */
+  forget(vm: VmId): void
+  /** Replaces the accepted keys; connections that used a key which is no longer accepted are closed. */
+  setSharedKeys(keys: readonly string[]): void
   request<Answer>(to: VmId, type: PeerMessageType, body: unknown, options?: PeerRequestOptions): Promise<Answer>
   /** Sends without an answer; delivery is not confirmed. */
   notify(to: VmId, type: PeerMessageType, body: unknown): void
--- a/src/core/quarantine/types.ts
+++ b/src/core/quarantine/types.ts
@@ -23,5 +23,9 @@
   reportCrash(report: CrashReport): void
   /** Milliseconds until the quarantine ends; 0 when there is none. */
   remainingMs(fingerprint: string): number
+  /** Ends a quarantine on all VMs and forgets its crashes. */
   lift(fingerprint: string): Promise<void>
+  /** Loads the objects and keeps them in step; does not wait for an object API that is down. */
+  start(): Promise<void>
+  stop(): void
 }
