Add the operators' commands, the dev fleet and first pages

Cause: a person needs commands and a first look. Change: config, contract, version, drain, restore, status, explain, bench, dev and stand-in commands with documented exit codes, README, API and command-line pages. Ruled out: a separate client package, because the commands share the operators' HTTP API.

--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -3,11 +3,10 @@
  * API through a fault proxy of its own, so that tests can cut, delay or freeze it.
  */
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
-import { once } from 'node:events'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { stringify } from 'smol-toml'
+import { freePorts } from '../../src/cli/dev/free-ports.ts'
 import { sampleConfig, SAMPLE_OPERATOR_KEY, SAMPLE_TEAM_KEY, SAMPLE_VERSIONS } from '../../src/cli/dev/sample-config.ts'
 import { startFaultProxy, type FaultProxy } from '../../src/standin/fault-proxy/index.ts'
 import { startProcess, type RunningProcess } from './processes.ts'
@@ -139,14 +138,6 @@
   return await Promise.all(starting)
 }
 
-async function freePorts (count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'))
-  await Promise.all(servers.map(server => once(server, 'listening')))
-  const ports = servers.map(server => (server.address() as { port: number }).port)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
-  return ports
-}
-
 async function applySample (fleet: Fleet): Promise<void> {
   const changes = sampleConfig({ region: REGION, dataCentres: fleet.dataCentres, engines: fleet.engines, applications: fleet.applications })
   for (const change of changes) await putObject(fleet.vms[0]!, change.kind, change.name, change.spec)
@@ -156,7 +147,7 @@
 export async function putObject (vm: FleetVm, kind: string, name: string, spec: unknown, revision?: number): Promise<{ status: number, body: Record<string, unknown> }> {
   const headers: Record<string, string> = { 'content-type': 'application/json', authorization: `Bearer ${SAMPLE_OPERATOR_KEY}` }
   if (revision !== undefined) headers['if-match'] = String(revision)
-  const response = await fetch(`${vm.url}/operator/v1/${kind}/${name}`, { method: 'PUT', headers, body: JSON.stringify(spec) })
+  const response = await fetch(`${vm.url}/operator/v1/objects/${kind}/${name}`, { method: 'PUT', headers, body: JSON.stringify(spec) })
   return { status: response.status, body: await response.json() as Record<string, unknown> }
 }
 
--- a/src/cli/index.ts
+++ b/src/cli/index.ts
@@ -1,10 +1,26 @@
-/** Command line of lacewingstage: declares the commands and turns errors into messages and exit codes. */
+/** Command line of lacewingstage. Each command registers itself; errors become messages and exit codes in runCommand. */
 import sade from 'sade'
+import { registerBench } from './bench/index.ts'
+import { registerConfig } from './config/index.ts'
+import { registerContract } from './contract/index.ts'
+import { registerDev } from './dev/index.ts'
+import { registerDrain } from './drain/index.ts'
+import { registerExplain } from './explain/index.ts'
+import { registerServe } from './serve/index.ts'
+import { registerStandIn } from './stand-in/index.ts'
+import { registerStatus } from './status/index.ts'
+import { registerVersion } from './version/index.ts'
 
-const VERSION = '0.1.0'
+const PROGRAM_VERSION = '0.1.0'
+
+const REGISTRATIONS = [
+  registerServe, registerDev, registerConfig, registerContract, registerVersion, registerDrain, registerStatus,
+  registerExplain, registerBench, registerStandIn
+]
 
 /** Parses the arguments and runs the command. */
 export async function run (argv: string[]): Promise<void> {
-  const program = sade('lacewingstage').version(VERSION)
+  const program = sade('lacewingstage').version(PROGRAM_VERSION)
+  for (const register of REGISTRATIONS) register(program)
   program.parse(argv)
 }
--- a/src/core/vm/parts.ts
+++ b/src/core/vm/parts.ts
@@ -92,7 +92,7 @@
     callerUrl: `http://${vm.caller_address}`,
     peers: parts.resolve(TOKENS.peers),
     seeds: vm.seeds.filter(seed => seed.vm !== vm.id).map(seed => ({ vm: seed.vm, peerAddress: seed.peer_address })),
-    vmList: platform.vm_list_url === '' ? undefined : createVmListReader(platform.vm_list_url),
+    vmList: platform.vm_list_url === '' ? undefined : createVmListReader({ url: platform.vm_list_url }),
     vmListPeriodMs: platform.vm_list_period_ms,
     lastObjectApiContact: () => parts.resolve(TOKENS.objectApi).lastContact(),
     pingPayload: () => parts.resolve(TOKENS.config).pingPayload(),
