Test the object API client against lost answers and outages

Cause: the client had no failure tests. Conclusion: a lost answer ends as landed, not landed or unknown, never as a wrong statement.

--- /dev/null
+++ b/features/steps/object-api.ts
@@ -0,0 +1,172 @@
+import assert from 'node:assert/strict'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { systemClock } from '../../src/core/clock/index.ts'
+import { LacewingError } from '../../src/core/errors/index.ts'
+import { createMetrics, type Metrics } from '../../src/core/metrics/index.ts'
+import { createObjectApi, type ObjectApiClient, type WatchEvent } from '../../src/core/object-api/index.ts'
+import { startObjectApiServer, type ObjectApiServer } from '../../src/standin/object-api/index.ts'
+
+const TIMEOUT_MS = 250
+const ORIGINAL = { text: 'original' }
+const WRITTEN = { text: 'written' }
+const OTHER = { text: 'other' }
+
+type Operation = 'create' | 'update' | 'delete'
+
+interface ObjectApiWorld {
+  server: ObjectApiServer
+  metrics: Metrics
+  client: ObjectApiClient
+  /** Second client, for changes by somebody else. */
+  other: ObjectApiClient
+  version: number
+  events: WatchEvent[]
+  /** Acts while the write is held. */
+  meanwhile?: () => Promise<void>
+  releaseAfterwards?: boolean
+  writesBefore: number
+  outcome: unknown
+}
+
+function newClient (url: string, metrics: Metrics): ObjectApiClient {
+  return createObjectApi({ url, timeoutMs: TIMEOUT_MS, clock: systemClock, metrics, watchIdleMs: 400 })
+}
+
+async function outcomeOf (run: () => Promise<unknown>): Promise<string> {
+  try {
+    await run()
+    return 'success'
+  } catch (error) {
+    return error instanceof LacewingError ? error.kind : String(error)
+  }
+}
+
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await systemClock.sleep(5)
+}
+
+Given('an object API that holds Model\\/m', async function (this: ObjectApiWorld) {
+  this.server = await startObjectApiServer({ port: 0, bookmarkMs: 100 })
+  this.metrics = createMetrics()
+  this.client = newClient(this.server.url, this.metrics)
+  this.other = newClient(this.server.url, createMetrics())
+  // Moves the counter on, so that the version before that of Model/m is a valid one.
+  await this.other.create('Service', 's', ORIGINAL)
+  const created = await this.other.create('Model', 'm', ORIGINAL)
+  this.version = created.resourceVersion
+})
+
+After(async function (this: Partial<ObjectApiWorld>) {
+  await this.server?.close()
+})
+
+Given('an object API fault: {} on {}', async function (this: ObjectApiWorld, fault: string, operation: Operation) {
+  const { control } = this.server
+  if (operation === 'create') await this.other.delete('Model', 'm', this.version)
+  const readsBefore = control.counters().reads
+  if (fault === 'answer dropped') return control.dropAnswers(1)
+  control.holdWrites(1)
+  if (fault === 'lands after the call') this.releaseAfterwards = true
+  if (fault === 'lands after the read') {
+    this.meanwhile = async () => {
+      await until(() => control.counters().reads > readsBefore)
+      control.releaseHeld()
+    }
+  }
+  if (fault === 'overtaken') {
+    this.meanwhile = async () => {
+      await until(() => control.heldWrites() === 1)
+      if (operation === 'create') await this.other.create('Model', 'm', OTHER)
+      else await this.other.update('Model', 'm', OTHER, this.version)
+    }
+    this.releaseAfterwards = true
+  }
+})
+
+function send ({ client, version }: ObjectApiWorld, operation: Operation, spec: unknown = WRITTEN): Promise<unknown> {
+  if (operation === 'create') return client.create('Model', 'm', spec)
+  if (operation === 'update') return client.update('Model', 'm', spec, version)
+  return client.delete('Model', 'm', version)
+}
+
+When(/^the object API client sends a (create|update|delete)$/, async function (this: ObjectApiWorld, operation: Operation) {
+  const meanwhile = this.meanwhile?.()
+  this.outcome = await outcomeOf(() => send(this, operation))
+  await meanwhile
+  if (this.releaseAfterwards) this.server.control.releaseHeld()
+})
+
+When('the object API client sends a {word} that is refused because of {}', async function (this: ObjectApiWorld, operation: Operation, cause: string) {
+  if (cause === 'an old version') this.version -= 1
+  if (cause === 'a closed port') this.client = newClient('http://127.0.0.1:1', this.metrics)
+  const spec = cause === 'a value above 1 MB' ? 'x'.repeat(1_048_577) : WRITTEN
+  this.outcome = await outcomeOf(() => send(this, operation, spec))
+})
+
+Then('the object API client reports {word}', function (this: ObjectApiWorld, outcome: string) {
+  assert.equal(this.outcome, outcome)
+})
+
+Then('the object API ends with Model\\/m {word}', async function (this: ObjectApiWorld, state: string) {
+  const found = await this.other.list<{ text: string }>('Model')
+  assert.equal(found.items[0]?.spec.text ?? 'absent', state)
+})
+
+Given('an object API outage that a read has noticed', async function (this: ObjectApiWorld) {
+  this.writesBefore = this.server.control.counters().writes
+  this.server.control.outage('refuse')
+  assert.equal(await outcomeOf(() => this.client.get('Model', 'm')), 'object_api_unavailable')
+})
+
+Given('an object API that hangs', function (this: ObjectApiWorld) {
+  this.server.control.outage('hang')
+})
+
+Then('the object API received no write during the outage', function (this: ObjectApiWorld) {
+  assert.equal(this.server.control.counters().writes, this.writesBefore)
+})
+
+Then('the object API client counted {int} retries of the read', function (this: ObjectApiWorld, count: number) {
+  assert.equal(this.metrics.value('retries', 'object_api_read'), count)
+})
+
+async function collect (world: ObjectApiWorld, from: number, signal: AbortSignal): Promise<void> {
+  world.events = []
+  for await (const event of world.client.watch(['Model', 'Version'], from, signal)) world.events.push(event)
+}
+
+When('an object API watch of Model and Version sees a create, an update and a delete', async function (this: ObjectApiWorld) {
+  const stop = new AbortController()
+  const changes = () => this.events.filter(event => event.type !== 'BOOKMARK').length
+  const watching = collect(this, this.version, stop.signal)
+  const { resourceVersion } = await this.other.create('Version', 'v', ORIGINAL)
+  await until(() => changes() === 1)
+  await this.other.update('Model', 'm', OTHER, this.version)
+  await until(() => changes() === 2)
+  await this.other.delete('Version', 'v', resourceVersion)
+  await until(() => changes() === 3)
+  stop.abort()
+  await watching
+})
+
+Then('the object API watch brought {string} and a bookmark of each kind', function (this: ObjectApiWorld, expected: string) {
+  const changes = this.events.filter(event => event.type !== 'BOOKMARK')
+  assert.equal(changes.map(({ type, object }) => `${type} ${object.kind}/${object.name}`).join(', '), expected)
+  const bookmarks = this.events.filter(event => event.type === 'BOOKMARK').map(event => event.object.kind)
+  assert.deepEqual([...new Set(bookmarks)].sort(), ['Model', 'Version'])
+})
+
+When('an object API watch meets {}', async function (this: ObjectApiWorld, cause: string) {
+  const { control } = this.server
+  const from = cause === 'a compacted start' ? this.version - 1 : this.version
+  if (cause === 'a compacted start') control.compact()
+  const watching = outcomeOf(() => collect(this, from, new AbortController().signal))
+  if (cause !== 'a compacted start') await until(() => control.counters().waitingWatches === 2)
+  if (cause === 'a cut connection') control.cutWatches()
+  if (cause === 'a silent server') control.outage('hang')
+  this.outcome = await watching
+})
+
+Then('the object API watch ends with {}', function (this: ObjectApiWorld, result: string) {
+  assert.equal(this.outcome, result === 'no error' ? 'success' : result)
+})
--- /dev/null
+++ b/features/support/memory-object-api.ts
@@ -0,0 +1,108 @@
+/** Object API in memory for tests on a manual clock; its next writes can be made to fail in the ways that matter. */
+import type { Clock } from '../../src/core/clock/index.ts'
+import { ObjectApiError } from '../../src/core/errors/index.ts'
+import type { ObjectApi, ObjectKind, WatchEvent } from '../../src/core/object-api/types.ts'
+import { decodeObject, encodeObject } from '../../src/core/object-api/wire.ts'
+import { createObjectStore, StatusError } from '../../src/standin/object-api/store.ts'
+
+/** `landed`: performed, but reported as unknown. `late`: performed by `performLate`. `slow`: answered after a second. */
+export type WriteFault = 'landed' | 'late' | 'lost' | 'slow'
+
+const SLOW_ANSWER_MS = 1000
+const ERROR_NAMES = {
+  NotFound: 'object_not_found',
+  AlreadyExists: 'object_exists',
+  Conflict: 'object_conflict',
+  Expired: 'object_gone',
+  Invalid: 'object_api_unavailable',
+  RequestEntityTooLarge: 'object_api_unavailable'
+} as const
+
+export function createMemoryObjectApi ({ clock }: { clock: Clock }) {
+  const store = createObjectStore()
+  const late: (() => unknown)[] = []
+  const faults: WriteFault[] = []
+  const watches = new Set<AbortController>()
+  const state = { down: false, writes: 0, reads: 0 }
+
+  function perform<Result> (run: () => Result): Result {
+    try {
+      return run()
+    } catch (error) {
+      if (error instanceof StatusError) throw new ObjectApiError(ERROR_NAMES[error.reason], { detail: error.message })
+      throw error
+    }
+  }
+
+  function checkUp (): void {
+    if (state.down) throw new ObjectApiError('object_api_unavailable')
+  }
+
+  async function write<Result> (run: () => Result): Promise<Result> {
+    checkUp()
+    state.writes += 1
+    const fault = faults.shift()
+    if (fault === 'late') late.push(() => { try { run() } catch { /* The precondition failed by then. */ } })
+    if (fault === 'landed') perform(run)
+    if (fault === 'landed' || fault === 'late' || fault === 'lost') throw new ObjectApiError('object_write_unknown')
+    const result = perform(run)
+    if (fault === 'slow') await clock.sleep(SLOW_ANSWER_MS)
+    return result
+  }
+
+  async function read<Result> (run: () => Result): Promise<Result> {
+    checkUp()
+    state.reads += 1
+    return perform(run)
+  }
+
+  async function * watch (kinds: readonly ObjectKind[], from: number, signal: AbortSignal): AsyncGenerator<WatchEvent> {
+    checkUp()
+    const cut = new AbortController()
+    watches.add(cut)
+    let wake = () => {}
+    const queue: WatchEvent[] = []
+    const add = (type: WatchEvent['type'], wire: Parameters<typeof decodeObject>[1]) => {
+      const kind = wire.kind as ObjectKind
+      if (kinds.includes(kind)) queue.push({ type, object: decodeObject(kind, wire) })
+      wake()
+    }
+    for (const event of perform(() => kinds.flatMap(kind => store.eventsAfter(kind, from)))) add(event.type, event.object)
+    const unsubscribe = store.subscribe(event => add(event.type, event.object))
+    const stop = () => wake()
+    signal.addEventListener('abort', stop)
+    cut.signal.addEventListener('abort', stop)
+    const version = String(store.resourceVersion())
+    for (const kind of kinds) add('BOOKMARK', { kind, metadata: { name: '', resourceVersion: version } })
+    try {
+      while (!signal.aborted && !cut.signal.aborted) {
+        const event = queue.shift()
+        if (event) yield event
+        else await new Promise<void>(resolve => { wake = resolve })
+      }
+    } finally {
+      unsubscribe()
+      watches.delete(cut)
+    }
+  }
+
+  const api: ObjectApi = {
+    get: (kind, name) => read(() => decodeObject(kind, store.get(kind, name))),
+    list: kind => read(() => ({ items: store.list(kind).map(item => decodeObject(kind, item)), resourceVersion: store.resourceVersion() })),
+    create: (kind, name, spec) => write(() => decodeObject(kind, store.create(kind, encodeObject({ kind, name, spec, writeId: 'w', base: 0 }) as never))),
+    update: (kind, name, spec, base) => write(() => decodeObject(kind, store.update(kind, name, encodeObject({ kind, name, spec, writeId: 'w', base }) as never))),
+    delete: (kind, name, version) => write(() => Number(store.delete(kind, name, String(version)).metadata.resourceVersion)),
+    watch
+  }
+  return {
+    ...api,
+    store,
+    state,
+    failNextWrite: (fault: WriteFault) => { faults.push(fault) },
+    performLate () { for (const run of late.splice(0)) run() },
+    cutWatches () { for (const cut of [...watches]) cut.abort() },
+    waitingWatches: () => watches.size
+  }
+}
+
+export type MemoryObjectApi = ReturnType<typeof createMemoryObjectApi>
