Add billing with outbox, witness and batches fixed by name

Cause: every answer must be billed exactly once while VMs die, the object API is down and answers are lost. Ruled out: a new name for each attempt, because a lost answer would then store a batch twice; a batch name per flusher, for the same reason. Change: records go into a batch whose name follows from VM, boot and sequence, then to a witness in another data centre. Whoever finds the name taken compares and writes only what is missing under the next part name. A witness flushes for a dead or restarted origin, a lost witness is replaced, an unreleased batch is looked up after 30 s. Conclusion: each fault case named in the design ends with one stored copy per record id.

--- /dev/null
+++ b/features/billing.feature
@@ -0,0 +1,75 @@
+Feature: Billing
+
+  Scenario Outline: billing stores each record once when <fault>
+    Given billing on three VMs in two data centres
+    When billing of vm-a records 25 answers while <fault>
+    And billing runs on for 3 minutes
+    Then billing holds each of the 25 records exactly once
+
+    Examples:
+      | fault                                                  |
+      | nothing fails                                          |
+      | vm-a dies after the witness acknowledged               |
+      | vm-a restarts after the witness acknowledged           |
+      | the object API is down for 10 minutes                  |
+      | the answers of flushes are lost                        |
+      | the flushes themselves are lost                        |
+      | vm-a is cut off and both flush                         |
+      | both flush and their answers are lost                  |
+      | the witness dies and then vm-a                         |
+      | the witness leaves and then vm-a dies                  |
+      | the witness restarts and then vm-a dies                |
+
+  Scenario: billing witnesses forget a batch whose release was lost
+    Given billing on three VMs in two data centres
+    When billing of vm-a records 25 answers while the message that releases the witness is lost
+    And billing runs on for 3 minutes
+    Then billing holds each of the 25 records exactly once
+    And billing witnesses hold no record
+
+  Scenario: billing adds what a witness had not seen under a next name
+    Given billing on three VMs in two data centres
+    When billing of vm-a is flushed by a witness that holds 3 of 5 records
+    And billing runs on for 1 minutes
+    Then billing holds each of the 5 records exactly once
+    And billing used 2 names for the batch
+
+  Scenario Outline: billing accepts work <accepted> with <state>
+    Given billing on a single VM with <state>
+    Then billing accepts new work: <accepted>
+
+    Examples:
+      | state                             | accepted |
+      | a working object API              | yes      |
+      | an object API that failed         | no       |
+      | an object API that came back      | yes      |
+      | a full outbox                     | no       |
+
+  Scenario: billing of a single VM stores the record before it acknowledges
+    Given billing on a single VM with a working object API
+    When billing of vm-a records 5 answers while nothing fails
+    Then billing holds each of the 5 records exactly once
+
+  Scenario: billing of a single VM does not acknowledge without the object API
+    Given billing on a single VM with an object API that failed
+    When billing of vm-a records an answer
+    Then billing reports "billing_unavailable" and keeps the record
+
+  Scenario: billing is flushed by a drain
+    Given billing on three VMs in two data centres
+    When billing of vm-a records 25 answers and drains at once
+    Then billing holds each of the 25 records exactly once
+
+  Scenario Outline: billing prices <parts>
+    Then billing prices <parts> at <cost> as <outcome>
+
+    Examples:
+      | parts                                | cost | outcome   |
+      | 1 completed 100 50                   | 250  | completed |
+      | 1 failed 100 50                      | none | none      |
+      | 1 failed 100 0, 2 completed 100 50   | 250  | completed |
+      | 1 cancelled 100 10                   | 130  | cancelled |
+      | 1 partial 100 10                     | 130  | partial   |
+      | 1 partial 100 10, 1 completed 110 40 | 250  | completed |
+      | 1 completed 100 50, 2 completed 100 50 | 500 | completed |
+      | 1 completed 100 50, 2 cancelled 100 10 | 380 | cancelled |
--- /dev/null
+++ b/src/core/billing/index.ts
@@ -0,0 +1,168 @@
+/**
+ * Billing: every answer is billed exactly once. A record goes into the VM's outbox and to a witness in another data
+ * centre; with that the answer may end. Batches are then written to the object API. The names of batches follow
+ * from origin and sequence, so a lost answer or a second writer finds the batch and adds only what is missing.
+ */
+import type { Clock, TimerCancel } from '../clock/index.ts'
+import { BillingError, errorMessage, LacewingError, ObjectApiError } from '../errors/index.ts'
+import type { Log } from '../logging/index.ts'
+import type { Membership, Member } from '../membership/types.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { ObjectApi } from '../object-api/types.ts'
+import type { PeerLinks } from '../peer/types.ts'
+import type { VmIdentity } from '../settings/index.ts'
+import { createBackoff } from './backoff.ts'
+import { batchName, storeBatch } from './batch.ts'
+import { ACKNOWLEDGE_TIMEOUT_MS } from './constants.ts'
+import { groupBy } from './group.ts'
+import { createOutbox, type OutboxEntry } from './outbox.ts'
+import type { Billing } from './types.ts'
+import { createWitnessClient, createWitnessStore } from './witness.ts'
+
+export { readBills, type Bills, type TeamBill } from './read-bills.ts'
+export { answerRecord, priceTokens, serviceRecord, type AnswerPart } from './pricing.ts'
+export type * from './types.ts'
+
+export interface BillingOptions {
+  identity: VmIdentity
+  objectApi: ObjectApi
+  peers: PeerLinks
+  membership: Membership
+  flushPeriodMs?: number
+  /** Bounds the VM's own records and, separately, those it holds as a witness. */
+  maxOutboxRecords?: number
+  witnessTimeoutMs?: number
+  acknowledgeTimeoutMs?: number
+  random?: () => number
+  clock: Clock
+  metrics: Metrics
+  log: Log
+}
+
+export function createBilling (options: BillingOptions): Billing {
+  const { identity, objectApi, peers, membership, clock, metrics, log } = options
+  const { flushPeriodMs = 500, maxOutboxRecords = 100_000, witnessTimeoutMs = 300 } = options
+  const { acknowledgeTimeoutMs = ACKNOWLEDGE_TIMEOUT_MS, random = Math.random } = options
+  const { vm, boot } = identity
+  const outbox = createOutbox(identity)
+  const backoff = createBackoff({ clock, random })
+  const witnesses = createWitnessClient({ peers, membership, timeoutMs: witnessTimeoutMs, clock, metrics })
+  const held = createWitnessStore({
+    objectApi, peers, membership, maxRecords: maxOutboxRecords, backoff: createBackoff({ clock, random }), clock, metrics, log
+  })
+  let flushing: Promise<void> | undefined
+  let stopTimer: TimerCancel | undefined
+
+  metrics.gauge('billing_outbox_records', 'Billing records not durable yet', outbox.count)
+  metrics.gauge('billing_witness_records', 'Billing records held for other VMs', held.count)
+  membership.onChange(member => { void replaceWitness(member) })
+
+  async function record (entry: OutboxEntry): Promise<void> {
+    if (await sendToWitness([entry])) return metrics.count('billing_records', 'witnessed')
+    // Without a witness the record must be in the object API before the answer may end.
+    void flush()
+    const stored = await Promise.race([entry.whenDurable.then(() => true), clock.sleep(acknowledgeTimeoutMs).then(() => false)])
+    if (stored) return metrics.count('billing_records', 'stored')
+    metrics.count('refusals', 'billing_unavailable')
+    throw new BillingError('billing_unavailable', {
+      detail: 'Neither a witness nor the object API took the billing record; it stays in the outbox.'
+    })
+  }
+
+  /** All entries belong to one batch. */
+  async function sendToWitness (entries: OutboxEntry[]): Promise<boolean> {
+    const { sequence } = entries[0]!
+    const records = entries.map(entry => entry.record)
+    const witness = await witnesses.send({ vm, boot, sequence, records })
+    if (!witness) return false
+    for (const entry of entries) entry.witness = witness
+    // The batch may have become durable while the message was under way.
+    if (entries.every(entry => entry.durable)) witnesses.release({ vm, boot, sequence }, [witness.vm])
+    return true
+  }
+
+  async function flush (): Promise<void> {
+    if (flushing) return flushing
+    flushing = flushAll().finally(() => { flushing = undefined })
+    return flushing
+  }
+
+  async function flushAll (): Promise<void> {
+    for (let batch = outbox.sealOldest(); batch; batch = outbox.sealOldest()) {
+      try {
+        await storeBatch({ objectApi, batch, onFound: () => metrics.count('billing_flushes', 'found_batch') })
+      } catch (error) {
+        return flushFailed(error)
+      }
+      flushSucceeded()
+      metrics.count('billing_flushes', 'stored')
+      witnesses.release(batch, outbox.complete(batch.sequence))
+    }
+  }
+
+  function flushSucceeded (): void {
+    if (backoff.failing()) log.info('object API takes billing batches again', { pending: outbox.count() })
+    backoff.succeeded()
+  }
+
+  function flushFailed (error: unknown): void {
+    metrics.count('billing_flushes', `failed_${error instanceof LacewingError ? error.kind : 'other'}`)
+    if (!backoff.failing()) log.warn('billing batch cannot be written; the records stay in the outbox', { error: errorMessage(error) })
+    backoff.failed()
+  }
+
+  /** With nothing to flush and no witness, only a read shows when the object API is back. */
+  async function probe (): Promise<void> {
+    try {
+      await objectApi.get('BillingBatch', batchName({ vm, boot, sequence: 0 }))
+      flushSucceeded()
+    } catch (error) {
+      if (error instanceof ObjectApiError && error.kind === 'object_not_found') flushSucceeded()
+      else backoff.failed()
+    }
+  }
+
+  async function tick (): Promise<void> {
+    void held.flush('orphaned')
+    if (!backoff.mayTry()) return
+    if (outbox.count() > 0) await flush()
+    else if (backoff.failing()) await probe()
+  }
+
+  /** Sends the pending records of a witness that left, died or restarted to another one. */
+  async function replaceWitness (member: Member): Promise<void> {
+    if (member.state === 'dead' || member.state === 'leaving') void held.flush('orphaned')
+    const isLost = ({ witness }: OutboxEntry) =>
+      witness?.vm === member.vm && (witness.boot !== member.boot || member.state === 'dead' || member.state === 'leaving')
+    const lost = groupBy(outbox.entries().filter(isLost), entry => entry.sequence)
+    for (const entries of lost.values()) {
+      for (const entry of entries) entry.witness = undefined
+      metrics.count('retries', 'billing_witness_lost', entries.length)
+      if (!await sendToWitness(entries)) void flush()
+    }
+  }
+
+  return {
+    canAccept: () => outbox.count() < maxOutboxRecords && (witnesses.hasCandidate() || !backoff.failing()),
+    async record (billingRecord) {
+      // The answer was delivered, so its record is kept even when the outbox is full.
+      await record(outbox.add(billingRecord))
+    },
+    pending: outbox.count,
+    start () {
+      stopTimer ??= clock.every(flushPeriodMs, () => { void tick() })
+    },
+    async drain (timeoutMs) {
+      const deadline = clock.now() + timeoutMs
+      const isDone = () => outbox.count() === 0 && held.count() === 0
+      while (!isDone() && clock.now() < deadline) {
+        await flush()
+        await held.flush('all')
+        if (!isDone()) await clock.sleep(Math.min(flushPeriodMs, deadline - clock.now()))
+      }
+      stopTimer?.()
+      stopTimer = undefined
+      return outbox.count()
+    }
+  }
+}
--- /dev/null
+++ b/src/core/budget/constants.ts
@@ -0,0 +1,15 @@
+/** Constants of spending limits. */
+
+/** Chunks shrink to this share of what remains, so that one VM does not hold the rest of the limit unused. */
+export const REMAINING_SHARE = 1 / 16
+/** The next chunk is reserved when less than this share of a chunk is left. */
+export const REFILL_BELOW_SHARE = 0.5
+/** Attempts at one conditional update before the reservation counts as unavailable. */
+export const MAX_UPDATE_ATTEMPTS = 30
+/** Longest delay before the first repeated attempt; it doubles with each conflict. */
+export const CONFLICT_JITTER_MS = 4
+export const MAX_CONFLICT_JITTER_MS = 250
+/** An exhausted limit is not read again within this time. */
+export const EXHAUSTED_RECHECK_MS = 1000
+/** Time to wait before the next attempt while the object API fails. */
+export const OUTAGE_RETRY_MS = 1000
--- /dev/null
+++ b/src/core/budget/index.ts
@@ -0,0 +1,55 @@
+/**
+ * Spending limits. Each VM reserves chunks of a team's limit from the object `Spend/<team>` by conditional update
+ * before it spends them, so the sum over all VMs stays within the limit. During an outage of the object API a VM
+ * spends only the chunk it holds. The chunk of a VM that died stays reserved until the period ends.
+ */
+import type { Clock } from '../clock/index.ts'
+import type { ConfigView } from '../config/types.ts'
+import { errorMessage } from '../errors/index.ts'
+import type { TeamId } from '../ids/index.ts'
+import type { Log } from '../logging/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { ObjectApi } from '../object-api/types.ts'
+import type { VmIdentity } from '../settings/index.ts'
+import { contractOf } from '../routing/permitted.ts'
+import { createAccount, type Account } from './account.ts'
+import type { Budget } from './types.ts'
+
+export type * from './types.ts'
+
+export interface BudgetOptions {
+  identity: VmIdentity
+  objectApi: ObjectApi
+  view: ConfigView
+  /** Share of the limit that a VM reserves at a time. */
+  chunkShare?: number
+  random?: () => number
+  clock: Clock
+  metrics: Metrics
+  log: Log
+}
+
+export function createBudget (options: BudgetOptions): Budget {
+  const { identity, objectApi, view, chunkShare = 0.02, random = Math.random, clock, metrics, log } = options
+  const accounts = new Map<TeamId, Account>()
+  const holder = `${identity.vm}.${identity.boot}`
+
+  function accountOf (team: TeamId): Account {
+    const known = accounts.get(team)
+    if (known) return known
+    const contract = () => contractOf(view, team)
+    const account = createAccount({ team, holder, contract, objectApi, chunkShare, random, clock, metrics })
+    accounts.set(team, account)
+    return account
+  }
+
+  return {
+    reserve: (team, estimateMicros) => accountOf(team).reserve(estimateMicros),
+    async returnChunks () {
+      const returns = [...accounts].map(([team, account]) => account.returnChunk().catch(error => {
+        log.warn('unused spending could not be returned; it stays reserved until the period ends', { team, error: errorMessage(error) })
+      }))
+      await Promise.all(returns)
+    }
+  }
+}
--- /dev/null
+++ b/src/core/cascade/constants.ts
@@ -0,0 +1,20 @@
+/** Constants of the cascade. */
+import type { CascadePolicy } from './types.ts'
+
+/** Bands into which the confidence from 0 to 1 is divided. */
+export const CONFIDENCE_BANDS = 8
+/** Band of answers whose engine reported no confidence. */
+export const NO_CONFIDENCE = CONFIDENCE_BANDS
+/** Combinations of team, class and version that are remembered; classes come from callers. */
+export const MAX_LEARNED_KEYS = 5000
+/** A plan is computed again after this many observations of its class. */
+export const PLAN_REFRESH_OBSERVATIONS = 16
+
+export const DEFAULT_POLICY: CascadePolicy = {
+  priorStrength: 4,
+  bandStrength: 3,
+  margin: 1,
+  memory: 500,
+  minimumTimeLeftMs: 1500,
+  assumedOutputTokens: 256
+}
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -38,6 +38,10 @@
   shouldEscalate(request: VersionChoiceRequest, choice: VersionChoice, confidence: number | undefined, remainingMs: number): boolean
 }
 
+/**
+ * Observed once without a rating when the answer ends, and again with a rating when the rating service has judged
+ * it. The second observation only adds the rating.
+ */
 export interface VersionOutcome {
   team: string
   requestClass: string
@@ -46,6 +50,8 @@
   firstTokenMs?: number
   costMicros: number
   confidence?: number
+  /** The request had been escalated to this version from a cheaper tier. */
+  escalated?: boolean
   /** From the rating service; arrives later than the rest, for a sample only. */
   rating?: number
 }
--- a/src/core/session/types.ts
+++ b/src/core/session/types.ts
@@ -9,6 +9,13 @@
   version: VersionId
 }
 
+/** Content of the object `SessionPin/roster.<model>.<slot>`: sessions that began while the model had one version. */
+export interface SessionRosterSpec {
+  model: ModelId
+  /** For each version the sessions' hashes of 11 characters, joined without a separator. */
+  versions: Record<string, string>
+}
+
 export interface SessionRequest {
   team: TeamId
   model: ModelId
@@ -30,6 +37,7 @@
 }
 
 export interface Sessions {
+  /** Throws RoutingError `no_permitted_version` when there is no candidate. */
   resolve(request: SessionRequest): Promise<SessionVersion>
   stop(): Promise<void>
 }
