Test the membership under kills, pauses, cuts, partitions and restarts

Cause: the failure detector has to be proven against the faults it is built for. Not provable here: telling a suspect about itself with the ping, which only shortens what the list exchange does too.

--- /dev/null
+++ b/features/membership.feature
@@ -0,0 +1,175 @@
+Feature: Membership
+
+  Scenario: a killed member is declared dead by all and the others stay live
+    Given a membership group of 6 VMs
+    When member vm-3 is killed
+    And the membership group runs for 8000 ms
+    Then the membership state of vm-3 is dead on all others
+    And no membership change to dead happened but for vm-3
+
+  Scenario Outline: a member of <size> that is paused for <pause> ms is <state> meanwhile, declares nobody dead and returns
+    Given a membership group of <size> VMs
+    When member vm-2 is paused
+    And the membership group runs for <pause> ms
+    Then the membership state of vm-2 is <state> on all others
+    When member vm-2 resumes
+    And the membership group runs for 8000 ms
+    Then the membership state of every VM is live on all
+    And no membership change to dead happened but for <dead>
+
+    Examples:
+      | size | pause | state   | dead   |
+      | 5    | 1800  | suspect | nobody |
+      | 5    | 9000  | dead    | vm-2   |
+      | 2    | 1800  | suspect | nobody |
+      | 2    | 9000  | dead    | vm-2   |
+
+  Scenario: a VM that is paused while its ping is on the way suspects nobody
+    Given a membership group of 2 VMs
+    When member vm-2 is paused while its ping is on the way
+    And the membership group runs for 1200 ms
+    And member vm-2 resumes
+    And the membership group runs for 3000 ms
+    Then member vm-2 saw no change of vm-1
+
+  Scenario: a VM that is paused after it suspected another does not declare it dead for its own pause
+    Given a membership group of 5 VMs
+    When member vm-2 is paused
+    And the membership group runs for 1800 ms
+    And member vm-1 is paused
+    And member vm-2 resumes
+    And the membership group runs for 9000 ms
+    And member vm-1 resumes
+    And the membership group runs for 3000 ms
+    Then no membership change to dead happened but for vm-1
+    And the membership state of every VM is live on all
+
+  Scenario Outline: a cut <kind> between two members is bridged by indirect pings
+    Given a membership group of 5 VMs
+    When the membership link <cuts> is cut
+    And the membership group runs for 30000 ms
+    Then no membership change to suspect happened
+    And indirect pings were counted by a member
+
+    Examples:
+      | kind     | cuts                 |
+      | one way  | vm-1>vm-2            |
+      | both ways | vm-1>vm-2, vm-2>vm-1 |
+
+  Scenario Outline: a partition of <duration> ms heals without a mass death
+    Given a membership group of 6 VMs
+    When the membership group is split into vm-1,vm-2 and the rest
+    And the membership group runs for <duration> ms
+    Then vm-1 sees 2 members and vm-6 sees 4 members
+    When the membership split heals
+    And the membership deaths so far are disregarded
+    And the membership group runs for 20000 ms
+    Then the membership state of every VM is live on all
+    And no membership change to dead happened but for nobody
+
+    Examples:
+      | duration |
+      | 10000    |
+      | 90000    |
+
+  Scenario Outline: a restarted VM whose boot id sorts <order> its earlier one replaces it at once
+    Given a membership group of 4 VMs
+    When member vm-2 is killed
+    And member vm-2 starts again as boot <boot>
+    And the membership group runs for 600 ms
+    Then the membership boot of vm-2 is <boot> on all others
+    And the membership state of every VM is live on all
+
+    Examples:
+      | order  | boot   |
+      | after  | boot-z |
+      | before | a-boot |
+
+  Scenario: a paused process that was replaced by a new run of its VM takes no more work
+    Given a membership group of 4 VMs
+    When member vm-2 is paused
+    And the membership group runs for 9000 ms
+    And member vm-2 starts again as boot boot-z
+    And the membership group runs for 2000 ms
+    And the earlier process of vm-2 resumes
+    And the membership group runs for 2000 ms
+    Then the earlier process of vm-2 is isolated
+    And the membership boot of vm-2 is boot-z on all others
+
+  Scenario: a leaving member stays leaving while it is suspected and refutes
+    Given a membership group of 5 VMs
+    When member vm-4 leaves
+    And the membership group runs for 2000 ms
+    Then the membership state of vm-4 is leaving on all others
+    When member vm-4 is paused
+    And the membership group runs for 1800 ms
+    Then the membership state of vm-4 is leaving on all others
+    When member vm-4 resumes
+    And the membership group runs for 3000 ms
+    Then the membership state of vm-4 is leaving on all others
+    And nobody counts vm-4 as available
+
+  Scenario Outline: a VM that reaches <reached> is isolated: <isolated>
+    Given a membership group of <size> VMs
+    When the membership group is split into vm-1 and the rest
+    And vm-1 reaches the object API: <api>
+    And the membership group runs for 6000 ms
+    Then vm-1 is isolated: <isolated>
+    When the membership split heals
+    And the membership group runs for 6000 ms
+    Then vm-1 is isolated: <after>
+
+    Examples:
+      | reached                          | size | api | isolated | after |
+      | neither a peer nor the object API | 4    | no  | yes      | no    |
+      | only the object API              | 4    | yes | no       | no    |
+      | no peer, by its settings         | 1    | yes | no       | no    |
+      | nothing, by its settings         | 1    | no  | yes      | yes   |
+
+  Scenario: the platform list neither revives a dead member nor takes a new run for the leaving one
+    Given a membership group of 4 VMs that read the platform list
+    When member vm-3 is killed
+    And the platform list shows vm-3 as live
+    And the membership group runs for 8000 ms
+    Then the membership state of vm-3 is dead on all others
+    When the platform list shows vm-2 as leaving
+    And the membership group runs for 3000 ms
+    Then the membership state of vm-2 is leaving on all others
+    When member vm-2 is killed
+    And member vm-2 starts again as boot boot-z
+    And the membership group runs for 3000 ms
+    Then the membership state of vm-2 is live on all others
+
+  Scenario: a VM without settings seeds joins through the platform list
+    Given a membership group of 3 VMs that read the platform list
+    When member vm-9 starts with the platform list as its only seed
+    And the membership group runs for 5000 ms
+    Then vm-9 sees 4 members and vm-1 sees 4 members
+
+  Scenario: dead members are forgotten after a minute
+    Given a membership group of 3 VMs
+    When member vm-3 is killed
+    And the membership group runs for 50000 ms
+    And member vm-9 starts again as boot boot-9
+    And the membership group runs for 20000 ms
+    Then vm-1 knows nothing of member vm-3
+    And vm-9 knows nothing of member vm-3
+
+  Scenario Outline: a membership message that is <kind> is rejected and changes nothing
+    Given a membership group of 2 VMs
+    When vm-1 receives a membership message that is <kind>
+    Then the membership message is rejected and counted as <reason>
+    And vm-1 sees 2 members and vm-2 sees 2 members
+
+    Examples:
+      | kind                 | reason               |
+      | no gossip            | membership_malformed |
+      | from another sender  | membership_malformed |
+      | of another region    | membership_region    |
+      | with wrong flags     | membership_malformed |
+
+  Scenario: the membership merge is commutative, associative, idempotent and never goes back
+    Then the membership merge laws hold for random records
+
+  Scenario: the membership decoders survive any input
+    Then the membership decoders accept only what they would send
--- /dev/null
+++ b/features/steps/membership.ts
@@ -0,0 +1,288 @@
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import fc from 'fast-check'
+import type { BootId, DataCentreId, RegionId, VmId } from '../../src/core/ids/index.ts'
+import { silentLog } from '../../src/core/logging/index.ts'
+import { createMembership, type Member, type Membership, type PlatformVm, type Seed } from '../../src/core/membership/index.ts'
+import { compareRuns, mergeRecords, type Health, type MemberRecord } from '../../src/core/membership/merge.ts'
+import { decodeGossip, decodePingRequest, encodeGossip } from '../../src/core/membership/messages.ts'
+import { createMetrics, type Metrics } from '../../src/core/metrics/index.ts'
+import { createTestNetwork, type TestNetwork, type TestProcess } from './membership-network.ts'
+
+const SEED = 20_261_204
+const REGION = 'region-1' as RegionId
+
+export interface TestMember extends TestProcess {
+  membership: Membership
+  metrics: Metrics
+  reachesObjectApi: boolean
+  changes: Member[]
+}
+
+export interface MembershipWorld {
+  network: TestNetwork
+  members: Map<string, TestMember>
+  replaced?: TestMember
+  platformList?: PlatformVm[]
+  error?: unknown
+}
+
+/** Numbers in [0, 1) that are the same in each run. */
+export function seededRandom (seed: number): () => number {
+  let state = seed
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
+    return state / 0x1_0000_0000
+  }
+}
+
+export async function startMember (world: MembershipWorld, vm: string, seeds: Seed[], boot = `boot-${vm}`): Promise<TestMember> {
+  const process = world.network.start(vm)
+  const metrics = createMetrics()
+  const identity = { vm: process.vm, boot: boot as BootId, region: REGION, dataCentre: 'dc-1' as DataCentreId }
+  const member: TestMember = { ...process, metrics, reachesObjectApi: false, changes: [], membership: undefined as unknown as Membership }
+  member.membership = createMembership({
+    identity,
+    peerAddress: `127.0.0.1:${vm}`,
+    callerUrl: `http://${vm}`,
+    peers: process.links,
+    seeds,
+    vmList: world.platformList && (async () => world.platformList!),
+    lastObjectApiContact: () => member.reachesObjectApi ? process.clock.now() : -Infinity,
+    clock: process.clock,
+    metrics,
+    log: silentLog,
+    random: seededRandom(SEED + world.members.size)
+  })
+  member.membership.onChange(change => { member.changes.push(change) })
+  world.members.set(vm, member)
+  const started = member.membership.start()
+  await world.network.clock.advance(100)
+  await started
+  return member
+}
+
+export async function startGroup (world: MembershipWorld, size: number): Promise<void> {
+  world.network = createTestNetwork()
+  world.members = new Map()
+  const seeds = Array.from({ length: size }, (_, i) => ({ vm: `vm-${i + 1}` as VmId, peerAddress: '' }))
+  for (const { vm } of seeds) await startMember(world, vm, seeds)
+  await world.network.clock.advance(5000)
+}
+
+function stateOn (world: MembershipWorld, vm: string, observer: string): string | undefined {
+  return world.members.get(observer)!.membership.get(vm as VmId)?.state
+}
+
+function others (world: MembershipWorld, vm: string): string[] {
+  return [...world.members.keys()].filter(name => name !== vm)
+}
+
+Given('a membership group of {int} VMs', async function (this: MembershipWorld, size: number) {
+  await startGroup(this, size)
+})
+
+Given('a membership group of {int} VMs that read the platform list', async function (this: MembershipWorld, size: number) {
+  this.platformList = Array.from({ length: size }, (_, i) => ({ id: `vm-${i + 1}` as VmId, address: '', state: 'live' as const }))
+  await startGroup(this, size)
+})
+
+When('member {word} is killed', function (this: MembershipWorld, vm: string) {
+  this.members.get(vm)!.kill()
+})
+
+When('member {word} is paused', function (this: MembershipWorld, vm: string) {
+  this.members.get(vm)!.pause()
+})
+
+When('member {word} is paused while its ping is on the way', async function (this: MembershipWorld, vm: string) {
+  const member = this.members.get(vm)!
+  while (member.outstanding() === 0) await this.network.clock.advance(1)
+  member.changes.length = 0
+  member.pause()
+})
+
+When('member {word} resumes', function (this: MembershipWorld, vm: string) {
+  this.members.get(vm)!.resume()
+})
+
+When('member {word} leaves', function (this: MembershipWorld, vm: string) {
+  void this.members.get(vm)!.membership.leave()
+})
+
+When('member {word} starts again as boot {word}', async function (this: MembershipWorld, vm: string, boot: string) {
+  this.replaced = this.members.get(vm)!
+  await startMember(this, vm, others(this, vm).map(name => ({ vm: name as VmId, peerAddress: '' })), boot)
+})
+
+When('member {word} starts with the platform list as its only seed', async function (this: MembershipWorld, vm: string) {
+  await startMember(this, vm, [])
+})
+
+When('the earlier process of {word} resumes', function (this: MembershipWorld, _vm: string) {
+  this.replaced!.resume()
+})
+
+When('the platform list shows {word} as {word}', function (this: MembershipWorld, vm: string, state: 'live' | 'leaving') {
+  const rest = this.platformList!.filter(({ id }) => id !== vm)
+  this.platformList = [...rest, { id: vm as VmId, address: '', state }]
+})
+
+When('the membership group runs for {int} ms', { timeout: 60_000 }, async function (this: MembershipWorld, ms: number) {
+  await this.network.clock.advance(ms)
+})
+
+When(/^the membership link (.*) is cut$/, function (this: MembershipWorld, links: string) {
+  for (const link of links.split(', ')) {
+    const [from, to] = link.split('>')
+    this.network.cut(from!, to!)
+  }
+})
+
+When('the membership group is split into {word} and the rest', function (this: MembershipWorld, part: string) {
+  const side = part.split(',')
+  for (const near of side) {
+    for (const far of this.members.keys()) {
+      if (side.includes(far)) continue
+      this.network.cut(near, far)
+      this.network.cut(far, near)
+    }
+  }
+})
+
+When('the membership split heals', function (this: MembershipWorld) {
+  this.network.heal()
+})
+
+When('the membership deaths so far are disregarded', function (this: MembershipWorld) {
+  for (const member of this.members.values()) member.changes.length = 0
+})
+
+When(/^(\S+) reaches the object API: (yes|no)$/, function (this: MembershipWorld, vm: string, reaches: string) {
+  this.members.get(vm)!.reachesObjectApi = reaches === 'yes'
+})
+
+When(/^vm-1 receives a membership message that is (.*)$/, async function (this: MembershipWorld, kind: string) {
+  const sender = record({ vm: 'vm-2' as VmId })
+  const good = { sender, updates: [], isFullList: false, digest: 0 }
+  const bodies: Record<string, unknown> = {
+    'no gossip': { u: 7 },
+    'from another sender': encodeGossip({ ...good, sender: record({ vm: 'vm-7' as VmId }) }),
+    'of another region': encodeGossip({ ...good, sender: record({ vm: 'vm-2' as VmId, region: 'elsewhere' as RegionId }) }),
+    'with wrong flags': encodeGossip({ ...good, updates: [record({ health: 3 as Health })] })
+  }
+  const sent = this.members.get('vm-2')!.links.request('vm-1' as VmId, 'membership.ping', bodies[kind])
+  sent.catch((error: unknown) => { this.error = error })
+  await this.network.clock.advance(10)
+})
+
+Then('the membership message is rejected and counted as {word}', function (this: MembershipWorld, reason: string) {
+  assert.equal((this.error as { kind?: string }).kind, 'peer_rejected')
+  assert.equal(this.members.get('vm-1')!.metrics.value('bad_input', reason), 1)
+})
+
+Then('the membership state of {word} is {word} on all others', function (this: MembershipWorld, vm: string, state: string) {
+  for (const observer of others(this, vm)) {
+    if (!this.members.get(observer)!.isKilled()) assert.equal(stateOn(this, vm, observer), state, observer)
+  }
+})
+
+Then('the membership state of every VM is live on all', function (this: MembershipWorld) {
+  for (const vm of this.members.keys()) {
+    for (const observer of this.members.keys()) assert.equal(stateOn(this, vm, observer), 'live', `${vm} on ${observer}`)
+  }
+})
+
+Then('the membership boot of {word} is {word} on all others', function (this: MembershipWorld, vm: string, boot: string) {
+  for (const observer of others(this, vm)) assert.equal(this.members.get(observer)!.membership.get(vm as VmId)?.boot, boot, observer)
+})
+
+Then('no membership change to {word} happened but for {word}', function (this: MembershipWorld, state: string, except: string) {
+  assert.deepEqual(changesTo(this, state).filter(vm => vm !== except), [])
+})
+
+Then('no membership change to {word} happened', function (this: MembershipWorld, state: string) {
+  assert.deepEqual(changesTo(this, state), [])
+})
+
+function changesTo (world: MembershipWorld, state: string): string[] {
+  return [...world.members.values()].flatMap(({ changes }) => changes.filter(change => change.state === state).map(({ vm }) => vm))
+}
+
+Then('member {word} saw no change of {word}', function (this: MembershipWorld, observer: string, vm: string) {
+  assert.deepEqual(this.members.get(observer)!.changes.filter(change => change.vm === vm), [])
+})
+
+Then('indirect pings were counted by a member', function (this: MembershipWorld) {
+  const counts = [...this.members.values()].map(({ metrics }) => metrics.value('retries', 'membership_indirect_ping'))
+  assert.ok(Math.max(...counts) > 0)
+})
+
+Then('{word} sees {int} members and {word} sees {int} members', function (this: MembershipWorld, a: string, countA: number, b: string, countB: number) {
+  assert.equal(this.members.get(a)!.membership.members().length, countA)
+  assert.equal(this.members.get(b)!.membership.members().length, countB)
+})
+
+Then('nobody counts {word} as available', function (this: MembershipWorld, vm: string) {
+  for (const { membership } of this.members.values()) assert.ok(!membership.available().some(member => member.vm === vm))
+})
+
+Then('the earlier process of {word} is isolated', function (this: MembershipWorld, _vm: string) {
+  assert.ok(this.replaced!.membership.isIsolated())
+})
+
+Then(/^(\S+) is isolated: (yes|no)$/, function (this: MembershipWorld, vm: string, isolated: string) {
+  assert.equal(this.members.get(vm)!.membership.isIsolated(), isolated === 'yes')
+})
+
+Then('{word} knows nothing of member {word}', function (this: MembershipWorld, observer: string, vm: string) {
+  assert.equal(stateOn(this, vm, observer), undefined)
+})
+
+function record (fields: Partial<MemberRecord> = {}): MemberRecord {
+  return {
+    vm: 'vm-1' as VmId,
+    boot: 'boot-1' as BootId,
+    region: REGION,
+    dataCentre: 'dc-1' as DataCentreId,
+    peerAddress: '127.0.0.1:1',
+    callerUrl: 'http://127.0.0.1:2',
+    incarnation: 1,
+    health: 0,
+    leaving: false,
+    ...fields
+  }
+}
+
+const anyRecord = fc.record({
+  boot: fc.constantFrom('boot-1', 'boot-2'),
+  incarnation: fc.integer({ min: 0, max: 2 }),
+  health: fc.constantFrom(0, 1, 2),
+  leaving: fc.boolean(),
+  peerAddress: fc.constantFrom('127.0.0.1:1', '127.0.0.1:2')
+}).map(fields => record(fields as Partial<MemberRecord>))
+
+Then('the membership merge laws hold for random records', function () {
+  fc.assert(fc.property(anyRecord, anyRecord, anyRecord, (a, b, c) => {
+    const joined = mergeRecords(a, b)
+    assert.deepEqual(joined, mergeRecords(b, a))
+    assert.deepEqual(mergeRecords(joined, c), mergeRecords(a, mergeRecords(b, c)))
+    assert.equal(mergeRecords(a, a), a)
+    assert.equal(mergeRecords(joined, a), joined)
+    assert.ok(compareRuns(joined, a) >= 0)
+    if (compareRuns(joined, a) === 0) assert.ok(joined.health >= a.health && (joined.leaving || !a.leaving))
+  }), { seed: SEED, numRuns: 2000 })
+})
+
+Then('the membership decoders accept only what they would send', function () {
+  fc.assert(fc.property(fc.anything({ maxDepth: 4 }), value => {
+    const gossip = decodeGossip(value)
+    if (gossip) assert.deepEqual(decodeGossip(encodeGossip(gossip)), gossip)
+    const request = decodePingRequest(value)
+    if (request) assert.ok(request.timeoutMs > 0)
+  }), { seed: SEED, numRuns: 2000 })
+  fc.assert(fc.property(anyRecord, fc.array(anyRecord, { maxLength: 5 }), (sender, updates) => {
+    const gossip = { sender, updates, isFullList: true, digest: 5, payload: undefined }
+    assert.deepEqual(decodeGossip(encodeGossip(gossip)), gossip)
+  }), { seed: SEED, numRuns: 200 })
+})
