Prove session affinity over weight changes, races, outage and forgery

Cause: a session must keep its version on every VM, also when it began while its model had one version and has no pin. Change: scenarios for changing weights, the second version, races of first writers, rejected tokens, outage, withdrawal and contract changes; a session that began with several versions is looked up for an hour after the model is down to one.

--- /dev/null
+++ b/features/session.feature
@@ -0,0 +1,93 @@
+Feature: Session
+
+  Scenario Outline: session with <identification> keeps its version while weights change
+    Given session affinity on 4 VMs with versions v1 at 1 and v2 at 0
+    And session affinity knows the versions for 10 s
+    When sessions 1 to 60 with <identification> begin
+    And session weights become v1 at 0.5 and v2 at 0.5
+    And sessions 61 to 120 with <identification> begin
+    And session weights become v1 at 0 and v2 at 1
+    Then sessions 1 to 120 with <identification> keep their versions on every VM
+    And sessions 61 to 120 used both versions
+
+    Examples:
+      | identification |
+      | a session id   |
+      | a token        |
+      | both           |
+
+  Scenario Outline: session that began before the second version keeps the first <condition>
+    Given session affinity on 4 VMs with versions v1 at 1 and v2 at none
+    When sessions 1 to 60 with a session id begin
+    And session affinity meets: <condition>
+    And session weights become v1 at 0.1 and v2 at 0.9
+    And session affinity runs for <seconds> s
+    Then sessions 1 to 60 with a session id have version v1 on every VM
+    And sessions 61 to 120 used both versions
+
+    Examples:
+      | condition                        | seconds |
+      | nothing                          | 10      |
+      | every VM restarts gracefully     | 10      |
+      | the object API is down for 2 s   | 10      |
+
+  Scenario: session that begins on a VM that learned late of the second version keeps the first
+    Given session affinity on 4 VMs with versions v1 at 1 and v2 at none
+    When session weights become v1 at 0.1 and v2 at 0.9 except on the last VM
+    And sessions 1 to 60 with a session id begin on the last VM
+    And session affinity runs for 2 s
+    And the session weights of the last VM become v1 at 0.1 and v2 at 0.9
+    Then sessions 1 to 60 with a session id have version v1 on every VM
+
+  Scenario: session has one version when VMs race for its first request
+    Given session affinity on 4 VMs with versions v1 at 0.5 and v2 at 0.5
+    And session affinity of the last VM sees versions v1 at 0 and v2 at 1
+    When sessions 1 to 60 with a session id begin on all VMs at once
+    Then sessions 1 to 60 with a session id keep their versions on every VM
+
+  Scenario Outline: session token is rejected when <forgery>
+    Given session affinity on 4 VMs with versions v1 at 1 and v2 at 0
+    When a session token for version v2 is presented with <forgery>
+    Then the session has version v1 and 1 token was counted as bad input
+
+    Examples:
+      | forgery                   |
+      | another team's signature  |
+      | a changed version         |
+      | an unknown key            |
+      | no signature              |
+      | other text                |
+
+  Scenario: session token signed with the previous key is accepted
+    Given session affinity on 4 VMs with versions v1 at 1 and v2 at 0
+    When a session token for version v2 is presented with the previous key
+    Then the session has version v2 and 0 token was counted as bad input
+
+  Scenario: session token carries the versions of several models
+    Given session affinity on 4 VMs with versions v1 at 0.5 and v2 at 0.5
+    Then a session token keeps the versions of two models
+
+  Scenario: session choice in an outage is the same on every VM and is pinned afterwards
+    Given session affinity on 4 VMs with versions v1 at 0.5 and v2 at 0.5
+    And session affinity has no object API
+    When sessions 1 to 60 with a session id begin
+    Then sessions 1 to 60 with a session id keep their versions on every VM
+    When session affinity has its object API back for 10 s
+    And session weights become v1 at 0 and v2 at 1
+    Then sessions 1 to 60 with a session id keep their versions on every VM
+
+  Scenario Outline: session leaves a version that is <event>
+    Given session affinity on 4 VMs with versions v1 at 1 and v2 at 0
+    When sessions 1 to 60 with <identification> begin
+    And session version v1 is <event>
+    Then sessions 1 to 60 with <identification> moved from v1 to v2 and stay there
+
+    Examples:
+      | event                | identification |
+      | withdrawn            | a session id   |
+      | withdrawn            | a token        |
+      | no longer permitted  | a session id   |
+      | no longer permitted  | a token        |
+
+  Scenario: session choice only moves towards the version whose weight grows
+    Then session choices follow the weights and move only towards the version that grows
--- /dev/null
+++ b/features/steps/session.ts
@@ -0,0 +1,225 @@
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import fc from 'fast-check'
+import { createMemoryObjectApi, type MemoryObjectApi } from '../../src/bench/memory-object-api.ts'
+import { createMemoryConfig, type MemoryConfig } from '../../src/bench/memory-view.ts'
+import { createRandom } from '../../src/bench/random.ts'
+import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
+import { brandId, type ModelId, type SessionId, type TeamId, type VersionId } from '../../src/core/ids/index.ts'
+import { silentLog } from '../../src/core/logging/index.ts'
+import { createMetrics, type Metrics } from '../../src/core/metrics/index.ts'
+import { chooseByHash } from '../../src/core/session/choice.ts'
+import { createSessions, type Sessions, type SessionVersion } from '../../src/core/session/index.ts'
+import { signTokens } from '../../src/core/session/token.ts'
+
+const SEED = 20261204
+const TEAM = brandId<TeamId>('kits')
+const MODEL = brandId<ModelId>('kit')
+const KEY = 'present-key-0123456789'
+const PREVIOUS_KEY = 'previous-key-0123456789'
+
+interface Vm { config: MemoryConfig, sessions: Sessions, metrics: Metrics, excluded: Set<string> }
+
+interface SessionWorld {
+  clock: ManualClock
+  store: MemoryObjectApi
+  vms: Vm[]
+  first: Map<string, SessionVersion>
+  presented?: SessionVersion
+}
+
+function setVersion ({ config }: Vm, version: string, weight: string): void {
+  if (weight === 'none') return
+  config.set('Version', version, { model: MODEL, weight: Number(weight), inputMicrosPerToken: 1, outputMicrosPerToken: 1 })
+}
+
+function startSessions (world: SessionWorld, { config, metrics }: Pick<Vm, 'config' | 'metrics'>): Sessions {
+  const random = createRandom(SEED + world.vms.length)
+  return createSessions({
+    objectApi: world.store, view: config.view, tokenKeys: () => [KEY, PREVIOUS_KEY], random, clock: world.clock, metrics, log: silentLog
+  })
+}
+
+function addVm (world: SessionWorld, v1: string, v2: string): void {
+  const vm = { config: createMemoryConfig(), metrics: createMetrics(), excluded: new Set<string>() }
+  setVersion(vm as Vm, 'v1', v1)
+  setVersion(vm as Vm, 'v2', v2)
+  world.vms.push({ ...vm, sessions: startSessions(world, vm) })
+}
+
+function candidatesOf ({ config, excluded }: Vm): { version: VersionId, weight: number }[] {
+  const active = config.view.list('Version').filter(({ name, spec }) => spec.state === 'active' && !excluded.has(name))
+  return active.map(({ name, spec }) => ({ version: name as VersionId, weight: spec.weight }))
+}
+
+type Identification = 'a session id' | 'a token' | 'both'
+
+function ask (world: SessionWorld, vm: Vm, number: number, identification: Identification): Promise<SessionVersion> {
+  const session = identification === 'a token' ? undefined : brandId<SessionId>(`session-${number}`)
+  const token = identification === 'a session id' ? undefined : world.first.get(String(number))?.token
+  return vm.sessions.resolve({ team: TEAM, model: MODEL, session, token, candidates: candidatesOf(vm) })
+}
+
+const numbers = (from: number, to: number) => Array.from({ length: to - from + 1 }, (_, index) => from + index)
+
+async function begin (world: SessionWorld, from: number, to: number, identification: Identification, vms = world.vms): Promise<void> {
+  for (const number of numbers(from, to)) {
+    const vm = vms[number % vms.length]!
+    world.first.set(String(number), await ask(world, vm, number, identification))
+  }
+}
+
+async function expectVersions (world: SessionWorld, from: number, to: number, identification: Identification, expected: (number: number) => string): Promise<void> {
+  for (const vm of world.vms) {
+    for (const number of numbers(from, to)) {
+      const { version } = await ask(world, vm, number, identification)
+      assert.equal(version, expected(number), `session ${number}, seed ${SEED}`)
+    }
+  }
+}
+
+const beganWith = (world: SessionWorld) => (number: number) => world.first.get(String(number))!.version
+
+Given(/^session affinity on (\d+) VMs with versions v1 at (\S+) and v2 at (\S+)$/, function (this: SessionWorld, count: string, v1: string, v2: string) {
+  console.log(`session seed ${SEED}`)
+  this.clock = createManualClock()
+  this.store = createMemoryObjectApi()
+  this.vms = []
+  this.first = new Map()
+  for (let index = 0; index < Number(count); index++) addVm(this, v1, v2)
+})
+
+Given(/^session affinity (?:knows the versions for|runs for) (\d+) s$/, async function (this: SessionWorld, seconds: string) {
+  await this.clock.advance(Number(seconds) * 1000)
+})
+
+Given('session affinity of the last VM sees versions v1 at {float} and v2 at {float}', function (this: SessionWorld, v1: number, v2: number) {
+  setVersion(this.vms.at(-1)!, 'v1', String(v1))
+  setVersion(this.vms.at(-1)!, 'v2', String(v2))
+})
+
+Given('session affinity has no object API', function (this: SessionWorld) {
+  this.store.setFault(() => 'unavailable')
+})
+
+When(/^sessions (\d+) to (\d+) with (a session id|a token|both) begin( on the last VM)?$/, async function (this: SessionWorld, from: string, to: string, identification: Identification, onLast: string | undefined) {
+  await begin(this, Number(from), Number(to), identification, onLast ? this.vms.slice(-1) : this.vms)
+})
+
+When('sessions {int} to {int} with a session id begin on all VMs at once', async function (this: SessionWorld, from: number, to: number) {
+  for (const number of numbers(from, to)) {
+    const answers = await Promise.all(this.vms.map(vm => ask(this, vm, number, 'a session id')))
+    assert.equal(new Set(answers.map(answer => answer.version)).size, 1, `session ${number}, seed ${SEED}`)
+    this.first.set(String(number), answers[0]!)
+  }
+})
+
+When(/^session weights become v1 at (\S+) and v2 at (\S+)( except on the last VM)?$/, function (this: SessionWorld, v1: string, v2: string, exceptLast: string | undefined) {
+  for (const vm of exceptLast ? this.vms.slice(0, -1) : this.vms) {
+    setVersion(vm, 'v1', v1)
+    setVersion(vm, 'v2', v2)
+  }
+})
+
+When('the session weights of the last VM become v1 at {float} and v2 at {float}', function (this: SessionWorld, v1: number, v2: number) {
+  setVersion(this.vms.at(-1)!, 'v1', String(v1))
+  setVersion(this.vms.at(-1)!, 'v2', String(v2))
+})
+
+When(/^session affinity meets: (.+)$/, async function (this: SessionWorld, condition: string) {
+  if (condition === 'every VM restarts gracefully') {
+    for (const vm of this.vms) {
+      await vm.sessions.stop()
+      vm.sessions = startSessions(this, vm)
+    }
+  }
+  if (condition === 'the object API is down for 2 s') {
+    this.store.setFault(() => 'unavailable')
+    this.clock.after(2000, () => this.store.setFault(() => undefined))
+  }
+})
+
+When(/^a session token for version v2 is presented with (.+)$/, async function (this: SessionWorld, forgery: string) {
+  const claims = [{ model: MODEL, session: 's', version: brandId<VersionId>('v2') }]
+  const genuine = signTokens(claims, TEAM, KEY)
+  const [, signature] = signTokens([{ ...claims[0]!, version: brandId<VersionId>('v1') }], TEAM, KEY).split('.')
+  const tokens: Record<string, string> = {
+    "another team's signature": signTokens(claims, brandId<TeamId>('screens'), KEY),
+    'a changed version': `${genuine.split('.')[0]}.${signature}`,
+    'an unknown key': signTokens(claims, TEAM, 'unknown-key-0123456789'),
+    'no signature': `${genuine.split('.')[0]}.`,
+    'other text': '%%%',
+    'the previous key': signTokens(claims, TEAM, PREVIOUS_KEY)
+  }
+  const vm = this.vms[0]!
+  this.presented = await vm.sessions.resolve({ team: TEAM, model: MODEL, token: tokens[forgery]!, candidates: candidatesOf(vm) })
+})
+
+When('session affinity has its object API back for {int} s', async function (this: SessionWorld, seconds: number) {
+  this.store.setFault(() => undefined)
+  await this.clock.advance(seconds * 1000)
+})
+
+When(/^session version v1 is (withdrawn|no longer permitted)$/, function (this: SessionWorld, event: string) {
+  for (const vm of this.vms) {
+    if (event === 'withdrawn') vm.config.set('Version', 'v1', { model: MODEL, state: 'withdrawn', inputMicrosPerToken: 1, outputMicrosPerToken: 1 })
+    else vm.excluded.add('v1')
+  }
+})
+
+Then(/^sessions (\d+) to (\d+) with (a session id|a token|both) keep their versions on every VM$/, async function (this: SessionWorld, from: string, to: string, identification: Identification) {
+  await expectVersions(this, Number(from), Number(to), identification, beganWith(this))
+})
+
+Then('sessions {int} to {int} with a session id have version {word} on every VM', async function (this: SessionWorld, from: number, to: number, version: string) {
+  await expectVersions(this, from, to, 'a session id', () => version)
+})
+
+Then('sessions {int} to {int} used both versions', async function (this: SessionWorld, from: number, to: number) {
+  if (!this.first.has(String(from))) await begin(this, from, to, 'a session id')
+  assert.equal(new Set(numbers(from, to).map(beganWith(this))).size, 2, `seed ${SEED}`)
+})
+
+Then('the session has version {word} and {int} token was counted as bad input', function (this: SessionWorld, version: string, count: number) {
+  assert.equal(this.presented?.version, version)
+  assert.equal(this.vms[0]!.metrics.value('bad_input', 'session_token'), count)
+})
+
+Then('a session token keeps the versions of two models', async function (this: SessionWorld) {
+  const [vm] = this.vms as [Vm]
+  const other = brandId<ModelId>('other')
+  const first = await vm.sessions.resolve({ team: TEAM, model: MODEL, candidates: candidatesOf(vm) })
+  const candidates = [{ version: brandId<VersionId>('o1'), weight: 1 }, { version: brandId<VersionId>('o2'), weight: 1 }]
+  const second = await vm.sessions.resolve({ team: TEAM, model: other, token: first.token!, candidates })
+  const reversed = { team: TEAM, token: second.token! }
+  const againFirst = await vm.sessions.resolve({ ...reversed, model: MODEL, candidates: candidatesOf(vm).reverse() })
+  const againSecond = await vm.sessions.resolve({ ...reversed, model: other, candidates })
+  assert.deepEqual([againFirst.version, againFirst.source], [first.version, 'token'])
+  assert.deepEqual([againSecond.version, againSecond.source], [second.version, 'token'])
+})
+
+Then(/^sessions (\d+) to (\d+) with (a session id|a token) moved from v1 to v2 and stay there$/, async function (this: SessionWorld, from: string, to: string, identification: Identification) {
+  for (const number of numbers(Number(from), Number(to))) {
+    const moved = await ask(this, this.vms[0]!, number, identification)
+    assert.deepEqual([moved.version, moved.movedFrom], ['v2', 'v1'])
+  }
+  for (const vm of this.vms) setVersion(vm, 'v3', '5')
+  await expectVersions(this, Number(from), Number(to), identification, () => 'v2')
+})
+
+Then('session choices follow the weights and move only towards the version that grows', function () {
+  console.log(`session property seed ${SEED}`)
+  const weight = fc.double({ min: 0.01, max: 10, noNaN: true })
+  fc.assert(fc.property(fc.string(), weight, weight, fc.double({ min: 1, max: 5, noNaN: true }), (key, first, second, factor) => {
+    const v1 = brandId<VersionId>('v1')
+    const v2 = brandId<VersionId>('v2')
+    const before = chooseByHash(key, [{ version: v1, weight: first }, { version: v2, weight: second }])
+    const after = chooseByHash(key, [{ version: v2, weight: second * factor }, { version: v1, weight: first }])
+    assert.ok(after === before || after === v2)
+    assert.equal(chooseByHash(key, [{ version: v1, weight: 0 }, { version: v2, weight: second }]), v2)
+  }), { seed: SEED })
+  const keys = numbers(1, 4000).map(String)
+  const candidates = [{ version: brandId<VersionId>('v1'), weight: 3 }, { version: brandId<VersionId>('v2'), weight: 1 }]
+  const share = keys.filter(key => chooseByHash(key, candidates) === 'v2').length / keys.length
+  assert.ok(Math.abs(share - 0.25) < 0.03, `share ${share}`)
+})
--- a/src/core/session/active-versions.ts
+++ b/src/core/session/active-versions.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../clock/index.ts'
 import type { ConfigView } from '../config/types.ts'
 import type { ModelId, VersionId } from '../ids/index.ts'
+import { SEVERAL_VERSIONS_MEMORY_MS } from './constants.ts'
 
 interface ActiveVersionsOptions {
   view: ConfigView
@@ -15,11 +16,14 @@
   isActive(version: VersionId): boolean
   /** Time since this VM first saw the version active; infinite when it was there from the start. */
   knownForMs(version: VersionId): number
+  /** Whether this VM saw several active versions of the model within the last hour. */
+  hadSeveral(model: ModelId): boolean
   stop(): void
 }
 
 export function createActiveVersions ({ view, clock, onSecond }: ActiveVersionsOptions): ActiveVersions {
   let active = readActive(view)
+  const severalAtMs = new Map<ModelId, number>()
   const sinceMs = new Map<VersionId, number>()
 
   const stop = view.onChange(records => {
@@ -32,6 +36,7 @@
         // The first version of a model settles at once, because no session can have begun before it.
         if (!earlier.has(version) && earlier.size > 0) sinceMs.set(version, clock.now())
       }
+      if (earlier.size > 1) severalAtMs.set(model, clock.now())
       if (earlier.size === 1 && versions.size > 1) onSecond(model)
     }
   })
@@ -40,6 +45,7 @@
     count: model => active.get(model)?.size ?? 0,
     isActive: version => [...active.values()].some(versions => versions.has(version)),
     knownForMs: version => clock.now() - (sinceMs.get(version) ?? -Infinity),
+    hadSeveral: model => clock.now() - (severalAtMs.get(model) ?? -Infinity) < SEVERAL_VERSIONS_MEMORY_MS,
     stop
   }
 }
--- a/src/core/session/constants.ts
+++ b/src/core/session/constants.ts
@@ -23,3 +23,5 @@
 export const MAX_CONFLICT_RETRIES = 8
 /** After a failed call the object API is not asked again for a session within this time. */
 export const OUTAGE_RETRY_MS = 1000
+/** After a model is down to one version, its sessions may still have a pin to a withdrawn one for this long. */
+export const SEVERAL_VERSIONS_MEMORY_MS = 3_600_000
--- a/src/core/session/index.ts
+++ b/src/core/session/index.ts
@@ -82,17 +82,27 @@
   async function choose (request: SessionRequest, session: string, fromToken?: VersionId): Promise<Choice> {
     if (fromToken && isCandidate(request, fromToken)) return { version: fromToken, source: 'token' }
     const key = sessionKey(request.team, request.model, session)
-    const [only] = request.candidates
     const hasOne = request.candidates.length === 1 && active.count(request.model) <= 1
-    if (hasOne && !fromToken) {
-      roster.remember(request.model, key, only!.version)
-      return { version: only!.version, source: 'new' }
-    }
+    if (hasOne && !fromToken && !await hasPin(request, key)) return chooseOnly(request, key)
     const choice = await choosePinned(request, session, key)
     if (fromToken) return { ...choice, movedFrom: fromToken }
     return choice
   }
 
+  /** A session without a pin is remembered in case a second version appears. */
+  function chooseOnly ({ model, candidates }: SessionRequest, key: string): Choice {
+    const { version } = candidates[0]!
+    roster.remember(model, key, version)
+    return { version, source: 'new' }
+  }
+
+  /** Whether a session of a model with one version may have begun while there were several. */
+  async function hasPin ({ model }: SessionRequest, key: string): Promise<boolean> {
+    if (pins.findCached(key)) return true
+    if (!active.hadSeveral(model) || roster.findLocal(key) || clock.now() < outageUntilMs) return false
+    return await pins.find(key).catch(() => undefined) !== undefined
+  }
+
   async function choosePinned (request: SessionRequest, session: string, key: string): Promise<Choice> {
     if (clock.now() < outageUntilMs) return chooseInOutage(request, session, key)
     try {
