--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -32,6 +32,7 @@
   budget_exhausted: entry(402, 'not_run', 'The spending limit of the contract is reached.', 'Ask your operators to raise the limit or wait for the next period.'),
   budget_unavailable: entry(503, 'not_run', 'Spending cannot be reserved while the object API is unavailable.', 'Retry after the time given in Retry-After.'),
   billing_unavailable: entry(503, 'not_run', 'The bill for this request could not be kept safe now.', 'Retry after the time given in Retry-After.'),
+  billing_lost: entry(503, 'ran', 'The request ran, but its bill could not be kept safe and the answer is withheld.', 'Send the same request with the same Idempotency-Key again.'),
   vm_leaving: entry(503, 'not_run', 'This VM is leaving and takes no new work.', 'Use one of the addresses in `entry_points`.'),
   vm_isolated: entry(503, 'not_run', 'This VM is cut off from the others and takes no new work.', 'Use another address from GET /v1/entry-points.'),
   vm_not_ready: entry(503, 'not_run', 'This VM has not loaded its configuration yet.', 'Use another address or retry shortly.'),
--- /dev/null
+++ b/src/standin/engine/admin.ts
@@ -0,0 +1,78 @@
+/** Admin orders of the engine stand-in. An engine that checks fencing refuses orders with an old number. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { readJson, sendJson } from '../http.ts'
+import type { PrefixCache } from './cache.ts'
+import type { Completions } from './completions.ts'
+import type { ResolvedEngineOptions } from './index.ts'
+import type { EngineState } from './types.ts'
+
+export interface AdminContext {
+  options: ResolvedEngineOptions
+  state: EngineState
+  cache: PrefixCache
+  completions: Completions
+  highestEpoch: number
+}
+
+interface Order {
+  epoch?: number
+  version?: string
+  adapter?: string
+  role?: string
+  request?: string
+  blob?: string
+  priority?: number
+}
+
+type OrderHandler = (context: AdminContext, order: Order) => object
+
+const ORDERS: Record<string, OrderHandler> = {
+  load ({ state }, { version }) {
+    state.versions.add(version!)
+    return {}
+  },
+  unload ({ state }, { version }) {
+    state.versions.delete(version!)
+    return {}
+  },
+  adapters ({ state }, { version, adapter }) {
+    state.adapters.add(`${version}/${adapter}`)
+    return {}
+  },
+  role ({ state }, { role }) {
+    state.role = role!
+    return {}
+  },
+  'kv-export': (_, { request }) => ({ blob: Buffer.from(`kv:${request}`).toString('base64') }),
+  'kv-import': (_, { request, blob }) => ({ imported: Buffer.from(blob!, 'base64').toString() === `kv:${request}` }),
+  cancel: ({ completions }, { request }) => ({ cancelled: completions.cancel(request!) }),
+  resume: () => ({}),
+  priority: ({ completions }, { request, priority }) => ({ changed: completions.setPriority(request!, priority!) })
+}
+
+/** Orders about one answer concern only their sender and need no fencing. */
+const UNFENCED = new Set(['cancel', 'resume', 'priority'])
+
+export async function handleAdmin (request: IncomingMessage, response: ServerResponse, context: AdminContext): Promise<void> {
+  const url = new URL(request.url!, 'http://engine')
+  const name = url.pathname.slice('/admin/'.length)
+  if (name === 'cache-events') {
+    const events = context.cache.events(Number(url.searchParams.get('after') ?? 0))
+    return sendJson(response, 200, { instance: context.state.instance, events })
+  }
+  const handler = ORDERS[name]
+  if (!handler) return sendJson(response, 404, { error: { message: `unknown order ${name}` } })
+  const order = await readJson<Order>(request)
+  if (isFencedOff(context, name, order.epoch ?? 0)) return sendJson(response, 409, { error: { message: 'old fencing number' } })
+  sendJson(response, 200, handler(context, order))
+}
+
+function isFencedOff (context: AdminContext, name: string, epoch: number): boolean {
+  if (!context.options.checksFencing || UNFENCED.has(name)) return false
+  if (epoch < context.highestEpoch) {
+    context.state.stats.refusedOrders++
+    return true
+  }
+  context.highestEpoch = epoch
+  return false
+}
--- /dev/null
+++ b/src/standin/engine/completions.ts
@@ -0,0 +1,247 @@
+/** Chat completions of the engine stand-in: admission to slots, streaming, cancelling and faults during an answer. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { setTimeout as delay } from 'node:timers/promises'
+import { prefixHashes } from '../../core/engine/prefix.ts'
+import { readJson, sendJson } from '../http.ts'
+import { planAnswer, type PlannedAnswer, type PromptMessage } from './answer.ts'
+import type { PrefixCache } from './cache.ts'
+import type { ResolvedEngineOptions } from './index.ts'
+import type { EngineState } from './types.ts'
+
+interface CompletionBody {
+  model: string
+  messages: PromptMessage[]
+  max_tokens?: number
+  stream?: boolean
+  priority?: number
+  continue_final_message?: boolean
+}
+
+interface Run {
+  request: string
+  version: string
+  instance: string
+  priority: number
+  cancelled: boolean
+  response: ServerResponse
+}
+
+export interface Completions {
+  handle(request: IncomingMessage, response: ServerResponse): Promise<void>
+  cancel(request: string): boolean
+  setPriority(request: string, priority: number): boolean
+}
+
+export interface CompletionsOptions {
+  options: ResolvedEngineOptions
+  state: EngineState
+  cache: PrefixCache
+  random: () => number
+}
+
+const DIE_AFTER_TOKENS = 2
+const BAD_SHARE = 0.2
+const DEFAULT_MAX_TOKENS = 256
+
+export function createCompletions ({ options, state, cache, random }: CompletionsOptions): Completions {
+  const runs = new Set<Run>()
+  const waiting: { run: Run, start: () => void }[] = []
+
+  async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readJson<CompletionBody>(request)
+    const run = createRun(request, response, body, state)
+    count(run, body)
+    if (!state.versions.has(body.model)) return sendJson(response, 404, { error: { message: `version ${body.model} is not loaded` } })
+    if (failsNow(run)) return sendJson(response, 500, { error: { message: 'internal engine error' } })
+    if (crashesOn(body)) return fallOver('crashes')
+    await admit(run)
+    if (run.instance !== state.instance) return
+    try {
+      await answer(run, body)
+    } finally {
+      leave(run)
+    }
+  }
+
+  function count (run: Run, body: CompletionBody): void {
+    state.stats.received.push({ request: run.request, version: run.version, resumed: body.continue_final_message === true })
+    state.stats.byVersion[run.version] = (state.stats.byVersion[run.version] ?? 0) + 1
+    state.stats.cacheHitBlocks += cache.use(prefixHashes(body.messages as Parameters<typeof prefixHashes>[0]))
+  }
+
+  function failsNow (run: Run): boolean {
+    if (state.faults.badVersions.includes(run.version) && random() < BAD_SHARE) return true
+    return takeFault('fail')
+  }
+
+  function crashesOn (body: CompletionBody): boolean {
+    return body.messages.some(message => message.content.includes(options.crashText))
+  }
+
+  function takeFault (fault: 'fail' | 'truncate' | 'cross' | 'dieBeforeFirstToken' | 'dieMidStream'): boolean {
+    if (state.faults[fault] <= 0) return false
+    state.faults[fault]--
+    return true
+  }
+
+  function fallOver (counter: 'crashes' | 'overloads'): void {
+    state.stats[counter]++
+    waiting.length = 0
+    runs.clear()
+    state.fallOver()
+  }
+
+  async function admit (run: Run): Promise<void> {
+    runs.add(run)
+    run.response.on('close', () => { run.cancelled ||= !run.response.writableFinished })
+    if (state.cold && state.inFlight >= options.coldAllowance) return fallOver('overloads')
+    if (!state.cold && state.inFlight >= options.slots) await new Promise<void>(resolve => enqueue(run, resolve))
+    else takeSlot()
+  }
+
+  function enqueue (run: Run, start: () => void): void {
+    waiting.push({ run, start })
+    run.response.on('close', () => leaveQueue(run))
+  }
+
+  function leaveQueue (run: Run): void {
+    const index = waiting.findIndex(entry => entry.run === run)
+    if (index < 0) return
+    const [entry] = waiting.splice(index, 1)
+    takeSlot()
+    entry!.start()
+  }
+
+  function takeSlot (): void {
+    state.inFlight++
+    state.stats.maxInFlight = Math.max(state.stats.maxInFlight, state.inFlight)
+  }
+
+  function leave (run: Run): void {
+    runs.delete(run)
+    if (run.instance !== state.instance) return
+    state.inFlight--
+    const next = waiting.sort((a, b) => a.run.priority - b.run.priority).shift()
+    if (!next) return
+    takeSlot()
+    next.start()
+  }
+
+  async function answer (run: Run, body: CompletionBody): Promise<void> {
+    const plan = planAnswer({
+      version: run.version,
+      messages: body.messages,
+      maxTokens: body.max_tokens ?? DEFAULT_MAX_TOKENS,
+      answerTokens: options.answerTokens,
+      continuesLast: body.continue_final_message === true
+    })
+    if (options.firstTokenMs > 0) await delay(options.firstTokenMs)
+    await thaw(run)
+    if (run.cancelled) return countCancelled()
+    if (takeFault('dieBeforeFirstToken')) return fallOver('crashes')
+    if (body.stream) await stream(run, plan)
+    else sendJson(run.response, 200, wholeAnswer(run, plan))
+    if (run.cancelled) countCancelled()
+    else if (run.instance === state.instance) state.stats.completed++
+  }
+
+  function countCancelled (): void {
+    state.stats.cancelled++
+  }
+
+  /** Waits while the engine is frozen. */
+  async function thaw (run: Run): Promise<void> {
+    while (state.faults.frozen && !run.cancelled) await delay(5)
+  }
+
+  async function stream (run: Run, plan: PlannedAnswer): Promise<void> {
+    const { response } = run
+    const truncates = takeFault('truncate')
+    const crosses = takeFault('cross')
+    const dies = takeFault('dieMidStream')
+    response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' })
+    response.flushHeaders()
+    for (const [index, token] of plan.tokens.entries()) {
+      if (options.tokenDelayMs > 0) await delay(options.tokenDelayMs)
+      await thaw(run)
+      if (run.cancelled || run.instance !== state.instance) return
+      if (dies && index === DIE_AFTER_TOKENS) return fallOver('crashes')
+      if (truncates && index === DIE_AFTER_TOKENS) return void response.end()
+      const id = crosses && index === DIE_AFTER_TOKENS ? 'another-request' : run.request
+      await write(run, chunk(id, run.version, { content: token }, null))
+    }
+    await write(run, lastChunk(run, plan, options))
+    response.end('data: [DONE]\n\n')
+  }
+
+  return {
+    handle,
+    cancel (request) {
+      const run = [...runs].find(entry => entry.request === request)
+      if (!run) return false
+      run.cancelled = true
+      run.response.destroy()
+      return true
+    },
+    setPriority (request, priority) {
+      const run = [...runs].find(entry => entry.request === request)
+      if (run) run.priority = priority
+      return run !== undefined
+    }
+  }
+}
+
+function createRun (request: IncomingMessage, response: ServerResponse, body: CompletionBody, state: EngineState): Run {
+  return {
+    request: String(request.headers['x-request-id'] ?? 'unknown'),
+    version: body.model,
+    instance: state.instance,
+    priority: body.priority ?? 0,
+    cancelled: false,
+    response
+  }
+}
+
+function chunk (request: string, version: string, delta: object, finishReason: string | null): object {
+  return {
+    id: `chatcmpl-${request}`,
+    object: 'chat.completion.chunk',
+    model: version,
+    choices: [{ index: 0, delta, finish_reason: finishReason }]
+  }
+}
+
+function usage (plan: PlannedAnswer): object {
+  return {
+    prompt_tokens: plan.promptTokens,
+    completion_tokens: plan.tokens.length,
+    total_tokens: plan.promptTokens + plan.tokens.length,
+    prompt_tokens_details: { cached_tokens: 0 }
+  }
+}
+
+function lastChunk (run: Run, plan: PlannedAnswer, options: ResolvedEngineOptions): object {
+  return {
+    ...chunk(run.request, run.version, {}, plan.finishReason),
+    usage: usage(plan),
+    confidence: options.confidence[run.version] ?? 0.9
+  }
+}
+
+function wholeAnswer (run: Run, plan: PlannedAnswer): object {
+  return {
+    id: `chatcmpl-${run.request}`,
+    object: 'chat.completion',
+    model: run.version,
+    choices: [{ index: 0, message: { role: 'assistant', content: plan.tokens.join('') }, finish_reason: plan.finishReason }],
+    usage: usage(plan)
+  }
+}
+
+async function write (run: Run, body: object): Promise<void> {
+  if (run.response.destroyed || run.response.write(`data: ${JSON.stringify(body)}\n\n`)) return
+  await new Promise<void>(resolve => {
+    run.response.once('drain', resolve)
+    run.response.once('close', resolve)
+  })
+}
--- /dev/null
+++ b/src/standin/rating/index.ts
@@ -0,0 +1,82 @@
+/**
+ * Rating service stand-in: `POST /ratings` with `{ request, version, prompt, answer }` is accepted at once; for a
+ * sample of them `GET /ratings?after=N` publishes a rating between 0 and 1 later, with noise around the version's
+ * quality.
+ */
+import { performance } from 'node:perf_hooks'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { listen, readJson, seededRandom, sendJson } from '../http.ts'
+
+export interface RatingOptions {
+  host?: string
+  /** 0 chooses a free port. */
+  port?: number
+  /** True quality of each version, 0 to 1. */
+  quality?: Record<string, number>
+  /** Half width of the uniform noise. */
+  noise?: number
+  /** Share of the answers that are rated. */
+  sampleShare?: number
+  lagMs?: number
+  seed?: number
+}
+
+export interface Rating {
+  sequence: number
+  request: string
+  version: string
+  rating: number
+}
+
+export interface RatingStandIn {
+  address: string
+  /** May be changed while the service runs. */
+  quality: Record<string, number>
+  received: () => number
+  close(): Promise<void>
+  kill(): Promise<void>
+}
+
+interface Submission {
+  request: string
+  version: string
+  prompt: string
+  answer: string
+}
+
+const DEFAULT_QUALITY = 0.8
+const MAX_KEPT = 10_000
+
+/** Starts a rating service on a TCP port. */
+export async function startRating (options: RatingOptions = {}): Promise<RatingStandIn> {
+  const { host, port, noise = 0.1, sampleShare = 0.2, lagMs = 100, seed = 1 } = options
+  const quality = { ...options.quality }
+  const random = seededRandom(seed)
+  let ratings: (Rating & { dueMs: number })[] = []
+  let received = 0
+
+  function rate ({ request, version }: Submission): void {
+    received++
+    if (random() >= sampleShare) return
+    const noisy = (quality[version] ?? DEFAULT_QUALITY) + (random() * 2 - 1) * noise
+    const rating = Math.min(1, Math.max(0, noisy))
+    ratings.push({ sequence: received, request, version, rating, dueMs: performance.now() + lagMs })
+    if (ratings.length > MAX_KEPT) ratings = ratings.slice(-MAX_KEPT)
+  }
+
+  async function route (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://rating')
+    if (url.pathname === '/health') return sendJson(response, 200, { state: 'warm' })
+    if (url.pathname !== '/ratings') return sendJson(response, 404, { error: { message: 'not found' } })
+    if (request.method === 'POST') {
+      rate(await readJson<Submission>(request))
+      return sendJson(response, 202, {})
+    }
+    const after = Number(url.searchParams.get('after') ?? 0)
+    const due = ratings.filter(rating => rating.sequence > after && rating.dueMs <= performance.now())
+    sendJson(response, 200, { ratings: due.map(({ dueMs, ...rating }) => rating) })
+  }
+
+  const http = await listen(route, { host, port })
+  return { address: http.address, quality, received: () => received, close: http.close, kill: http.kill }
+}
