Add claims and the gateway with chat streaming and service calls

The gateway is the callers' side of an entry VM: authentication before the body is read, the filter chain, retries and resumes over backend servers, billing before the last chunk, and joins for resends. Claims are created immediately before the only send and never taken over unless marked not_run. Checked by a smoke run with one engine that dies mid-stream: the answer resumes on the other engine. The event reader leaked a raw socket error there; it now reports connection_lost.

--- /dev/null
+++ b/src/core/claims/reconciler.ts
@@ -0,0 +1,98 @@
+/**
+ * Brings claims of this VM into the state they should have when the write failed or its outcome is unknown. A create
+ * whose answer was lost may land late, so an entry stays until it was seen or has grown old.
+ */
+import type { Clock, TimerCancel } from '../clock/index.ts'
+import { errorMessage, ObjectApiError } from '../errors/index.ts'
+import type { RequestId } from '../ids/index.ts'
+import type { Log } from '../logging/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { ObjectApi } from '../object-api/types.ts'
+import { MAX_UNRECONCILED, RECONCILE_MAX_AGE_MS, RECONCILE_PERIOD_MS, STORE_TIMEOUT_MS } from './constants.ts'
+import type { ClaimSpec } from './types.ts'
+
+/** Fields that the claim should have; `state` tells whether it was ever sent. */
+export type ClaimTarget = Pick<ClaimSpec, 'state' | 'answer' | 'outcomeUnknown'>
+
+export interface PendingClaim {
+  name: string
+  request: RequestId
+  attempt: number
+  target: ClaimTarget
+}
+
+export interface Reconciler {
+  add(pending: PendingClaim): void
+  get(name: string): PendingClaim | undefined
+  /** Tries one entry now; resolves with whether it is settled. */
+  settle(name: string): Promise<boolean>
+  /** Tries all entries. */
+  settleAll(): Promise<void>
+  stop(): void
+}
+
+export interface ReconcilerOptions {
+  objectApi: ObjectApi
+  clock: Clock
+  metrics: Metrics
+  log: Log
+}
+
+export function createReconciler ({ objectApi, clock, metrics, log }: ReconcilerOptions): Reconciler {
+  const entries = new Map<string, PendingClaim & { addedAt: number }>()
+  let isRunning = false
+  const cancelTimer: TimerCancel = clock.every(RECONCILE_PERIOD_MS, () => { void settleAll() })
+
+  function add (pending: PendingClaim): void {
+    entries.set(pending.name, { ...pending, addedAt: clock.now() })
+    metrics.count('claims', 'reconcile_pending')
+    if (entries.size <= MAX_UNRECONCILED) return
+    metrics.count('claims', 'reconcile_dropped')
+    entries.delete(entries.keys().next().value!)
+  }
+
+  async function settle (name: string): Promise<boolean> {
+    const entry = entries.get(name)
+    if (!entry) return true
+    if (!await bringAbout(entry)) return false
+    // The entry may have been replaced while the store was asked.
+    if (entries.get(name) === entry) entries.delete(name)
+    metrics.count('claims', `reconciled_${entry.target.state}`)
+    return true
+  }
+
+  /** Resolves with true once nothing remains to be done for the entry. */
+  async function bringAbout ({ name, request, attempt, target }: PendingClaim): Promise<boolean> {
+    try {
+      const found = await objectApi.get<ClaimSpec>('Claim', name, { timeoutMs: STORE_TIMEOUT_MS })
+      const { spec } = found
+      // An older attempt means that the takeover may still land.
+      if (spec.attempt < attempt) return false
+      if (spec.request !== request || spec.attempt !== attempt || spec.state !== 'dispatched' || spec.outcomeUnknown) return true
+      await objectApi.update<ClaimSpec>('Claim', name, { ...spec, ...target }, found.resourceVersion, { timeoutMs: STORE_TIMEOUT_MS })
+      return true
+    } catch (error) {
+      if (!(error instanceof ObjectApiError)) throw error
+      return false
+    }
+  }
+
+  async function settleAll (): Promise<void> {
+    if (isRunning) return
+    isRunning = true
+    try {
+      for (const [name, entry] of [...entries]) {
+        if (await settle(name)) continue
+        if (clock.now() - entry.addedAt < RECONCILE_MAX_AGE_MS) continue
+        entries.delete(name)
+        metrics.count('claims', 'reconcile_expired')
+      }
+    } catch (error) {
+      log.error('reconciling claims failed', { error: errorMessage(error) })
+    } finally {
+      isRunning = false
+    }
+  }
+
+  return { add, get: name => entries.get(name), settle, settleAll, stop: cancelTimer }
+}
--- a/src/core/claims/types.ts
+++ b/src/core/claims/types.ts
@@ -20,6 +20,8 @@
   state: 'dispatched' | 'done' | 'not_run'
   attempt: number
   backendServer?: BackendServerId
+  /** The call was sent and its owner knows that no answer will come; only with `dispatched`. */
+  outcomeUnknown?: boolean
   answer?: StoredAnswer
   claimedAtWallMs: number
 }
--- a/src/core/engine/events.ts
+++ b/src/core/engine/events.ts
@@ -69,6 +69,9 @@
   message.on('close', () => lines.close())
   try {
     yield * lines
+  } catch {
+    // The listener above has noted why; the iterator reports the same error.
+    failure ??= 'connection_lost'
   } finally {
     idle.stop()
     if (!message.complete) message.destroy()
--- /dev/null
+++ b/src/core/gateway/call-failure.ts
@@ -0,0 +1,13 @@
+/** Carries the call along with its error, so that the answer can say whether the call may have run. */
+import type { Call } from './types.ts'
+
+export class CallFailure extends Error {
+  readonly call: Pick<Call, 'request' | 'sent'>
+  override readonly cause: unknown
+
+  constructor (call: Pick<Call, 'request' | 'sent'>, cause: unknown) {
+    super('the call failed')
+    this.call = call
+    this.cause = cause
+  }
+}
--- /dev/null
+++ b/src/core/gateway/compose.ts
@@ -0,0 +1,12 @@
+/** Joins filters into one function; each filter decides when the rest runs. */
+import type { Filter } from './types.ts'
+
+export function compose<Context> (filters: readonly Filter<Context>[]): (context: Context) => Promise<void> {
+  return context => {
+    const run = async (index: number): Promise<void> => {
+      const filter = filters[index]
+      if (filter) await filter(context, () => run(index + 1))
+    }
+    return run(0)
+  }
+}
--- /dev/null
+++ b/src/core/gateway/relay.ts
@@ -0,0 +1,123 @@
+/**
+ * Writes an answer to its caller, as a stream of server-sent events or as one JSON body. A caller that reads slowly
+ * holds back the run; one that stalls is disconnected.
+ */
+import { once } from 'node:events'
+import type { ServerResponse } from 'node:http'
+import type { Clock } from '../clock/index.ts'
+import type { CompletionUsage } from '../engine/types.ts'
+import type { RequestId } from '../ids/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { Answer, AnswerEnd, AnswerMeta, AnswerPart, AnswerReader } from './answer.ts'
+import { HEADERS, RELAY_WINDOW_CHARACTERS, STALLED_CALLER_MS } from './constants.ts'
+import { errorBody, toLacewingError } from './responses.ts'
+
+export interface RelayOptions {
+  request: RequestId
+  includeUsage: boolean
+  clock: Clock
+  metrics: Metrics
+  /** Whether bytes reached a backend server, for the error event. */
+  wasSent: () => boolean
+}
+
+/** Headers that every answer carries. */
+export function answerHeaders (request: RequestId, meta: AnswerMeta | undefined): Record<string, string> {
+  const headers: Record<string, string> = { [HEADERS.requestId]: request }
+  if (meta) headers[HEADERS.version] = meta.version
+  if (meta?.sessionToken) headers[HEADERS.session] = meta.sessionToken
+  if (meta?.movedFrom) headers[HEADERS.movedFrom] = meta.movedFrom
+  return headers
+}
+
+/** Streams an answer that has at least one part or has ended well. Resolves when the response is over. */
+export async function relayStream (answer: Answer, reader: AnswerReader, response: ServerResponse, options: RelayOptions): Promise<void> {
+  const { request, metrics } = options
+  const events = createEventWriter(request, answer.meta()!)
+  response.writeHead(200, {
+    ...answerHeaders(request, answer.meta()),
+    'content-type': 'text/event-stream; charset=utf-8',
+    'cache-control': 'no-cache'
+  })
+  while (!reader.isDone()) {
+    await reader.wait()
+    if (reader.isClosed()) return void metrics.count('streams', 'caller_gone')
+    const parts = reader.take(RELAY_WINDOW_CHARACTERS)
+    if (parts.length > 0 && !await write(response, events.parts(parts), options)) return void metrics.count('streams', 'caller_gone')
+    reader.confirm()
+  }
+  const end = answer.end()
+  metrics.count('streams', end ? 'completed' : 'failed')
+  response.end(end ? events.end(end, options.includeUsage) : failureEvent(answer, options))
+}
+
+/** Body of a complete answer. */
+export function wholeBody (request: RequestId, answer: Answer): object {
+  const { reason, usage } = answer.end()!
+  return {
+    id: `chatcmpl-${request}`,
+    object: 'chat.completion',
+    created: Math.floor(Date.now() / 1000),
+    model: answer.meta()!.version,
+    choices: [{
+      index: 0,
+      message: { role: 'assistant', content: answer.parts().map(part => part.text).join('') },
+      finish_reason: reason
+    }],
+    usage: usageBody(usage)
+  }
+}
+
+/** Returns false when the caller has gone or takes nothing for too long. */
+async function write (response: ServerResponse, text: string, { clock, metrics }: RelayOptions): Promise<boolean> {
+  if (response.destroyed) return false
+  if (response.write(text)) return true
+  const stop = new AbortController()
+  const cancelTimer = clock.after(STALLED_CALLER_MS, () => {
+    metrics.count('streams', 'caller_stalled')
+    response.destroy()
+  })
+  const settled = [once(response, 'drain', stop), once(response, 'close', stop)].map(event => event.catch(() => {}))
+  await Promise.race(settled)
+  stop.abort()
+  cancelTimer()
+  return !response.destroyed
+}
+
+function createEventWriter (request: RequestId, { version }: AnswerMeta) {
+  const created = Math.floor(Date.now() / 1000)
+  const base = { id: `chatcmpl-${request}`, object: 'chat.completion.chunk', created, model: version }
+  // Only the text differs between chunks, so the rest is serialised once.
+  const prefix = `data: ${JSON.stringify(base).slice(0, -1)},"choices":[{"index":0,"delta":{`
+  let first = true
+
+  function part ({ text }: AnswerPart): string {
+    const role = first ? '"role":"assistant",' : ''
+    first = false
+    return `${prefix}${role}"content":${JSON.stringify(text)}},"finish_reason":null}]}\n\n`
+  }
+
+  return {
+    parts: (parts: AnswerPart[]) => parts.map(part).join(''),
+    end ({ reason, usage }: AnswerEnd, includeUsage: boolean): string {
+      const last = { ...base, choices: [{ index: 0, delta: {}, finish_reason: reason }] }
+      const usageChunk = includeUsage ? `data: ${JSON.stringify({ ...base, choices: [], usage: usageBody(usage) })}\n\n` : ''
+      return `data: ${JSON.stringify(last)}\n\n${usageChunk}data: [DONE]\n\n`
+    }
+  }
+}
+
+/** An error event takes the place of the last chunk and of `[DONE]`, so that no caller takes the part for the whole. */
+function failureEvent (answer: Answer, { request, wasSent }: RelayOptions): string {
+  const body = errorBody(toLacewingError(answer.error()), { request, sent: wasSent() })
+  return `data: ${JSON.stringify(body)}\n\n`
+}
+
+function usageBody ({ inputTokens, outputTokens, cachedTokens }: CompletionUsage): object {
+  return {
+    prompt_tokens: inputTokens,
+    completion_tokens: outputTokens,
+    total_tokens: inputTokens + outputTokens,
+    prompt_tokens_details: { cached_tokens: cachedTokens }
+  }
+}
--- /dev/null
+++ b/src/core/gateway/run.ts
@@ -0,0 +1,285 @@
+/**
+ * Runs one chat request: for each cascade tier a permit, a dispatch, and on failure another backend server. Before the
+ * first delivered token a retry starts over; after it the answer resumes from the delivered text.
+ */
+import type { Permit, PermitOutcome } from '../admission/types.ts'
+import { EngineFailure, prefixHashes } from '../engine/index.ts'
+import type { CompletionEvent, CompletionRequest, CompletionUsage, EngineClient } from '../engine/types.ts'
+import { GatewayError } from '../errors/index.ts'
+import type { VersionChoice, VersionRouter } from '../routing/types.ts'
+import type { AnswerEnd, AnswerPart } from './answer.ts'
+import { MAX_ATTEMPTS, MAX_CHOICES } from './constants.ts'
+import { chatLine } from './bill.ts'
+import { reserveBudget, type BudgetDependencies } from './budget.ts'
+import { acquirePermit, isInService, VERSION_WITHDRAWN, type PermitDependencies } from './permits.ts'
+import type { ChatCall, Limits } from './types.ts'
+
+export interface RunDependencies extends PermitDependencies, BudgetDependencies {
+  routing: VersionRouter
+  engine: EngineClient
+  limits: Limits
+}
+
+type FinishedEvent = Extract<CompletionEvent, { type: 'finished' }>
+
+/** One version's answer, across all its attempts. */
+export interface Tier {
+  choice: VersionChoice
+  parts: AnswerPart[]
+  tokens: number
+  characters: number
+  /** Parts are held back while the answer may still be escalated. */
+  held: boolean
+  finished?: FinishedEvent
+  firstTokenMs?: number
+}
+
+/** Statuses by which an engine says that the request itself is wrong; another engine would say the same. */
+const WRONG_REQUEST_STATUSES: ReadonlySet<number> = new Set([400, 413, 422])
+
+/** Resolves with the end of the answer once all its parts are appended. Throws GatewayError or EngineFailure. */
+export async function runAnswer (deps: RunDependencies, call: ChatCall): Promise<AnswerEnd> {
+  let tier = createTier(call, call.choice!)
+  await runTier(deps, call, tier)
+  for (;;) {
+    const next = await escalate(deps, call, tier)
+    if (!next) break
+    tier = next
+  }
+  await release(call, tier)
+  return { reason: tier.finished!.reason, usage: tierUsage(tier) }
+}
+
+function createTier (call: ChatCall, choice: VersionChoice): Tier {
+  const { resume } = call
+  const tier: Tier = { choice, parts: [], tokens: 0, characters: 0, held: choice.canEscalate && !resume }
+  for (const part of resume?.parts ?? []) keep(tier, part)
+  return tier
+}
+
+/** Runs a dearer tier when the finished answer is not good enough; without capacity for it the cheaper answer stands. */
+async function escalate (deps: RunDependencies, call: ChatCall, tier: Tier): Promise<Tier | undefined> {
+  const { routing, metrics, explain, clock } = deps
+  observe(deps, call, tier, false)
+  call.lines.push(tierLine(deps, tier))
+  call.unbilledVersion = undefined
+  if (!tier.held) return undefined
+  const remainingMs = call.deadline - clock.now()
+  if (!routing.shouldEscalate(call.choiceRequest, tier.choice, tier.finished!.confidence, remainingMs)) return undefined
+  try {
+    call.choiceRequest.tried.push(tier.choice.version)
+    const next = createTier(call, await routing.choose(call.choiceRequest))
+    await reserveBudget(deps, call, next.choice.version)
+    call.choice = next.choice
+    metrics.count('escalations', tier.choice.model)
+    explain.add(call.request, 'escalate', `${tier.choice.version} to ${next.choice.version}: ${next.choice.why}`)
+    call.exclude = []
+    call.attempts = 0
+    await runTier(deps, call, next)
+    return next
+  } catch (error) {
+    // A tier that has begun to reach the caller cannot be replaced by the cheaper answer.
+    if (isCancelled(error) || call.answer.parts().length > 0) throw error
+    call.choice = tier.choice
+    call.unbilledVersion = undefined
+    metrics.count('escalations', 'failed')
+    explain.add(call.request, 'escalate', `failed, the answer of ${tier.choice.version} stands`)
+    return undefined
+  }
+}
+
+async function runTier (deps: RunDependencies, call: ChatCall, tier: Tier): Promise<void> {
+  for (;;) {
+    const permit = await choosePermit(deps, call, tier)
+    try {
+      await attempt(deps, call, tier, permit)
+      return
+    } catch (error) {
+      if (isVersionFault(error)) observe(deps, call, tier, true)
+      if (!mayRetry(deps, call, tier, error)) throw error
+      noteRetry(deps, call, tier, permit, error as EngineFailure)
+    }
+  }
+}
+
+/** Returns a permit that may be used now; otherwise chooses again, at most a few times. */
+async function choosePermit (deps: RunDependencies, call: ChatCall, tier: Tier): Promise<Permit> {
+  const { routing, permits, view, metrics, clock } = deps
+  for (let choices = 0; choices < MAX_CHOICES; choices++) {
+    if (call.abort.signal.aborted) throw new EngineFailure('cancelled', { sent: false })
+    if (clock.now() >= call.deadline) throw new GatewayError('deadline_exceeded')
+    const permit = await acquirePermit(deps, call, {
+      version: tier.choice.version,
+      prefixHashes: prefixHashes(call.body.messages),
+      estimatedTokens: call.choiceRequest.promptTokens + call.body.maxTokens,
+      isRetry: call.attempts > 0
+    })
+    const isPermitted = routing.isStillPermitted(call.contract, tier.choice.version)
+    if (permit !== VERSION_WITHDRAWN) {
+      const isCancelled = call.abort.signal.aborted
+      if (isPermitted && !isCancelled && isInService(view, permit) && permits.mayStart(permit)) return permit
+      permits.release(permit, { outcome: 'not_sent' })
+    }
+    metrics.count('retries', isPermitted ? 'permit_outdated' : 'version_withdrawn')
+    if (!isPermitted || permit === VERSION_WITHDRAWN) await chooseAgain(deps, call, tier)
+  }
+  throw new GatewayError('permit_refused')
+}
+
+async function chooseAgain (deps: RunDependencies, call: ChatCall, tier: Tier): Promise<void> {
+  const { routing, explain } = deps
+  const choice = await routing.choose(call.choiceRequest)
+  explain.add(call.request, 'version', `${choice.version}: ${choice.why}`)
+  if (choice.version === tier.choice.version) return
+  await reserveBudget(deps, call, choice.version)
+  if (call.answer.parts().length > 0) {
+    throw new GatewayError('answer_truncated', { detail: `Version ${tier.choice.version} was withdrawn during the answer.` })
+  }
+  call.resume = undefined
+  call.choice = choice
+  Object.assign(tier, createTier(call, choice))
+}
+
+async function attempt (deps: RunDependencies, call: ChatCall, tier: Tier, permit: Permit): Promise<void> {
+  const { permits, engine, clock, explain } = deps
+  const tokensBefore = tier.tokens
+  let outcome: PermitOutcome = 'failed'
+  let instance: string | undefined
+  call.attempts++
+  explain.add(call.request, tokensBefore > 0 ? 'resume' : 'dispatch', `${permit.backendServer} runs ${tier.choice.version}`)
+  try {
+    for await (const event of engine.complete(permit.address, completionRequest(call, tier, permit), call.abort.signal)) {
+      noteSent(call, tier)
+      if (event.type === 'started') {
+        instance = event.instance
+        permits.reportFirstByte(permit, instance)
+      } else if (event.type === 'delta') {
+        tier.firstTokenMs ??= clock.now() - call.startedAt
+        await deliver(deps, call, tier, event)
+      } else {
+        tier.finished = withWholeUsage(event, tokensBefore)
+      }
+    }
+    outcome = 'completed'
+  } catch (error) {
+    if (!(error instanceof EngineFailure) || error.sent) noteSent(call, tier)
+    outcome = outcomeOf(error)
+    reportCrash(deps, call, permit, error, instance)
+    throw error
+  } finally {
+    permits.release(permit, { outcome, instance, firstTokenMs: tier.firstTokenMs, tokens: tier.tokens - tokensBefore })
+  }
+}
+
+function noteSent (call: ChatCall, tier: Tier): void {
+  call.sent = true
+  call.unbilledVersion = tier.choice.version
+}
+
+/** A broken connection may be a crash that this request caused; the quarantine decides. */
+function reportCrash ({ quarantine, metrics }: RunDependencies, call: ChatCall, permit: Permit, error: unknown, instance = 'unknown'): void {
+  if (!(error instanceof EngineFailure) || !error.connectionLost) return
+  metrics.count('backend_crashes', permit.backendServer)
+  quarantine.reportCrash({ fingerprint: call.fingerprint, backendServer: permit.backendServer, instance: error.instance ?? instance })
+}
+
+function completionRequest (call: ChatCall, tier: Tier, permit: Permit): CompletionRequest {
+  const { body, choiceRequest } = call
+  return {
+    request: call.request,
+    version: tier.choice.version,
+    messages: body.messages,
+    maxTokens: body.maxTokens,
+    temperature: body.temperature,
+    priority: call.priority,
+    session: choiceRequest.session,
+    resumeFrom: tier.tokens > 0 ? { text: tier.parts.map(part => part.text).join(''), tokens: tier.tokens } : undefined,
+    epoch: permit.epoch
+  }
+}
+
+async function deliver ({ limits, clock, metrics }: RunDependencies, call: ChatCall, tier: Tier, event: AnswerPart): Promise<void> {
+  const part = { text: event.text, tokens: event.tokens }
+  keep(tier, part)
+  if (tier.characters > limits.max_buffered_bytes_per_stream) throw new EngineFailure('answer_too_large')
+  if (tier.held) return
+  if (call.answer.parts().length === 0) {
+    call.answer.setMeta(tier.choice)
+    metrics.latency('first_token', clock.now() - call.startedAt)
+  }
+  await call.answer.append(part)
+}
+
+function keep (tier: Tier, part: AnswerPart): void {
+  tier.parts.push(part)
+  tier.tokens += part.tokens
+  tier.characters += part.text.length
+}
+
+/** Hands over the parts that were held back. */
+async function release (call: ChatCall, tier: Tier): Promise<void> {
+  call.answer.setMeta(tier.choice)
+  if (!tier.held) return
+  tier.held = false
+  for (const part of tier.parts) {
+    if (call.abort.signal.aborted) throw new EngineFailure('cancelled')
+    await call.answer.append(part)
+  }
+}
+
+function mayRetry ({ clock }: RunDependencies, call: ChatCall, tier: Tier, error: unknown): boolean {
+  if (!(error instanceof EngineFailure) || error.reason === 'cancelled' || error.reason === 'answer_too_large') return false
+  if (error.status !== undefined && WRONG_REQUEST_STATUSES.has(error.status)) return false
+  return call.attempts < MAX_ATTEMPTS && tier.tokens < call.body.maxTokens && clock.now() < call.deadline
+}
+
+function noteRetry (deps: RunDependencies, call: ChatCall, tier: Tier, permit: Permit, failure: EngineFailure): void {
+  const { metrics, explain, quarantine } = deps
+  call.exclude.push(permit.backendServer)
+  const isResume = tier.tokens > 0
+  metrics.count(isResume ? 'resumes' : 'retries', failure.reason)
+  explain.add(call.request, 'retry', `${permit.backendServer}: ${failure.message}`)
+  if (quarantine.isQuarantined(call.fingerprint)) throw new GatewayError('request_quarantined', { cause: failure })
+}
+
+function outcomeOf (error: unknown): PermitOutcome {
+  if (!(error instanceof EngineFailure)) return 'failed'
+  if (error.reason === 'cancelled') return error.sent ? 'cancelled' : 'not_sent'
+  return error.connectionLost || !error.sent ? 'crashed' : 'failed'
+}
+
+/** Errors and broken answers speak against the version; crashes and refused connections against the backend server. */
+function isVersionFault (error: unknown): boolean {
+  return error instanceof EngineFailure && ['error_status', 'truncated', 'malformed'].includes(error.reason)
+}
+
+export function isCancelled (error: unknown): boolean {
+  return error instanceof EngineFailure && error.reason === 'cancelled'
+}
+
+/** The last attempt's usage counts only the tokens it produced itself. */
+function withWholeUsage (event: FinishedEvent, tokensBefore: number): FinishedEvent {
+  const usage: CompletionUsage = { ...event.usage, outputTokens: event.usage.outputTokens + tokensBefore }
+  return { ...event, usage }
+}
+
+function tierUsage (tier: Tier): CompletionUsage {
+  return tier.finished!.usage
+}
+
+function tierLine ({ view }: RunDependencies, tier: Tier) {
+  return chatLine(view, tier.choice.version, tierUsage(tier))
+}
+
+function observe (deps: RunDependencies, call: ChatCall, tier: Tier, failed: boolean): void {
+  const { routing } = deps
+  routing.observe({
+    team: call.team,
+    requestClass: call.choiceRequest.requestClass,
+    version: tier.choice.version,
+    failed,
+    firstTokenMs: tier.firstTokenMs,
+    costMicros: failed ? 0 : tierLine(deps, tier).costMicros,
+    confidence: tier.finished?.confidence
+  })
+}
--- /dev/null
+++ b/src/core/gateway/server.ts
@@ -0,0 +1,77 @@
+/**
+ * HTTP server for callers and operators. Limits on headers, bodies, connections and slow senders are set here, and
+ * every error leaves it in the form of the error catalogue.
+ */
+import { readFileSync } from 'node:fs'
+import { createServer as createHttpServer, type RequestListener, type ServerOptions } from 'node:http'
+import { createServer as createHttpsServer } from 'node:https'
+import Hapi, { type Request, type ResponseObject, type ResponseToolkit, type Server } from '@hapi/hapi'
+import type { Boom } from '@hapi/boom'
+import { GatewayError, LacewingError, type ErrorName } from '../errors/index.ts'
+import { errorAnswer } from './responses.ts'
+import type { Limits } from './types.ts'
+
+export interface CallerServerOptions {
+  host: string
+  /** 0 chooses a free port. */
+  port: number
+  limits: Limits
+  tls?: { certFile: string, keyFile: string }
+}
+
+/** Creates a server that is not started. */
+export function createCallerServer ({ host, port, limits, tls }: CallerServerOptions): Server {
+  const listener = createListener(limits, tls)
+  listener.maxConnections = limits.max_connections
+  const server = Hapi.server({
+    host,
+    port,
+    listener: listener as ReturnType<typeof createHttpServer>,
+    tls: tls !== undefined,
+    compression: false,
+    debug: false,
+    routes: {
+      payload: { maxBytes: limits.max_body_bytes, timeout: limits.header_timeout_ms },
+      state: { parse: false, failAction: 'ignore' }
+    }
+  })
+  server.ext('onPreResponse', toCatalogueError)
+  return server
+}
+
+function createListener (limits: Limits, tls: CallerServerOptions['tls']) {
+  const options: ServerOptions = {
+    maxHeaderSize: limits.max_header_bytes,
+    headersTimeout: limits.header_timeout_ms,
+    requestTimeout: limits.header_timeout_ms * 2,
+    connectionsCheckingInterval: Math.max(100, limits.header_timeout_ms / 2)
+  }
+  const ignore: RequestListener = () => {}
+  if (!tls) return createHttpServer(options).off('request', ignore)
+  const files = { cert: readFileSync(tls.certFile), key: readFileSync(tls.keyFile) }
+  return createHttpsServer({ ...options, ...files })
+}
+
+const KIND_OF_STATUS: Record<number, ErrorName> = {
+  400: 'bad_request',
+  401: 'unauthenticated',
+  403: 'forbidden',
+  404: 'not_found',
+  405: 'not_found',
+  408: 'bad_request',
+  413: 'body_too_large',
+  415: 'bad_request'
+}
+
+function toCatalogueError (request: Request, h: ResponseToolkit): ResponseObject | symbol {
+  const { response } = request
+  if (typeof response !== 'object' || !('isBoom' in response) || !response.isBoom) return h.continue
+  return errorAnswer(h, asLacewingError(response))
+}
+
+function asLacewingError (error: Boom): LacewingError {
+  if (error instanceof LacewingError) return error
+  const kind = KIND_OF_STATUS[error.output.statusCode] ?? 'internal'
+  const detail = kind === 'internal' ? undefined : error.message
+  return new GatewayError(kind, { detail, cause: error })
+}
