--- a/features/admission.feature
+++ b/features/admission.feature
@@ -40,6 +40,23 @@
     Then admission has granted 3 permits
     And admission has counted a cold start by crash
 
+  Scenario: a probe that was under way when a connection was lost proves nothing
+    Given admission leads 1 warm backend servers with 8 slots and an allowance of 1
+    And admission has probes that take 100 ms
+    And admission has 1 requests running
+    When admission loses the connection of a running request
+    And admission waits 100 ms
+    Then admission counts 0 backend servers as warm
+
+  Scenario: a first byte of the former instance does not turn the new one cold
+    Given admission leads 1 warm backend servers with 8 slots and an allowance of 1
+    And admission has 2 requests running
+    When the admission backend server restarts warm without warning
+    And admission waits 5000 ms
+    And admission gets a first byte of the former instance
+    Then admission has counted a cold start by instance
+    And admission counts 1 backend servers as warm
+
   Scenario: a backend server that restarts and reports warm at once is ramped up again
     Given admission leads 1 warm backend servers with 8 slots and an allowance of 1
     When the admission backend server restarts warm without warning
@@ -82,6 +99,16 @@
     And admission waits 500 ms
     Then admission has overloaded no cold backend server
 
+  Scenario: a registered permit that never starts does not explain the request of a dead VM
+    Given admission leads 1 cold backend servers with 8 slots and an allowance of 2
+    And admission has 2 requests running
+    When admission is taken over by a new leader that is told one permit, which never started
+    And admission waits until the new leader grants
+    And admission gets that permit back
+    And admission is asked by 3 VMs for 1 permits each
+    Then admission has granted 3 permits
+    And admission has overloaded no cold backend server
+
   Scenario: a new leader refuses with the remaining time until former permits have ended
     Given admission leads 1 cold backend servers with 8 slots and an allowance of 1
     When admission is taken over by a new leader that is told the held permits
@@ -196,11 +223,25 @@
       | case                      | slots | granted | servers |
       | ordinary                  | 8     | 3       | 1       |
       | identical                 | 1     | 3       | 3       |
+      | identical short           | 8     | 3       | 1       |
       | identical suspect         | 8     | 3       | 1       |
       | identical suspect         | 1     | 1       | 1       |
       | different suspect         | 8     | 3       | 3       |
       | reported suspect          | 8     | 3       | 3       |
 
+  Scenario Outline: a prefix index that hears of <events> expects <share> of the prompt in the cache
+    Given admission has sent a prompt of 4 blocks to a backend server
+    When admission hears of <events>
+    Then admission expects <share> of the prompt in the cache
+
+    Examples:
+      | events                                        | share |
+      | nothing                                       | 1     |
+      | the removal of the longest prefix             | 0.75  |
+      | a gap                                         | 0.5   |
+      | a gap and the prefix again                    | 1     |
+      | an older event with the removal of everything | 1     |
+
   Scenario: a quarantined request is refused
     Given admission leads 1 warm backend servers with 8 slots and an allowance of 1
     When admission gets a quarantined request
--- a/features/steps/admission.ts
+++ b/features/steps/admission.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { DATA_CENTRE, permitRequest, putBackendServer, putContract, VERSION } from '../../src/bench/admission-fixture.ts'
+import { createPrefixIndex, type PrefixIndex } from '../../src/core/admission/prefix-index.ts'
 import type { PermitRequest, Priority } from '../../src/core/admission/types.ts'
 import { brandId, type DataCentreId, type TeamId, type VmId } from '../../src/core/ids/index.ts'
 import {
@@ -15,6 +16,7 @@
   running: Asked[]
   batch: Asked[]
   overloads: number
+  prefixes: PrefixIndex
 }
 
 const SETTLE_STEP_MS = 1
@@ -120,6 +122,11 @@
   finish(this.stand, this.running[0]!, 'crashed')
 })
 
+When('admission gets a first byte of the former instance', function (this: World) {
+  const { address } = this.stand.engines.get('runner-1')!
+  this.stand.scheduler.firstByte({ id: permitOf(this.running[0]!).id, instance: `${address}#1` }, VM)
+})
+
 When('admission starts and ends {int} requests in groups of {int}', async function (this: World, count: number, group: number) {
   for (let done = 0; done < count; done += group) {
     const batch = await askMany(this.stand, group)
@@ -130,6 +137,19 @@
   await this.stand.clock.advance(2500)
 })
 
+When('admission is taken over by a new leader that is told one permit, which never started', function (this: World) {
+  const { id, backendServer } = permitOf(this.running[0]!)
+  this.stand.engines.get(backendServer)!.end(id)
+  lead(this.stand)
+  this.stand.scheduler.sync({
+    vm: VM, boot: brandId('boot-of-vm-1'), held: [{ id, backendServer, team: brandId('team-1'), fingerprint: 'void', suspect: false, firstByteSeen: false }]
+  })
+})
+
+When('admission gets that permit back', function (this: World) {
+  this.stand.scheduler.release({ id: permitOf(this.running[0]!).id, outcome: 'not_sent' }, VM)
+})
+
 When('admission is taken over by a new leader that {} the held permits', function (this: World, registration: string) {
   const held = this.stand.grants.map(asked => {
     const { team, fingerprint, suspect } = asked.request
@@ -243,14 +263,42 @@
   for (let i = 0; i < count; i++) {
     const fingerprint = kind.startsWith('identical') ? 'same' : `other-${i}`
     if (kind === 'reported suspect') this.stand.suspects.add(fingerprint)
+    const prefixHashes = kind === 'identical short' ? [] : ['prefix']
     const suspect = kind.endsWith(' suspect') && kind !== 'reported suspect'
-    const { answer } = (await askMany(this.stand, 1, { fingerprint, suspect, prefixHashes: ['prefix'], estimatedTokens: 1000 }))[0]!
+    const { answer } = (await askMany(this.stand, 1, { fingerprint, suspect, prefixHashes, estimatedTokens: 1000 }))[0]!
     if (!answer?.granted) continue
     const { id, backendServer } = answer.permit
     this.stand.scheduler.firstByte({ id, instance: this.stand.engines.get(backendServer)!.instance }, VM)
   }
 })
 
+const HASHES = ['4', '3', '2', '1']
+
+/** Cache events after the one with sequence number 10. */
+const CACHE_EVENTS: Record<string, { sequence: number, stored?: string[], removed?: string[] }[]> = {
+  nothing: [],
+  'the removal of the longest prefix': [{ sequence: 11, removed: ['4'] }],
+  'a gap': [{ sequence: 13 }],
+  'a gap and the prefix again': [{ sequence: 13, stored: HASHES }],
+  'an older event with the removal of everything': [{ sequence: 9, removed: HASHES }]
+}
+
+Given('admission has sent a prompt of 4 blocks to a backend server', function (this: World) {
+  this.prefixes = createPrefixIndex()
+  this.prefixes.apply({ backendServer: brandId('runner-1'), instance: 'a', sequence: 10, stored: [], removed: [] })
+  this.prefixes.noteSent(brandId('runner-1'), HASHES)
+})
+
+When('admission hears of {}', function (this: World, events: string) {
+  for (const event of CACHE_EVENTS[events]!) {
+    this.prefixes.apply({ backendServer: brandId('runner-1'), instance: 'a', stored: [], removed: [], ...event })
+  }
+})
+
+Then('admission expects {float} of the prompt in the cache', function (this: World, share: number) {
+  assert.equal(this.prefixes.cachedShare(brandId('runner-1'), HASHES), share)
+})
+
 When('admission gets a quarantined request', async function (this: World) {
   this.stand.quarantined.add('bad')
   await askMany(this.stand, 1, { fingerprint: 'bad' })
@@ -289,6 +337,10 @@
   assert.equal(this.overloads, 0)
 })
 
+Then('admission counts {int} backend servers as warm', function (this: World, count: number) {
+  assert.equal(this.stand.scheduler.summary().versions[0]!.warm, count)
+})
+
 Then('the admission summary shows {int} free slots', function (this: World, count: number) {
   assert.equal(this.stand.scheduler.summary().versions[0]!.freeSlots, count)
 })
--- a/src/bench/backend-choice.ts
+++ b/src/bench/backend-choice.ts
@@ -29,10 +29,16 @@
 type PolicyName = 'perfect information' | 'chosen' | 'round robin' | 'least requests' | 'power of two'
 const POLICIES: readonly PolicyName[] = ['perfect information', 'chosen', 'round robin', 'least requests', 'power of two']
 
+const WORKLOADS = ['shared prefixes', 'no shared prefixes'] as const
+type WorkloadName = typeof WORKLOADS[number]
+
 interface Workload { next(id: string): ModelWork }
 
-/** Requests with a shared prefix of 4 to 60 blocks by Zipf frequency, an own rest and an answer of random length. */
-function createWorkload (random: () => number): Workload {
+/**
+ * Requests with a prefix of 4 to 60 blocks by Zipf frequency, an own rest and an answer of random length. Without
+ * shared prefixes the lengths are the same, but each request has a prefix of its own.
+ */
+function createWorkload (name: WorkloadName, random: () => number): Workload {
   const prefixBlocks = Array.from({ length: PREFIXES }, () => 4 + Math.floor(random() * 57))
   const weights = Array.from({ length: PREFIXES }, (_, i) => 1 / (i + 1) ** 0.9)
   const total = weights.reduce((sum, weight) => sum + weight, 0)
@@ -46,7 +52,8 @@
     next (id) {
       const prefix = pickPrefix()
       const blocks = prefixBlocks[prefix]!
-      const prefixHashes = Array.from({ length: blocks }, (_, i) => `${prefix}/${blocks - i}`)
+      const owner = name === 'shared prefixes' ? prefix : id
+      const prefixHashes = Array.from({ length: blocks }, (_, i) => `${owner}/${blocks - i}`)
       const promptTokens = blocks * TOKENS_PER_BLOCK + 20 + Math.floor(random() * 400)
       return { id, prefixHashes, tokensPerBlock: TOKENS_PER_BLOCK, promptTokens, outputTokens: 20 + Math.floor(random() * 180) }
     }
@@ -70,6 +77,7 @@
 interface Outcome { p99: number, p50: number, completedPerSecond: number }
 
 interface RunOptions {
+  workload: WorkloadName
   policy: PolicyName
   seed: number
   durationMs: number
@@ -77,10 +85,10 @@
   rate: number | undefined
 }
 
-async function run ({ policy, seed, durationMs, rate }: RunOptions): Promise<Outcome> {
+async function run ({ workload: workloadName, policy, seed, durationMs, rate }: RunOptions): Promise<Outcome> {
   const clock = createEventClock()
   const random = createRandom(seed)
-  const workload = createWorkload(createRandom(seed + 1000))
+  const workload = createWorkload(workloadName, createRandom(seed + 1000))
   const view = createBasicView({ maxConcurrent: 100_000 })
   const engines = new Map<BackendServerId, EngineModel>()
   const works = new Map<string, ModelWork>()
@@ -173,22 +181,26 @@
   return { p99: quantile(0.99), p50: quantile(0.5), completedPerSecond: completed * 1000 / durationMs }
 }
 
+/** Runs all policies at 80% of the completions a second that perfect information reaches with all slots busy. */
+async function compare (workload: WorkloadName, seed: number, durationMs: number): Promise<(string | number)[][]> {
+  const { completedPerSecond } = await run({ workload, policy: 'perfect information', seed, durationMs: durationMs / 2, rate: undefined })
+  const rate = LOAD * completedPerSecond
+  const outcomes = new Map<PolicyName, Outcome>()
+  for (const policy of POLICIES) outcomes.set(policy, await run({ workload, policy, seed, durationMs, rate }))
+  const best = outcomes.get('perfect information')!.p99
+  return [...outcomes].map(([policy, { p50, p99 }]) =>
+    [workload, seed, policy, rate.toFixed(1), p50.toFixed(0), p99.toFixed(0), (p99 / best).toFixed(2)])
+}
+
 async function runBenchmark ({ seeds, quick }: BenchmarkOptions): Promise<BenchmarkTable> {
   const durationMs = quick ? 20_000 : 120_000
   const rows: (string | number)[][] = []
-  for (const seed of seeds) {
-    const { completedPerSecond } = await run({ policy: 'perfect information', seed, durationMs: durationMs / 2, rate: undefined })
-    const rate = LOAD * completedPerSecond
-    const outcomes = new Map<PolicyName, Outcome>()
-    for (const policy of POLICIES) outcomes.set(policy, await run({ policy, seed, durationMs, rate }))
-    const best = outcomes.get('perfect information')!.p99
-    for (const [policy, { p50, p99 }] of outcomes) {
-      rows.push([seed, policy, rate.toFixed(1), p50.toFixed(0), p99.toFixed(0), (p99 / best).toFixed(2)])
-    }
+  for (const workload of WORKLOADS) {
+    for (const seed of seeds) rows.push(...await compare(workload, seed, durationMs))
   }
   return {
     title: `Choice of the backend server at ${LOAD * 100}% load`,
-    columns: ['seed', 'policy', 'requests/s', 'p50 first token (ms)', 'p99 first token (ms)', 'p99 against perfect information'],
+    columns: ['workload', 'seed', 'policy', 'requests/s', 'p50 first token (ms)', 'p99 first token (ms)', 'p99 against perfect information'],
     rows,
     notes: [
       `${SERVERS} engines with ${SLOTS} slots and ${CACHE_BLOCKS} cache blocks of ${TOKENS_PER_BLOCK} tokens; ${PREFIXES} shared prefixes.`,
--- a/src/core/admission/backend-choice.ts
+++ b/src/core/admission/backend-choice.ts
@@ -5,7 +5,7 @@
 import type { BackendCandidate, BackendChoice } from './types.ts'
 
 /** Cost of one request in flight, as prompt tokens: decoding steps of others delay the first token. */
-const TOKENS_PER_REQUEST_IN_FLIGHT = 64
+const TOKENS_PER_REQUEST_IN_FLIGHT = 160
 /** Identical requests go to the same backend server unless its expected work is this much larger, prompt tokens. */
 const SENT_BEFORE_BONUS_TOKENS = 512
 /** Expected extra work of a backend server in cold start, prompt tokens. */
--- a/src/core/admission/backend-table.ts
+++ b/src/core/admission/backend-table.ts
@@ -7,12 +7,14 @@
 import type { BackendServerId, DataCentreId } from '../ids/index.ts'
 import { createWarmth, type Warmth } from './cold-start.ts'
 import type { Permits } from './permits.ts'
+import { createPromptProgress, type PromptProgress } from './prompt-progress.ts'
 import type { HealthReport, PermitRequest } from './types.ts'
 
 export interface BackendEntry {
   id: BackendServerId
   spec: BackendServer
   warmth: Warmth
+  promptProgress: PromptProgress
   /** Whether a probe sent after the takeover wait was answered; nothing is granted before. */
   verified: boolean
   /** Requests in flight according to the backend server that no permit explains. */
@@ -121,6 +123,7 @@
     id,
     spec,
     warmth: createWarmth(),
+    promptProgress: createPromptProgress(),
     verified: false,
     unexplained: 0,
     releasedAt: [],
--- a/src/core/admission/backend-watch.ts
+++ b/src/core/admission/backend-watch.ts
@@ -5,6 +5,7 @@
 import type { BackendEntry, BackendTable } from './backend-table.ts'
 import { forgetGrant, observeFirstByte, observeProbe, turnCold } from './cold-start.ts'
 import type { PermitRecord } from './permits.ts'
+import { noteFirstByte } from './prompt-progress.ts'
 import type { PrefixIndex } from './prefix-index.ts'
 import type { ProbeAnswer, Prober } from './probes.ts'
 import type { PermitRelease } from './types.ts'
@@ -55,7 +56,10 @@
   function observe (record: PermitRecord, instance: string): void {
     const entry = table.get(record.backendServer)
     if (!entry) return
-    record.firstByteAt = Math.min(record.firstByteAt, now())
+    if (record.firstByteAt === Infinity) {
+      noteFirstByte(entry.promptProgress, record, now())
+      record.firstByteAt = now()
+    }
     if (!observeFirstByte(entry.warmth, { instance, grant: record.grant, number: nextNumber() })) return
     noteCold(entry, 'instance')
     prober.probe(entry)
--- a/src/core/admission/grants.ts
+++ b/src/core/admission/grants.ts
@@ -12,6 +12,7 @@
 import type { Eligibility } from './eligibility.ts'
 import type { Queued } from './fair-queue.ts'
 import type { PermitRecord, Permits } from './permits.ts'
+import { pendingTokens } from './prompt-progress.ts'
 import type { PrefixIndex } from './prefix-index.ts'
 import type { TeamLimits } from './team-limits.ts'
 import type { BackendCandidate, BackendChoice, PassedOver, PermitAnswer, PermitRefusalReason, PermitRequest } from './types.ts'
@@ -79,7 +80,7 @@
       warm: entry.warmth.state === 'warm',
       slots: entry.spec.slots,
       inFlight: table.load(entry),
-      pendingTokens: permits.of(entry.id).reduce((sum, record) => sum + (record.firstByteAt < Infinity ? 0 : record.pendingTokens), 0),
+      pendingTokens: pendingTokens(entry.promptProgress, permits.of(entry.id), clock.now()),
       cachedShare: prefixes.cachedShare(entry.id, request.prefixHashes),
       sentBefore: homes.get(request.fingerprint) === entry.id
     }
