Serve requests end to end through real processes

Cause: the capabilities were merged but not yet driven together. Ruled out: process.exit in the commands, which would hide leaked handles. Conclusion: the whole path runs, thin.

--- a/features/support/fakes.ts
+++ b/features/support/fakes.ts
@@ -83,6 +83,8 @@
       releases.push(release)
     },
     summaries: () => [],
+    start () {},
+    stop () {},
     heldCount: () => held.size
   }
   return Object.assign(fake, { client })
@@ -134,7 +136,9 @@
       if (servers.size >= 2) fake.quarantined.add(report.fingerprint)
     },
     remainingMs: () => 600_000,
-    lift: async () => {}
+    lift: async () => {},
+    start: async () => {},
+    stop () {}
   }
   return Object.assign(fake, { quarantine })
 }
@@ -205,6 +209,8 @@
     }
     const peers: PeerLinks = {
       setAddress () {},
+      forget () {},
+      setSharedKeys () {},
       async request<Answer> (to: VmId, type: PeerMessageType, body: unknown): Promise<Answer> {
         const handler = handlers.get(`${to}/${type}`)
         if (!handler || dead.has(to) || dead.has(vm)) throw new PeerError('peer_unreachable')
--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { stringify } from 'smol-toml'
+import { applySample, waitForLeaders } from '../../src/cli/dev/apply-sample.ts'
 import { freePorts } from '../../src/cli/dev/free-ports.ts'
 import { sampleConfig, SAMPLE_OPERATOR_KEY, SAMPLE_TEAM_KEY, SAMPLE_VERSIONS } from '../../src/cli/dev/sample-config.ts'
 import { startFaultProxy, type FaultProxy } from '../../src/standin/fault-proxy/index.ts'
@@ -111,8 +112,7 @@
 
   await Promise.all(addresses.slice(0, vms).map(({ id }) => startVm(id)))
   fleet.vms.sort((a, b) => a.id.localeCompare(b.id))
-  await applySample(fleet)
-  await waitUntil(() => servesModels(fleet), 'every VM lists the models')
+  await configure(fleet)
   return fleet
 }
 
@@ -138,30 +138,18 @@
   return await Promise.all(starting)
 }
 
-async function applySample (fleet: Fleet): Promise<void> {
-  const changes = sampleConfig({ region: REGION, dataCentres: fleet.dataCentres, engines: fleet.engines, applications: fleet.applications })
-  for (const change of changes) await putObject(fleet.vms[0]!, change.kind, change.name, change.spec)
+/** Applies the sample configuration through the first VM and waits until every VM knows a leader of each data centre. */
+async function configure (fleet: Fleet): Promise<void> {
+  const { dataCentres, engines, applications } = fleet
+  await waitUntil(async () => (await Promise.all(fleet.vms.map(isConfigured))).every(Boolean), 'every VM has loaded its configuration')
+  await applySample(fleet.vms[0]!.url, sampleConfig({ region: REGION, dataCentres, engines, applications }))
+  await Promise.all(fleet.vms.map(vm => waitForLeaders(vm.url)))
 }
 
-/** Creates or replaces a configuration object through a VM; returns the HTTP status and body. */
-export async function putObject (vm: FleetVm, kind: string, name: string, spec: unknown, revision?: number): Promise<{ status: number, body: Record<string, unknown> }> {
-  const headers: Record<string, string> = { 'content-type': 'application/json', authorization: `Bearer ${SAMPLE_OPERATOR_KEY}` }
-  if (revision !== undefined) headers['if-match'] = String(revision)
-  const response = await fetch(`${vm.url}/operator/v1/objects/${kind}/${name}`, { method: 'PUT', headers, body: JSON.stringify(spec) })
-  return { status: response.status, body: await response.json() as Record<string, unknown> }
-}
-
-async function servesModels (fleet: Fleet): Promise<boolean> {
-  const answers = await Promise.all(fleet.vms.map(vm => listModels(vm)))
-  return answers.every(models => models.length > 0)
-}
-
-async function listModels (vm: FleetVm): Promise<unknown[]> {
-  try {
-    const response = await fetch(`${vm.url}/v1/models`, { headers: { authorization: `Bearer ${SAMPLE_TEAM_KEY}` } })
-    if (!response.ok) return []
-    return (await response.json() as { data: unknown[] }).data
-  } catch {
-    return []
-  }
+/** Whether the VM has loaded its configuration; before, it refuses to check changes. */
+async function isConfigured ({ url }: FleetVm): Promise<boolean> {
+  const response = await fetch(`${url}/operator/v1/check`, {
+    method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify({ changes: [{ kind: 'Operator', name: 'admin', spec: { keys: [] } }] })
+  })
+  return response.ok
 }
--- a/features/support/processes.ts
+++ b/features/support/processes.ts
@@ -19,9 +19,16 @@
   resume(): void
 }
 
+const started = new Set<ChildProcess>()
+process.once('exit', () => {
+  for (const child of started) child.kill('SIGKILL')
+})
+
 /** Starts the program and resolves when it has printed its first line, which is JSON. */
 export async function startProcess (args: string[]): Promise<RunningProcess> {
   const child = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  started.add(child)
+  child.once('exit', () => started.delete(child))
   const log: string[] = []
   createInterface({ input: child.stderr! }).on('line', line => {
     log.push(line)
--- a/scripts/check-executable.mjs
+++ b/scripts/check-executable.mjs
@@ -1,4 +1,4 @@
-/** Starts the built executable, serves the sample requests once and fails when that fails. */
+/** Starts a fleet from the built executable, serves the sample requests once and fails when that fails. */
 import { execFileSync } from 'node:child_process'
 
-execFileSync('dist/lacewingstage', ['--version'], { stdio: 'inherit' })
+execFileSync('dist/lacewingstage', ['dev', '--once', '--port-base', '0'], { stdio: 'inherit' })
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -39,7 +39,8 @@
 
 mkdirSync('dist', { recursive: true })
 const args = [
-  CUCUMBER, '--import', 'features/**/*.ts', '--format', 'progress', '--format', `message:${REPORT}`,
+  // --exit: a handle that a failed scenario left open must not keep the run from ending.
+  CUCUMBER, '--exit', '--import', 'features/**/*.ts', '--format', 'progress', '--format', `message:${REPORT}`,
   ...process.argv.slice(2)
 ]
 const env = { ...process.env, NODE_OPTIONS: '--import tsx' }
--- a/src/bench/memory-object-api.ts
+++ b/src/bench/memory-object-api.ts
@@ -73,6 +73,7 @@
     delete: (kind, name, version) => call('delete', kind, name, () => {
       expectVersion(kind, name, version)
       objects.delete(`${kind}/${name}`)
+      return ++resourceVersion
     }),
     watch: () => { throw new ObjectApiError('object_api_unavailable', { detail: 'The object API in memory has no watches.' }) }
   }
--- a/src/bench/memory-region.ts
+++ b/src/bench/memory-region.ts
@@ -82,6 +82,8 @@
     return {
       request,
       setAddress () {},
+      forget () {},
+      setSharedKeys () {},
       notify: (to, type, body) => { request(to, type, body).catch(() => {}) },
       handle: (type, handler) => { self.handlers.set(type, handler) },
       onDisconnect () {},
--- a/src/cli/dev/dev-fleet.ts
+++ b/src/cli/dev/dev-fleet.ts
@@ -1,5 +1,5 @@
 /** A small fleet on loopback in one process: object API stand-in, engines, one application and entry VMs. */
-import { createConfigChangesOverHttp } from './apply-sample.ts'
+import { applySample, waitForLeaders } from './apply-sample.ts'
 import { freePorts } from './free-ports.ts'
 import { sampleConfig, SAMPLE_VERSIONS } from './sample-config.ts'
 import { parseSettings } from '../../core/settings/index.ts'
@@ -35,12 +35,13 @@
   })))
   const application = await startApplication({})
   const running = await startVms({ vms, portBase, objectApiUrl: objectApi.url })
-  await createConfigChangesOverHttp(running[0]!.callerUrl, sampleConfig({
+  await applySample(running[0]!.callerUrl, sampleConfig({
     region: REGION,
     dataCentres: DATA_CENTRES,
     engines: engineServers.map(({ address }, index) => ({ id: `runner-${index + 1}`, dataCentre: dataCentreOf(index), address })),
     applications: [{ id: 'app-1', dataCentre: dataCentreOf(0), address: application.address }]
   }))
+  await Promise.all(running.map(vm => waitForLeaders(vm.callerUrl)))
   return {
     vms: running,
     objectApiUrl: objectApi.url,
--- a/src/cli/stand-in/stand-ins.ts
+++ b/src/cli/stand-in/stand-ins.ts
@@ -28,8 +28,8 @@
     return { details: { address }, close }
   }],
   ['rating', async options => {
-    const { url, close } = await startRating(options as RatingOptions)
-    return { details: { url }, close }
+    const { address, close } = await startRating(options as RatingOptions)
+    return { details: { url: `http://${address}` }, close }
   }],
   ['vm-list', async options => {
     const { url, close } = await startVmList(options as VmListOptions)
--- a/src/core/vm/index.ts
+++ b/src/core/vm/index.ts
@@ -1,6 +1,7 @@
 /** A VM of the fleet: starts its parts in order, and stops without cutting a request. */
 import 'reflect-metadata'
 import type { DependencyContainer } from 'tsyringe'
+import type { Clock } from '../clock/index.ts'
 import { registerEntryPointRoutes } from '../entry-points/index.ts'
 import { createGateway, type Gateway } from '../gateway/index.ts'
 import { createOperatorAuthenticator, registerOperatorRoutes } from '../operator/index.ts'
@@ -112,16 +113,20 @@
   await parts.resolve(TOKENS.lease).release()
   parts.resolve(TOKENS.leaders).stop()
   await clock.sleep(settings.shutdown.announce_ms)
-  const isDrained = await Promise.race([
-    gateway.drain().then(() => true),
-    clock.sleep(deadline - clock.now()).then(() => false)
-  ])
-  if (!isDrained) log.warn('drain timeout passed with requests running', { running: gateway.running() })
+  if (!await endsBefore(gateway.drain(), deadline, clock)) log.warn('drain timeout passed with requests running', { running: gateway.running() })
   await handOver(parts, log, deadline - clock.now())
   await closeLinks(parts)
   parts.resolve(TOKENS.lifecycle).enter('stopped')
 }
 
+/** Whether the work ends before the deadline; the timer does not outlive the work and so cannot delay the exit. */
+async function endsBefore (work: Promise<void>, deadline: number, clock: Clock): Promise<boolean> {
+  return await new Promise((resolve, reject) => {
+    const cancel = clock.after(deadline - clock.now(), () => resolve(false))
+    work.then(() => resolve(true), reject).finally(cancel)
+  })
+}
+
 /** Makes durable or returns what this VM still holds. */
 async function handOver (parts: DependencyContainer, log: { warn: (message: string, fields: object) => void }, timeoutMs: number): Promise<void> {
   await parts.resolve(TOKENS.claims).stop()
