--- a/features/steps/object-api.ts
+++ b/features/steps/object-api.ts
@@ -14,7 +14,7 @@
 type Operation = 'create' | 'update' | 'delete'
 
 interface ObjectApiWorld {
-  server: ObjectApiServer
+  objectApiServer: ObjectApiServer
   metrics: Metrics
   client: ObjectApiClient
   /** Second client, for changes by somebody else. */
@@ -46,10 +46,10 @@
 }
 
 Given('an object API that holds Model\\/m', async function (this: ObjectApiWorld) {
-  this.server = await startObjectApiServer({ port: 0, bookmarkMs: 100 })
+  this.objectApiServer = await startObjectApiServer({ port: 0, bookmarkMs: 100 })
   this.metrics = createMetrics()
-  this.client = newClient(this.server.url, this.metrics)
-  this.other = newClient(this.server.url, createMetrics())
+  this.client = newClient(this.objectApiServer.url, this.metrics)
+  this.other = newClient(this.objectApiServer.url, createMetrics())
   // Moves the counter on, so that the version before that of Model/m is a valid one.
   await this.other.create('Service', 's', ORIGINAL)
   const created = await this.other.create('Model', 'm', ORIGINAL)
@@ -57,11 +57,11 @@
 })
 
 After(async function (this: Partial<ObjectApiWorld>) {
-  await this.server?.close()
+  await this.objectApiServer?.close()
 })
 
 Given('an object API fault: {} on {}', async function (this: ObjectApiWorld, fault: string, operation: Operation) {
-  const { control } = this.server
+  const { control } = this.objectApiServer
   if (operation === 'create') await this.other.delete('Model', 'm', this.version)
   const readsBefore = control.counters().reads
   if (fault === 'answer dropped') return control.dropAnswers(1)
@@ -93,7 +93,7 @@
   const meanwhile = this.meanwhile?.()
   this.outcome = await outcomeOf(() => send(this, operation))
   await meanwhile
-  if (this.releaseAfterwards) this.server.control.releaseHeld()
+  if (this.releaseAfterwards) this.objectApiServer.control.releaseHeld()
 })
 
 When('the object API client sends a {word} that is refused because of {}', async function (this: ObjectApiWorld, operation: Operation, cause: string) {
@@ -113,17 +113,17 @@
 })
 
 Given('an object API outage that a read has noticed', async function (this: ObjectApiWorld) {
-  this.writesBefore = this.server.control.counters().writes
-  this.server.control.outage('refuse')
+  this.writesBefore = this.objectApiServer.control.counters().writes
+  this.objectApiServer.control.outage('refuse')
   assert.equal(await outcomeOf(() => this.client.get('Model', 'm')), 'object_api_unavailable')
 })
 
 Given('an object API that hangs', function (this: ObjectApiWorld) {
-  this.server.control.outage('hang')
+  this.objectApiServer.control.outage('hang')
 })
 
 Then('the object API received no write during the outage', function (this: ObjectApiWorld) {
-  assert.equal(this.server.control.counters().writes, this.writesBefore)
+  assert.equal(this.objectApiServer.control.counters().writes, this.writesBefore)
 })
 
 Then('the object API client counted {int} retries of the read', function (this: ObjectApiWorld, count: number) {
@@ -157,7 +157,7 @@
 })
 
 When('an object API watch meets {}', async function (this: ObjectApiWorld, cause: string) {
-  const { control } = this.server
+  const { control } = this.objectApiServer
   const from = cause === 'a compacted start' ? this.version - 1 : this.version
   if (cause === 'a compacted start') control.compact()
   const watching = outcomeOf(() => collect(this, from, new AbortController().signal))
--- a/src/core/operator/index.ts
+++ b/src/core/operator/index.ts
@@ -72,8 +72,6 @@
 async function putObject (options: OperatorRoutesOptions, { request, caller }: Context): Promise<object> {
   const { kind, name } = targetOf(request)
   const resourceVersion = ifMatchOf(request)
-  const current = options.view.entry(kind, name)
-  if (resourceVersion === undefined && current) throw new ConfigConflictError(`${kind}/${name}`, current.resourceVersion)
   const spec = parseBody(specBody, request.payload)
   const change = { kind, name, spec, resourceVersion } as unknown as ConfigChange
   const [accepted] = await applyChanges(options, [change], caller)
