Keep the last valid version of an object that another client wrote wrongly

Cause: any client can write to the object API, and an object that breaks its schema would have reached the gateway, where it fails requests. Ruled out: refusing the record, because the digests of VMs would differ for ever; parsing at each reader. Change: the replica merges such a version but keeps the last valid one in force, fills in defaults, and reports it by a gauge and GET /operator/v1/kinds; a revision that breaks the schema does not count as in force. Conclusion: a wrong write by hand changes nothing until it is corrected.

--- a/features/config.feature
+++ b/features/config.feature
@@ -129,3 +129,15 @@
     And the configuration holds models, versions, a contract and a rollout
     When the configuration VM a3 is cut off and a1 changes Model/big
     Then the configuration revision is in force on a1 a2 and missing on a3
+
+  Scenario Outline: a configuration object that another client wrote wrongly is not put in force: <case>
+    Given configuration VMs a1 a2 a3
+    And the configuration holds models, versions, a contract and a rollout
+    When another client writes Model/big with <spec> to the object API of the configuration
+    Then the configuration of every VM has Model/big with <tier> and reports <invalid> invalid objects
+
+    Examples:
+      | case            | spec           | tier | invalid |
+      | wrong type      | {"tier":"two"} | 1    | 1       |
+      | unknown field   | {"teir":2}     | 1    | 1       |
+      | defaults absent | {"tier":2}     | 2    | 0       |
--- a/features/steps/config.ts
+++ b/features/steps/config.ts
@@ -304,6 +304,18 @@
   for (const { replica } of this.vms.values()) assert.deepEqual(liveObjects(replica), storedObjects(this))
 })
 
+When('another client writes Model\\/big with {} to the object API of the configuration', async function (this: ConfigWorld, spec: string) {
+  await changeDirectly(this, 'big', JSON.parse(spec))
+  await settle(this)
+})
+
+Then('the configuration of every VM has Model\\/big with {int} and reports {int} invalid objects', function (this: ConfigWorld, tier: number, invalid: number) {
+  for (const { replica } of this.vms.values()) {
+    assert.deepEqual(replica.get('Model', 'big'), { tier, contextTokens: 8192 })
+    assert.equal(replica.invalidObjects().length, invalid)
+  }
+})
+
 When('the configuration VM a3 is cut off and a1 changes Model\\/big', async function (this: ConfigWorld) {
   this.hub.cut.add(this.vms.get('a3')!.id)
   await makeChange(this, 'Model/big tier=5', 'a1')
--- a/src/core/config/exchange.ts
+++ b/src/core/config/exchange.ts
@@ -104,10 +104,9 @@
   }
 
   function isInForce (revision: number, object: ObjectVersion | undefined): boolean {
-    if (replica.completeTo() >= revision) return true
-    if (!object) return false
-    const known = replica.record(object.kind, object.name)
-    return known !== undefined && known.resourceVersion >= object.resourceVersion
+    const known = object && replica.record(object.kind, object.name)
+    if (!known || known.resourceVersion < object.resourceVersion) return replica.completeTo() >= revision
+    return !replica.isInvalid(object.kind, object.name)
   }
 
   function objectAt (revision: number): ObjectVersion | undefined {
--- a/src/core/config/index.ts
+++ b/src/core/config/index.ts
@@ -14,14 +14,16 @@
 import { IN_FORCE_POLL_MS, MAX_RETRY_MS, RETRY_MS } from './constants.ts'
 import { ConfigConflictError, ConfigInvalidError } from './errors.ts'
 import { createExchange } from './exchange.ts'
-import type { ConfigReplica, ConfigSummary } from './replica.ts'
+import type { ConfigReplica, ConfigSummary, InvalidObject } from './replica.ts'
 import type { AcceptedChange, ConfigChange, ConfigRecord } from './types.ts'
 import { validateChanges, type Validation } from './validation.ts'
 import { createWatcher, isElected } from './watcher.ts'
 import { storeChanges } from './writer.ts'
 
 export { ConfigConflictError, ConfigInvalidError, describeProblem, type ConfigProblem } from './errors.ts'
-export { createConfigReplica, type ConfigDigest, type ConfigReplica, type ConfigSnapshot, type ConfigSummary } from './replica.ts'
+export {
+  createConfigReplica, type ConfigDigest, type ConfigReplica, type ConfigSnapshot, type ConfigSummary, type InvalidObject
+} from './replica.ts'
 export type { ConfigDifference, FieldDifference } from './validation.ts'
 export { INTENT_TRIES } from './constants.ts'
 
@@ -67,6 +69,8 @@
   /** Catches up with a VM that knows a newer revision. */
   pullFrom (vm: VmId): Promise<void>
   isWatching (): boolean
+  /** Objects that another client wrote wrongly; their last valid version stays in force. */
+  invalidObjects (): InvalidObject[]
 }
 
 export function createConfigController ({
@@ -75,6 +79,7 @@
   const exchange = createExchange({ replica, peers, membership, metrics, log, push })
   const watcher = createWatcher({ objectApi, replica, membership, clock, metrics, log, onNew: forwardToDataCentre, random })
   const stopping = new AbortController()
+  metrics.gauge('config_invalid_objects', 'Objects whose newest version breaks the schema', () => replica.invalidObjects().length)
 
   /** Changes that other clients of the object API made reach the VMs of the data centre that do not watch. */
   function forwardToDataCentre (records: ConfigRecord[]): void {
@@ -177,7 +182,8 @@
       else metrics.count('bad_input', 'config_ping_payload')
     },
     async pullFrom (vm) { await exchange.pullFrom(vm) },
-    isWatching: () => watcher.isWatching()
+    isWatching: () => watcher.isWatching(),
+    invalidObjects: () => replica.invalidObjects()
   }
 }
 
--- a/src/core/config/replica.ts
+++ b/src/core/config/replica.ts
@@ -2,11 +2,14 @@
  * Replica of the configuration on one VM. Per object the highest resourceVersion wins and deletions leave tombstones,
  * so that late and reordered records cannot revert anything. `completeTo` says up to which store version nothing is
  * missing; tombstones up to it are dropped, since an unknown object below it is known to be deleted.
+ *
+ * Other clients of the object API may write objects that break the schema. Such a version is merged like any other,
+ * but the last valid version of the object stays in force here.
  */
 import { createHash } from 'node:crypto'
 import { CONFIG_KINDS, type ConfigKind } from '../object-api/types.ts'
 import { DIGEST_BUCKETS } from './constants.ts'
-import type { ConfigEntry, ConfigRecord, ConfigView } from './types.ts'
+import { CONFIG_SCHEMAS, type ConfigEntry, type ConfigRecord, type ConfigView } from './types.ts'
 
 /** Short form for membership pings: equal hashes mean equal live objects. */
 export interface ConfigSummary {
@@ -44,6 +47,9 @@
   record (kind: ConfigKind, name: string): ConfigRecord | undefined
   /** Record that was produced by the store version. */
   recordAt (resourceVersion: number): ConfigRecord | undefined
+  /** Objects whose newest version is not in force because it breaks the schema. */
+  invalidObjects (): InvalidObject[]
+  isInvalid (kind: ConfigKind, name: string): boolean
   completeTo (): number
   /** Declares that nothing up to the store version is missing. */
   markComplete (resourceVersion: number): void
@@ -51,13 +57,23 @@
   markSynced (): void
 }
 
+/** Version of an object that breaks the schema of its kind. */
+export interface InvalidObject {
+  kind: ConfigKind
+  name: string
+  resourceVersion: number
+  message: string
+}
+
 /** Hashes stay below 2^48, so that sums of two are exact. */
 const HASH_MODULUS = 2 ** 48
 const HASH_BYTES = 6
 
 export function createConfigReplica (): ConfigReplica {
   const records = new Map<string, ConfigRecord>()
+  /** Records in force. */
   const byKind = new Map<ConfigKind, Map<string, ConfigRecord>>(CONFIG_KINDS.map(kind => [kind, new Map()]))
+  const invalid = new Map<string, InvalidObject>()
   const listeners = new Set<(records: readonly ConfigRecord[]) => void>()
   const buckets = new Array<number>(DIGEST_BUCKETS).fill(0)
   let hash = 0
@@ -82,13 +98,26 @@
     if (known && !known.deleted) addHash(known, -1)
     records.set(keyOf(record), record)
     revision = Math.max(revision, record.resourceVersion)
-    const ofKind = byKind.get(record.kind)!
+    if (!record.deleted) addHash(record, 1)
+  }
+
+  /** Returns the record as it is in force, with defaults filled in; undefined when it breaks the schema. */
+  function putInForce (record: ConfigRecord): ConfigRecord | undefined {
+    const { kind, name, resourceVersion } = record
+    invalid.delete(keyOf(record))
     if (record.deleted) {
-      ofKind.delete(record.name)
-      return
+      byKind.get(kind)!.delete(name)
+      return record
+    }
+    const result = CONFIG_SCHEMAS[kind].safeParse(record.spec)
+    if (!result.success) {
+      const message = result.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; ')
+      invalid.set(keyOf(record), { kind, name, resourceVersion, message })
+      return undefined
     }
-    ofKind.set(record.name, record)
-    addHash(record, 1)
+    const valid: ConfigRecord = { ...record, spec: result.data }
+    byKind.get(kind)!.set(name, valid)
+    return valid
   }
 
   function apply (incoming: readonly ConfigRecord[]): ConfigRecord[] {
@@ -98,7 +127,8 @@
       store(record)
       applied.push(record)
     }
-    if (applied.length > 0) for (const listener of listeners) listener(applied)
+    const changed = applied.flatMap(record => putInForce(record) ?? [])
+    if (changed.length > 0) for (const listener of listeners) listener(changed)
     return applied
   }
 
@@ -163,6 +193,8 @@
     }),
     record: (kind, name) => records.get(`${kind}/${name}`),
     recordAt: resourceVersion => [...records.values()].find(record => record.resourceVersion === resourceVersion),
+    invalidObjects: () => [...invalid.values()],
+    isInvalid: (kind, name) => invalid.has(`${kind}/${name}`),
     completeTo: () => completeTo,
     markComplete,
     isSynced: () => synced,
--- a/src/core/operator/index.ts
+++ b/src/core/operator/index.ts
@@ -35,12 +35,12 @@
 }
 
 function objectRoutes (options: OperatorRoutesOptions): ServerRoute[] {
-  const { view } = options
+  const { view, config } = options
   const wrap = createWrapper(options)
   const member = `${PREFIX}/objects/{kind}/{name}`
   const bootstrap = { allowBootstrap: (request: Request) => request.params.kind === 'Operator' }
   return [
-    { method: 'GET', path: `${PREFIX}/kinds`, handler: wrap(() => ({ kinds: CONFIG_KINDS, revision: view.revision() })) },
+    { method: 'GET', path: `${PREFIX}/kinds`, handler: wrap(() => ({ kinds: CONFIG_KINDS, revision: view.revision(), invalid: config.invalidObjects() })) },
     { method: 'GET', path: `${PREFIX}/objects/{kind}`, handler: wrap(({ request }) => listObjects(options, request)) },
     { method: 'GET', path: member, handler: wrap(({ request }) => getObject(options, request)) },
     { method: 'PUT', path: member, handler: wrap(context => putObject(options, context), bootstrap) },
