Test the peer links under hostile input, key changes, slow readers and TLS

Cause: a link must refuse whatever is not authenticated without holding memory for it, and tell an undelivered request from an unknown outcome. Change: 38 scenarios on loopback sockets with the manual clock; each attack is repeated 130 times, more than the handshakes allowed at once, so that a leaked slot fails the test. The connection limit now starts with the TCP connection, because an idle connection was only bounded by the number of connections. A connection that uses an older key is replaced in the background, because removing the key otherwise cut requests in flight. Conclusion: refusals are counted by reason and the links go on serving.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -169,7 +169,7 @@
       | with wrong flags     | membership_malformed |
 
   Scenario: the membership merge is commutative, associative, idempotent and never goes back
-    Then the membership merge laws hold for random records
+    Then the membership merge laws hold for random records with seed 20261204
 
   Scenario: the membership decoders survive any input
-    Then the membership decoders accept only what they would send
+    Then the membership decoders accept only what they would send, with seed 20261204
--- /dev/null
+++ b/features/peer.feature
@@ -0,0 +1,107 @@
+Feature: Peer links
+
+  Scenario Outline: <input> is counted, ends the connection and leaves the others served
+    Given peer links of vm-1 and vm-2 with the key "first-shared-key"
+    When a peer connection sends <input> to vm-1
+    Then the peer connection is closed
+    And vm-1 counted bad peer input as <reason> and holds no connection of it
+    And a peer request from vm-2 to vm-1 is answered
+
+    Examples:
+      | input                            | reason                 |
+      | bytes that are not HTTP          | peer_malformed         |
+      | a plain HTTP request             | peer_malformed         |
+      | a hello that is not JSON         | peer_malformed         |
+      | a hello for another VM           | peer_wrong_vm          |
+      | a hello of another version       | peer_wrong_version     |
+      | a hello larger than a handshake  | peer_oversized         |
+      | an endless HTTP header           | peer_malformed         |
+      | a proof with an unknown key      | peer_wrong_key         |
+      | the proof of the other side      | peer_wrong_key         |
+      | nothing                          | peer_handshake_timeout |
+      | a frame that is not MessagePack  | peer_malformed         |
+      | a frame of an unknown kind       | peer_malformed         |
+      | a text frame                     | peer_malformed         |
+      | a frame over the size limit      | peer_oversized         |
+
+  Scenario: the number of handshakes at one time is bounded
+    Given peer links of vm-1 and vm-2 with the key "first-shared-key"
+    When 140 peer connections open to vm-1 without authenticating
+    Then vm-1 counted 12 peer connections as peer_too_many_handshakes
+    And after the peer handshake timeout a peer request from vm-2 to vm-1 is answered
+
+  Scenario Outline: a request to <peer> fails with <error>
+    Given peer links of vm-1 and vm-2 with the key "first-shared-key"
+    And vm-2 is a peer that is <peer>
+    When vm-1 sends a peer request to vm-2
+    Then the peer request fails with <error>
+
+    Examples:
+      | peer                           | error            |
+      | without a known address        | peer_unreachable |
+      | refusing connections           | peer_unreachable |
+      | frozen before the connection   | peer_unreachable |
+      | another VM at its address      | peer_unreachable |
+      | using another key              | peer_unreachable |
+      | a listener without a key       | peer_unreachable |
+      | never answering                | peer_timeout     |
+      | frozen after the connection    | peer_timeout     |
+      | losing the answer              | peer_timeout     |
+      | ending with the request        | peer_timeout     |
+      | without a handler              | peer_rejected    |
+      | failing in its handler         | peer_rejected    |
+
+  Scenario: a connection that stays silent is replaced by a new one
+    Given peer links of vm-1 and vm-2 with the key "first-shared-key"
+    And vm-2 is a peer that is frozen after the connection
+    When vm-1 sends 2 peer requests to vm-2 that time out
+    And the peer network thaws
+    Then a peer request from vm-1 to vm-2 is answered
+
+  Scenario: keys are changed without a restart while requests go on
+    Given peer links of vm-1 and vm-2 with the key "first-shared-key"
+    When the peer keys are changed step by step to "second-shared-key" under requests
+    Then no peer request failed
+    And vm-1 refuses a peer with the key "first-shared-key"
+
+  Scenario: a removed key ends the connections that used it
+    Given peer links of vm-1 and vm-2 with the key "first-shared-key"
+    When vm-1 accepts only the peer key "second-shared-key"
+    And vm-1 sends a peer request to vm-2
+    Then the peer request fails with peer_unreachable
+
+  Scenario: a peer that does not read is disconnected before it fills the memory
+    Given peer links of vm-1 and vm-2 with the key "first-shared-key"
+    When an authenticated peer of vm-1 stops reading while vm-1 sends to it
+    Then vm-1 counted the peer failure slow_peer
+
+  Scenario: a message over the limit is refused by its sender and the connection goes on
+    Given peer links of vm-1 and vm-2 with the key "first-shared-key"
+    When vm-1 sends a peer request to vm-2 that is over the size limit
+    Then the peer request fails with peer_rejected
+    And a peer request from vm-1 to vm-2 is answered
+
+  Scenario: two VMs that connect at the same time use one connection
+    Given peer links of vm-1 and vm-2 with the key "first-shared-key"
+    When vm-1 and vm-2 send peer requests to each other at the same time
+    Then later peer requests of both wait when the connection that vm-1 made is frozen
+
+  Scenario: a new run of a VM ends the connections of the earlier one
+    Given peer links of vm-1 and vm-2 with the key "first-shared-key"
+    When a new run of vm-2 connects while a peer request to the earlier one waits
+    Then the peer request fails with peer_timeout
+    And vm-1 counted the peer failure replaced_boot
+
+  Scenario Outline: with TLS, a peer <peer> is <result>
+    Given peer links of vm-1 and vm-2 over TLS
+    When vm-1 sends a TLS peer request to a vm-2 <peer>
+    Then the TLS peer request is <result>
+
+    Examples:
+      | peer                                | result   |
+      | with a certificate of the authority | answered |
+      | with a certificate of its own       | refused  |
+      | without TLS                         | refused  |
+
+  Scenario: the peer frame decoder survives any input
+    Then the peer frame decoder returns only frames, for random bytes and for damaged frames with seed 20261204
--- a/features/steps/membership.ts
+++ b/features/steps/membership.ts
@@ -262,7 +262,7 @@
   peerAddress: fc.constantFrom('127.0.0.1:1', '127.0.0.1:2')
 }).map(fields => record(fields as Partial<MemberRecord>))
 
-Then('the membership merge laws hold for random records', function () {
+Then('the membership merge laws hold for random records with seed {int}', function (seed: number) {
   fc.assert(fc.property(anyRecord, anyRecord, anyRecord, (a, b, c) => {
     const joined = mergeRecords(a, b)
     assert.deepEqual(joined, mergeRecords(b, a))
@@ -271,18 +271,18 @@
     assert.equal(mergeRecords(joined, a), joined)
     assert.ok(compareRuns(joined, a) >= 0)
     if (compareRuns(joined, a) === 0) assert.ok(joined.health >= a.health && (joined.leaving || !a.leaving))
-  }), { seed: SEED, numRuns: 2000 })
+  }), { seed, numRuns: 2000 })
 })
 
-Then('the membership decoders accept only what they would send', function () {
+Then('the membership decoders accept only what they would send, with seed {int}', function (seed: number) {
   fc.assert(fc.property(fc.anything({ maxDepth: 4 }), value => {
     const gossip = decodeGossip(value)
     if (gossip) assert.deepEqual(decodeGossip(encodeGossip(gossip)), gossip)
     const request = decodePingRequest(value)
     if (request) assert.ok(request.timeoutMs > 0)
-  }), { seed: SEED, numRuns: 2000 })
+  }), { seed, numRuns: 2000 })
   fc.assert(fc.property(anyRecord, fc.array(anyRecord, { maxLength: 5 }), (sender, updates) => {
     const gossip = { sender, updates, isFullList: true, digest: 5, payload: undefined }
     assert.deepEqual(decodeGossip(encodeGossip(gossip)), gossip)
-  }), { seed: SEED, numRuns: 200 })
+  }), { seed, numRuns: 200 })
 })
--- /dev/null
+++ b/features/steps/peer.ts
@@ -0,0 +1,406 @@
+import assert from 'node:assert/strict'
+import { connect, type AddressInfo, type Socket } from 'node:net'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import fc from 'fast-check'
+import { WebSocket, WebSocketServer } from 'ws'
+import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
+import type { BootId, DataCentreId, RegionId, VmId } from '../../src/core/ids/index.ts'
+import { silentLog } from '../../src/core/logging/index.ts'
+import { createMetrics, type Metrics } from '../../src/core/metrics/index.ts'
+import { createPeerLinks, readPeerTls, type PeerLinks, type PeerTls } from '../../src/core/peer/index.ts'
+import { HANDSHAKE_TIMEOUT_MS } from '../../src/core/peer/constants.ts'
+import { decodeFrame, encodeFrame, type Frame } from '../../src/core/peer/frames.ts'
+import { startHandshake } from '../../src/core/peer/handshake.ts'
+import type { VmIdentity } from '../../src/core/settings/index.ts'
+import { startFaultProxy, type FaultProxy } from '../../src/standin/fault-proxy/index.ts'
+
+const VM_1 = 'vm-1' as VmId
+const VM_2 = 'vm-2' as VmId
+const MAX_MESSAGE_BYTES = 65_536
+const MAX_BUFFERED_BYTES = 262_144
+/** More than the handshakes that are allowed at one time, so that a leak of one per connection is noticed. */
+const ATTACKS = 130
+
+interface Node { links: PeerLinks, metrics: Metrics, port: number }
+
+interface PeerWorld {
+  clock: ManualClock
+  first: Node
+  second: Node
+  nodes: Node[]
+  proxy?: FaultProxy
+  impostor?: WebSocketServer
+  sockets: Socket[]
+  closed: Promise<unknown>
+  request?: Promise<unknown>
+  failures: unknown[]
+  outcomes?: PromiseSettledResult<unknown>[]
+}
+
+function identity (vm: string, boot = `boot-${vm}`): VmIdentity {
+  return { vm: vm as VmId, boot: boot as BootId, region: 'r' as RegionId, dataCentre: 'd' as DataCentreId }
+}
+
+interface NodeOptions { vm: string, boot?: string, keys?: string[], tls?: PeerTls | undefined }
+
+async function startNode (world: PeerWorld, { vm, boot, keys = ['first-shared-key'], tls }: NodeOptions): Promise<Node> {
+  const metrics = createMetrics()
+  const links = createPeerLinks({
+    identity: identity(vm, boot),
+    address: '127.0.0.1:0',
+    sharedKeys: keys,
+    tls,
+    clock: world.clock,
+    metrics,
+    log: silentLog,
+    maxMessageBytes: MAX_MESSAGE_BYTES,
+    maxBufferedBytes: MAX_BUFFERED_BYTES
+  })
+  links.handle('config.pull', (body, from) => ({ body, from }))
+  const node = { links, metrics, port: await links.listen() }
+  world.nodes.push(node)
+  return node
+}
+
+async function startPair (world: PeerWorld, options: Partial<NodeOptions> = {}): Promise<void> {
+  world.clock = createManualClock()
+  world.nodes = []
+  world.sockets = []
+  world.failures = []
+  world.first = await startNode(world, { ...options, vm: VM_1 })
+  world.second = await startNode(world, { ...options, vm: VM_2 })
+  world.first.links.setAddress(VM_2, `127.0.0.1:${world.second.port}`)
+  world.second.links.setAddress(VM_1, `127.0.0.1:${world.first.port}`)
+}
+
+/** Lets sockets deliver what was sent. */
+function turn (): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, 1))
+}
+
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await turn()
+}
+
+/** Moves the clock until the promise settles; resolves with its error, if any. */
+async function settleByTime (world: PeerWorld, promise: Promise<unknown>): Promise<unknown> {
+  const state = { settled: false, error: undefined as unknown }
+  promise.catch((reason: unknown) => { state.error = reason }).finally(() => { state.settled = true })
+  for (let i = 0; i < 20 && !state.settled; i++) await turn()
+  while (!state.settled) {
+    await world.clock.advance(20)
+    await turn()
+  }
+  return state.error
+}
+
+function open (world: PeerWorld): Socket {
+  const socket = connect(world.first.port, '127.0.0.1')
+  socket.on('error', () => {})
+  world.sockets.push(socket)
+  return socket
+}
+
+async function openWebSocket (world: PeerWorld): Promise<WebSocket> {
+  const socket = new WebSocket(`ws://127.0.0.1:${world.first.port}/`)
+  socket.on('error', () => {})
+  await new Promise((resolve, reject) => { socket.once('open', resolve).once('error', reject) })
+  return socket
+}
+
+function authenticate (socket: WebSocket, key = 'first-shared-key', vm = 'vm-9'): Promise<void> {
+  return new Promise(resolve => startHandshake(socket, VM_1, {
+    identity: identity(vm), keys: () => [key], channelBinding: Buffer.alloc(0), onAuthenticated: () => resolve(), onFailure: () => {}
+  }))
+}
+
+const NONCE = 'ab'.repeat(32)
+const hello = (fields = {}) => JSON.stringify({ version: 1, vm: 'vm-9', boot: 'boot-9', to: 'vm-1', nonce: NONCE, ...fields })
+
+/** Sends over a WebSocket that is not authenticated. */
+const early = (send: (socket: WebSocket) => void) => async (world: PeerWorld) => {
+  const socket = await openWebSocket(world)
+  const closed = new Promise(resolve => socket.once('close', resolve))
+  send(socket)
+  return { closed }
+}
+
+const late = (send: (socket: WebSocket) => void) => async (world: PeerWorld) => {
+  const socket = await openWebSocket(world)
+  const closed = new Promise(resolve => socket.once('close', resolve))
+  await authenticate(socket)
+  send(socket)
+  return { closed }
+}
+
+const raw = (bytes: string) => async (world: PeerWorld) => {
+  const socket = open(world)
+  const closed = new Promise(resolve => socket.once('close', resolve))
+  socket.resume().write(bytes)
+  return { closed }
+}
+
+type Attack = (world: PeerWorld) => Promise<{ closed: Promise<unknown> }>
+
+const ATTACKS_BY_NAME: Record<string, Attack> = {
+  'bytes that are not HTTP': raw('\u0000\u0001\u0002garbage\r\n\r\n'),
+  'a plain HTTP request': raw('GET / HTTP/1.1\r\nhost: x\r\n\r\n'),
+  'an endless HTTP header': raw('GET / HTTP/1.1\r\nx: ' + 'a'.repeat(20_000)),
+  'a hello that is not JSON': early(socket => socket.send('{')),
+  'a hello for another VM': early(socket => socket.send(hello({ to: 'vm-7' }))),
+  'a hello of another version': early(socket => socket.send(hello({ version: 99 }))),
+  'a hello larger than a handshake': early(socket => socket.send(hello({ nonce: 'x'.repeat(60_000) }))),
+  'a proof with an unknown key': early(socket => void authenticate(socket, 'unknown-shared-key')),
+  // An attacker who knows no key sends back what the listening side would send.
+  'the proof of the other side': early(socket => {
+    socket.once('message', () => socket.send(JSON.stringify({ mac: NONCE })))
+    socket.send(hello())
+  }),
+  nothing: raw(''),
+  'a frame that is not MessagePack': late(socket => socket.send(Buffer.from([0xc1, 0xff, 0x00]))),
+  'a frame of an unknown kind': late(socket => socket.send(Buffer.from([0x92, 0x09, 0x01]))),
+  'a text frame': late(socket => socket.send('{}')),
+  'a frame over the size limit': late(socket => socket.send(Buffer.alloc(MAX_MESSAGE_BYTES + 1)))
+}
+
+After(async function (this: Partial<PeerWorld>) {
+  for (const socket of this.sockets ?? []) socket.destroy()
+  await Promise.all((this.nodes ?? []).map(({ links }) => links.close()))
+  await this.proxy?.close()
+  this.impostor?.close()
+})
+
+Given('peer links of vm-1 and vm-2 with the key {string}', async function (this: PeerWorld, key: string) {
+  await startPair(this, { keys: [key] })
+})
+
+When(/^a peer connection sends (.*) to vm-1$/, async function (this: PeerWorld, input: string) {
+  const attacks = await Promise.all(Array.from({ length: ATTACKS / 2 }, () => ATTACKS_BY_NAME[input]!(this)))
+  this.closed = Promise.all(attacks.map(({ closed }) => closed))
+  if (input === 'nothing') await settleByTime(this, this.closed)
+  await this.closed
+  const second = await Promise.all(Array.from({ length: ATTACKS / 2 }, () => ATTACKS_BY_NAME[input]!(this)))
+  this.closed = Promise.all(second.map(({ closed }) => closed))
+  if (input === 'nothing') await settleByTime(this, this.closed)
+})
+
+Then('the peer connection is closed', async function (this: PeerWorld) {
+  await this.closed
+})
+
+Then('vm-1 counted bad peer input as {word} and holds no connection of it', async function (this: PeerWorld, reason: string) {
+  await until(() => this.first.metrics.value('bad_input', reason) === ATTACKS)
+  const { metrics } = this.first
+  // A notification to the attacker's VM finds neither a connection nor an address.
+  this.first.links.notify('vm-9' as VmId, 'config.pull', 1)
+  await until(() => metrics.value('peer_failures', 'notify_peer_unreachable') === 1)
+})
+
+Then('a peer request from {word} to {word} is answered', async function (this: PeerWorld, from: string, to: string) {
+  const node = from === VM_1 ? this.first : this.second
+  const answer = await node.links.request(to as VmId, 'config.pull', { some: 'body' }, { timeoutMs: 5000 })
+  assert.deepEqual(answer, { body: { some: 'body' }, from })
+})
+
+When('{int} peer connections open to vm-1 without authenticating', async function (this: PeerWorld, count: number) {
+  const sockets = await Promise.allSettled(Array.from({ length: count }, () => openWebSocket(this)))
+  assert.ok(sockets.some(({ status }) => status === 'fulfilled'))
+})
+
+Then('vm-1 counted {int} peer connections as {word}', async function (this: PeerWorld, count: number, reason: string) {
+  await until(() => this.first.metrics.value('bad_input', reason) === count)
+})
+
+Then('after the peer handshake timeout a peer request from vm-2 to vm-1 is answered', async function (this: PeerWorld) {
+  await this.clock.advance(HANDSHAKE_TIMEOUT_MS)
+  assert.ok(await this.second.links.request(VM_1, 'config.pull', 1))
+})
+
+Given(/^vm-2 is a peer that is (.*)$/, async function (this: PeerWorld, kind: string) {
+  const { links } = this.first
+  this.proxy = await startFaultProxy({ target: `127.0.0.1:${this.second.port}` })
+  links.setAddress(VM_2, this.proxy.address)
+  const connectFirst = () => links.request(VM_2, 'config.pull', 0)
+  const handle = (run: () => unknown) => this.second.links.handle('permit.request', run)
+  const prepare: Record<string, () => unknown> = {
+    'without a known address': () => links.forget(VM_2),
+    'refusing connections': () => this.proxy!.set({ refuse: true }),
+    'frozen before the connection': () => this.proxy!.set({ frozen: true }),
+    'another VM at its address': () => links.setAddress(VM_2, `127.0.0.1:${this.first.port}`),
+    'using another key': () => this.second.links.setSharedKeys(['unknown-shared-key']),
+    'a listener without a key': async () => links.setAddress(VM_2, await startImpostor(this)),
+    'never answering': () => handle(() => new Promise(() => {})),
+    'frozen after the connection': async () => { await connectFirst(); this.proxy!.set({ frozen: true }) },
+    'losing the answer': async () => { await connectFirst(); handle(() => 1); this.proxy!.set({ dropAnswer: true }) },
+    'ending with the request': () => handle(() => this.second.links.close()),
+    'without a handler': () => {},
+    'failing in its handler': () => handle(() => { throw new Error('the handler failed') })
+  }
+  await prepare[kind]!()
+})
+
+/** Accepts every proof and answers with one of its own, without knowing a key. */
+async function startImpostor (world: PeerWorld): Promise<string> {
+  const server = new WebSocketServer({ host: '127.0.0.1', port: 0 })
+  server.on('connection', socket => {
+    socket.once('message', () => {
+      socket.once('message', () => socket.send(JSON.stringify({ mac: NONCE })))
+      socket.send(JSON.stringify({ vm: VM_2, boot: 'boot-vm-2', nonce: NONCE }))
+    })
+  })
+  await new Promise(resolve => server.once('listening', resolve))
+  world.impostor = server
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+When('vm-1 sends a peer request to vm-2', function (this: PeerWorld) {
+  this.request = this.first.links.request(VM_2, 'permit.request', {})
+})
+
+When('vm-1 sends {int} peer requests to vm-2 that time out', async function (this: PeerWorld, count: number) {
+  for (let i = 0; i < count; i++) {
+    await settleByTime(this, this.first.links.request(VM_2, 'permit.request', {}, { timeoutMs: 2000 }))
+  }
+})
+
+When('the peer network thaws', function (this: PeerWorld) {
+  assert.equal(this.first.metrics.value('peer_failures', 'silent'), 1)
+  this.proxy!.clear()
+})
+
+Then('the peer request fails with {word}', async function (this: PeerWorld, kind: string) {
+  const error = await settleByTime(this, this.request!)
+  assert.equal((error as { kind?: string } | undefined)?.kind, kind, String(error))
+})
+
+When('the peer keys are changed step by step to {string} under requests', async function (this: PeerWorld, next: string) {
+  const { first, second } = this
+  const state = { going: true, answers: 0 }
+  const pairs: [Node, VmId][] = [[first, VM_2], [second, VM_1]]
+  const traffic = pairs.map(async ([node, to]) => {
+    while (state.going) {
+      await node.links.request(to, 'config.pull', 1).catch((error: unknown) => this.failures.push(error))
+      state.answers++
+    }
+  })
+  for (const keys of [['first-shared-key', next], [next, 'first-shared-key'], [next]]) {
+    for (const { links } of [first, second]) {
+      links.setSharedKeys(keys)
+      const enough = state.answers + 100
+      await until(() => state.answers >= enough)
+    }
+  }
+  state.going = false
+  await Promise.all(traffic)
+  assert.ok(first.metrics.value('peer_failures', 'key_removed') > 0)
+})
+
+Then('no peer request failed', function (this: PeerWorld) {
+  assert.deepEqual(this.failures, [])
+})
+
+Then('vm-1 refuses a peer with the key {string}', async function (this: PeerWorld, key: string) {
+  const socket = await openWebSocket(this)
+  const closed = new Promise(resolve => socket.once('close', resolve))
+  void authenticate(socket, key)
+  await closed
+  assert.equal(this.first.metrics.value('bad_input', 'peer_wrong_key'), 1)
+})
+
+When('vm-1 accepts only the peer key {string}', async function (this: PeerWorld, key: string) {
+  await this.first.links.request(VM_2, 'config.pull', 1)
+  this.first.links.setSharedKeys([key])
+})
+
+When('an authenticated peer of vm-1 stops reading while vm-1 sends to it', async function (this: PeerWorld) {
+  const socket = await openWebSocket(this)
+  await authenticate(socket)
+  socket.pause()
+  const body = Buffer.alloc(MAX_MESSAGE_BYTES / 2)
+  while (this.first.metrics.value('peer_failures', 'slow_peer') === 0) {
+    this.first.links.notify('vm-9' as VmId, 'config.push', body)
+    await turn()
+  }
+  socket.terminate()
+})
+
+Then('vm-1 counted the peer failure {word}', async function (this: PeerWorld, reason: string) {
+  await until(() => this.first.metrics.value('peer_failures', reason) > 0)
+})
+
+When('vm-1 and vm-2 send peer requests to each other at the same time', async function (this: PeerWorld) {
+  this.proxy = await startFaultProxy({ target: `127.0.0.1:${this.second.port}` })
+  this.first.links.setAddress(VM_2, this.proxy.address)
+  await Promise.all([this.first.links.request(VM_2, 'config.pull', 1), this.second.links.request(VM_1, 'config.pull', 1)])
+})
+
+Then('later peer requests of both wait when the connection that vm-1 made is frozen', async function (this: PeerWorld) {
+  this.proxy!.set({ frozen: true })
+  const requests = [this.first.links.request(VM_2, 'config.pull', 1), this.second.links.request(VM_1, 'config.pull', 1)]
+  const errors = await Promise.all(requests.map(request => settleByTime(this, request)))
+  for (const error of errors) assert.equal((error as { kind?: string } | undefined)?.kind, 'peer_timeout')
+})
+
+When('a new run of vm-2 connects while a peer request to the earlier one waits', async function (this: PeerWorld) {
+  const arrived = new Promise<void>(resolve => {
+    this.second.links.handle('permit.request', () => {
+      resolve()
+      return new Promise(() => {})
+    })
+  })
+  this.request = this.first.links.request(VM_2, 'permit.request', {})
+  this.request.catch(() => {})
+  await arrived
+  const next = await startNode(this, { vm: VM_2, boot: 'boot-next' })
+  next.links.setAddress(VM_1, `127.0.0.1:${this.first.port}`)
+  assert.ok(await next.links.request(VM_1, 'config.pull', 1))
+})
+
+function tlsFiles (name: string): PeerTls {
+  const file = (suffix: string) => `features/fixtures/peer-tls/${suffix}`
+  return readPeerTls({ shared_keys: [], tls_cert_file: file(`${name}.pem`), tls_key_file: file(`${name}.key`), tls_ca_file: file('authority.pem') })!
+}
+
+Given('peer links of vm-1 and vm-2 over TLS', async function (this: PeerWorld) {
+  await startPair(this, { tls: tlsFiles('vm') })
+})
+
+When(/^vm-1 sends a TLS peer request to a vm-2 (.*)$/, async function (this: PeerWorld, kind: string) {
+  const tls: Record<string, PeerTls | undefined> = {
+    'with a certificate of the authority': tlsFiles('vm'),
+    'with a certificate of its own': tlsFiles('stranger'),
+    'without TLS': undefined
+  }
+  const second = await startNode(this, { vm: VM_2, tls: tls[kind] })
+  this.first.links.setAddress(VM_2, `127.0.0.1:${second.port}`)
+  second.links.setAddress(VM_1, `127.0.0.1:${this.first.port}`)
+  this.outcomes = await Promise.allSettled([this.first.links.request(VM_2, 'config.pull', 1), second.links.request(VM_1, 'config.pull', 1)])
+})
+
+Then('the TLS peer request is {word}', function (this: PeerWorld, result: string) {
+  const expected = result === 'answered' ? 'fulfilled' : 'rejected'
+  assert.deepEqual(this.outcomes!.map(({ status }) => status), [expected, expected])
+})
+
+When('vm-1 sends a peer request to vm-2 that is over the size limit', function (this: PeerWorld) {
+  this.request = this.first.links.request(VM_2, 'config.pull', Buffer.alloc(MAX_MESSAGE_BYTES + 1))
+})
+
+Then('the peer frame decoder returns only frames, for random bytes and for damaged frames with seed {int}', function (seed: number) {
+  // The decoder renames `__proto__`, so that no message can set a prototype.
+  const body = fc.jsonValue().filter(value => !JSON.stringify(value).includes('__proto__'))
+  const frame: fc.Arbitrary<Frame> = fc.oneof(
+    fc.record({ kind: fc.constant('request' as const), id: fc.nat(), type: fc.string({ minLength: 1, maxLength: 20 }), body }),
+    fc.record({ kind: fc.constant('answer' as const), id: fc.nat(), body }),
+    fc.record({ kind: fc.constant('failure' as const), id: fc.nat(), message: fc.string() }),
+    fc.record({ kind: fc.constant('notification' as const), type: fc.string({ minLength: 1, maxLength: 20 }), body })
+  )
+  const kinds = ['request', 'answer', 'failure', 'notification', undefined]
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), bytes => kinds.includes(decodeFrame(bytes)?.kind)), { seed, numRuns: 5000 })
+  fc.assert(fc.property(frame, fc.nat(), fc.nat({ max: 255 }), (sent, at, value) => {
+    const bytes = encodeFrame(sent)
+    assert.equal(JSON.stringify(decodeFrame(bytes)), JSON.stringify(sent))
+    bytes[at % bytes.length] = value
+    assert.ok(kinds.includes(decodeFrame(bytes)?.kind))
+  }), { seed, numRuns: 2000 })
+})
--- a/src/core/peer/constants.ts
+++ b/src/core/peer/constants.ts
@@ -24,3 +24,5 @@
 /** A connection without messages for this long is closed; round-robin pings reach each of 64 members every 32 s. */
 export const IDLE_TIMEOUT_MS = 120_000
 export const NONCE_BYTES = 32
+/** Shortest time between two attempts to replace a connection that uses an older key. */
+export const RENEW_PERIOD_MS = 5000
--- a/src/core/peer/links.ts
+++ b/src/core/peer/links.ts
@@ -11,7 +11,10 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { VmIdentity } from '../settings/index.ts'
 import { createConnection, type Connection } from './connection.ts'
-import { HANDSHAKE_TIMEOUT_MS, IDLE_TIMEOUT_MS, MAX_BUFFERED_BYTES, MAX_MESSAGE_BYTES, MAX_WAITING_FOR_DIAL, REQUEST_TIMEOUT_MS } from './constants.ts'
+import {
+  HANDSHAKE_TIMEOUT_MS, IDLE_TIMEOUT_MS, MAX_BUFFERED_BYTES, MAX_MESSAGE_BYTES, MAX_WAITING_FOR_DIAL,
+  RENEW_PERIOD_MS, REQUEST_TIMEOUT_MS
+} from './constants.ts'
 import { createDial } from './dial.ts'
 import type { AuthenticatedPeer } from './handshake.ts'
 import { createListener } from './listener.ts'
@@ -38,6 +41,8 @@
   dialing?: Promise<Connection> | undefined
   /** Messages that wait for the connection being made. */
   waiting: number
+  /** Earliest time of the next attempt to replace a connection that uses an older key. */
+  renewAfterMs: number
 }
 
 export function createPeerLinks (options: PeerLinksOptions): PeerLinks {
@@ -60,7 +65,7 @@
   function remote (vm: VmId): RemoteVm {
     const known = remotes.get(vm)
     if (known) return known
-    const created: RemoteVm = { connections: new Set(), waiting: 0 }
+    const created: RemoteVm = { connections: new Set(), waiting: 0, renewAfterMs: 0 }
     remotes.set(vm, created)
     return created
   }
@@ -100,15 +105,32 @@
     return await handler(body, from)
   }
 
-  function preferred (entry: RemoteVm): Connection | undefined {
+  /**
+   * Picks the connection that the other side picks too. One that uses the first key goes before one that uses an older
+   * key, which is replaced in the background, so that no request is lost when the older key is removed.
+   */
+  function preferred (to: VmId, entry: RemoteVm): Connection | undefined {
     let best: Connection | undefined
     for (const connection of entry.connections) {
-      if (!connection.isOpen()) continue
-      if (!best || connection.initiatedBy < best.initiatedBy) best = connection
+      if (connection.isOpen() && (!best || comesBefore(connection, best))) best = connection
     }
+    if (best && best.key !== keys[0]) renew(to, entry)
     return best
   }
 
+  function comesBefore (left: Connection, right: Connection): boolean {
+    const isCurrent = left.key === keys[0]
+    if (isCurrent !== (right.key === keys[0])) return isCurrent
+    return left.initiatedBy < right.initiatedBy
+  }
+
+  function renew (to: VmId, entry: RemoteVm): void {
+    if (entry.dialing || entry.address === undefined || clock.now() < entry.renewAfterMs) return
+    entry.renewAfterMs = clock.now() + RENEW_PERIOD_MS
+    entry.dialing = dialOnce(to, entry)
+    entry.dialing.catch(() => metrics.count('retries', 'peer_key_renewal'))
+  }
+
   /** Waits for a connection. Throws PeerError `peer_unreachable`. */
   async function connect (to: VmId, entry: RemoteVm): Promise<Connection> {
     if (closed) throw new PeerError('peer_unreachable', { detail: 'the links of this VM are closed' })
@@ -140,7 +162,7 @@
   async function request (to: VmId, type: string, body: unknown, timeoutMs: number): Promise<unknown> {
     if (to === identity.vm) return dispatch(type, body, to)
     const entry = remote(to)
-    const open = preferred(entry)
+    const open = preferred(to, entry)
     if (open) return open.request(type, body, timeoutMs)
     const startedMs = clock.now()
     const connection = await withinTime(connect(to, entry), timeoutMs, to)
@@ -161,7 +183,7 @@
   async function notify (to: VmId, type: PeerMessageType, body: unknown): Promise<void> {
     if (to === identity.vm) return void await dispatch(type, body, to)
     const entry = remote(to)
-    const connection = preferred(entry) ?? await connect(to, entry)
+    const connection = preferred(to, entry) ?? await connect(to, entry)
     connection.notify(type, body)
   }
 
--- a/src/core/peer/listener.ts
+++ b/src/core/peer/listener.ts
@@ -6,7 +6,7 @@
 import { createServer as createHttpsServer } from 'node:https'
 import type { AddressInfo, Socket } from 'node:net'
 import { WebSocketServer, type WebSocket } from 'ws'
-import type { Clock } from '../clock/index.ts'
+import type { Clock, TimerCancel } from '../clock/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { VmIdentity } from '../settings/index.ts'
 import { HANDSHAKE_TIMEOUT_MS, MAX_CONNECTIONS, MAX_HANDSHAKE_BYTES, MAX_HANDSHAKES } from './constants.ts'
@@ -34,6 +34,8 @@
   const server = createServer(tls)
   const upgrader = new WebSocketServer({ noServer: true, maxPayload: maxMessageBytes, perMessageDeflate: false, clientTracking: false })
   const sockets = new Set<Socket>()
+  /** Time limits of connections that have not asked for a WebSocket yet. */
+  const limits = new Map<Socket, TimerCancel>()
   let handshakes = 0
 
   server.on('connection', socket => {
@@ -41,6 +43,10 @@
     socket.on('error', () => {})
     socket.once('close', () => sockets.delete(socket))
   })
+  server.on(tls ? 'secureConnection' : 'connection', (socket: Socket) => {
+    limits.set(socket, clock.after(HANDSHAKE_TIMEOUT_MS, () => refuse(socket, 'peer_handshake_timeout')))
+    socket.once('close', () => endLimit(socket))
+  })
   server.on('drop', () => metrics.count('peer_failures', 'too_many_connections'))
   server.on('clientError', (_error, socket) => refuse(socket as Socket, 'peer_malformed'))
   server.on('tlsClientError', (_error, socket) => refuse(socket, 'peer_unauthenticated'))
@@ -49,10 +55,16 @@
     response.writeHead(426, { connection: 'close' }).end()
   })
   server.on('upgrade', (request: IncomingMessage, socket: Socket, head: Buffer) => {
+    endLimit(socket)
     if (handshakes >= MAX_HANDSHAKES) return refuse(socket, 'peer_too_many_handshakes')
     upgrader.handleUpgrade(request, socket, head, webSocket => authenticate(webSocket, socket))
   })
 
+  function endLimit (socket: Socket): void {
+    limits.get(socket)?.()
+    limits.delete(socket)
+  }
+
   function refuse (socket: Socket, reason: string): void {
     metrics.count('bad_input', reason)
     socket.destroy()
@@ -98,12 +110,7 @@
 }
 
 function createServer (tls: PeerTls | undefined): Server {
-  const limits = {
-    maxHeaderSize: MAX_HANDSHAKE_BYTES,
-    headersTimeout: HANDSHAKE_TIMEOUT_MS,
-    requestTimeout: HANDSHAKE_TIMEOUT_MS,
-    connectionsCheckingInterval: HANDSHAKE_TIMEOUT_MS
-  }
+  const limits = { maxHeaderSize: MAX_HANDSHAKE_BYTES }
   const server = tls
     ? createHttpsServer({ ...limits, ...tls, requestCert: true, rejectUnauthorized: true, handshakeTimeout: HANDSHAKE_TIMEOUT_MS })
     : createHttpServer(limits)
