--- a/src/standin/fault-proxy/index.ts
+++ b/src/standin/fault-proxy/index.ts
@@ -16,11 +16,15 @@
 export async function startFaultProxy ({ target, host = '127.0.0.1', port = 0, controlPort }: FaultProxyOptions): Promise<FaultProxy> {
   const relays = new Set<Relay>()
   let faults = { ...NO_FAULTS }
+  let lostBytes = 0
 
   const server = createServer({ allowHalfOpen: true }, client => {
     client.on('error', () => {})
     if (faults.refuse) return void client.resetAndDestroy()
-    const relay: Relay = startRelay(client, connectTarget(target), () => faults, () => relays.delete(relay))
+    const relay: Relay = startRelay(client, connectTarget(target), () => faults, {
+      onLost (bytes) { lostBytes += bytes },
+      onEnd () { relays.delete(relay) }
+    })
     relays.add(relay)
   })
 
@@ -43,6 +47,7 @@
     clear,
     faults: () => ({ ...faults }),
     connections: () => relays.size,
+    lostBytes: () => lostBytes,
     async close () {
       for (const relay of [...relays]) relay.destroy()
       await Promise.all([server, control].map(closeServer))
--- a/src/standin/fault-proxy/relay.ts
+++ b/src/standin/fault-proxy/relay.ts
@@ -2,12 +2,20 @@
 import type { Socket } from 'node:net'
 import type { Direction, Faults } from './types.ts'
 
+/** libuv reports an orderly end when it reads the last bytes and the reset at once, so the reset follows later. */
+const RESET_DELAY_MS = 20
+
 export interface Relay {
   /** Applies changed faults. */
   update(): void
   destroy(): void
 }
 
+export interface RelayEvents {
+  onLost(bytes: number): void
+  onEnd(): void
+}
+
 interface Flow {
   direction: Direction
   from: Socket
@@ -17,7 +25,7 @@
   timer: NodeJS.Timeout | undefined
 }
 
-export function startRelay (client: Socket, target: Socket, faults: () => Faults, onEnd: () => void): Relay {
+export function startRelay (client: Socket, target: Socket, faults: () => Faults, { onLost, onEnd }: RelayEvents): Relay {
   const flows: Flow[] = [
     { direction: 'request', from: client, to: target, waiting: [], timer: undefined },
     { direction: 'answer', from: target, to: client, waiting: [], timer: undefined }
@@ -44,6 +52,7 @@
     if (ended) return
     if (isCut(flow.direction)) {
       hasLostBytes = true
+      onLost(chunk?.length ?? 0)
       return
     }
     if (flow.direction === 'answer' && chunk && faults().dropAnswer) return destroy()
@@ -74,7 +83,7 @@
     const { resetAfterBytes } = faults()
     const left = resetAfterBytes - answered
     if (flow.direction === 'answer' && resetAfterBytes > 0 && chunk.length >= left) {
-      flow.to.write(chunk.subarray(0, Math.max(0, left)), destroy)
+      flow.to.write(chunk.subarray(0, Math.max(0, left)), () => setTimeout(destroy, RESET_DELAY_MS))
       return
     }
     if (flow.direction === 'answer') answered += chunk.length
--- a/src/standin/fault-proxy/types.ts
+++ b/src/standin/fault-proxy/types.ts
@@ -39,5 +39,7 @@
   clear(): void
   faults(): Faults
   connections(): number
+  /** Bytes that cuts have lost since the start. */
+  lostBytes(): number
   close(): Promise<void>
 }
