Test quarantine, entry points and explain

Cause: the quarantine has to hold over several VMs and without the object API, and must spare requests that shared one crash. A payload that its reader cannot handle no longer counts as an unanswered ping, and an unexpected error of an object write no longer ends the process.

--- /dev/null
+++ b/features/steps/entry-points.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict'
+import { server as createServer } from '@hapi/hapi'
+import { Given, Then, When } from '@cucumber/cucumber'
+import type { ConfigView } from '../../src/core/config/types.ts'
+import { createEntryPoints, registerEntryPointRoutes, type EntryPoints } from '../../src/core/entry-points/index.ts'
+import { createExplain, type Explain, type ExplainTrace } from '../../src/core/explain/index.ts'
+import type { BootId, DataCentreId, RegionId, RequestId, TeamId, VmId } from '../../src/core/ids/index.ts'
+import type { Member, Membership, MemberState } from '../../src/core/membership/index.ts'
+import { startGroup, type MembershipWorld } from './membership.ts'
+
+interface EntryWorld extends MembershipWorld {
+  states: Map<string, MemberState>
+  configured: Map<string, string>
+  takesWork: boolean
+  entryPoints: EntryPoints
+  explains: Map<string, Explain>
+}
+
+function member (vm: string, state: MemberState): Member {
+  return {
+    vm: vm as VmId,
+    boot: 'boot' as BootId,
+    region: 'r' as RegionId,
+    dataCentre: `dc-${vm[3]}` as DataCentreId,
+    peerAddress: '',
+    callerUrl: `http://${vm}`,
+    incarnation: 0,
+    state
+  }
+}
+
+Given('entry points of vm-a1 in dc-a, vm-a2 in dc-a and vm-b1 in dc-b', function (this: EntryWorld) {
+  this.states = new Map([['vm-a1', 'live'], ['vm-a2', 'live'], ['vm-b1', 'live']])
+  this.configured = new Map()
+  this.takesWork = true
+  const available = () => [...this.states].filter(([, state]) => state === 'live' || state === 'suspect').map(([vm, state]) => member(vm, state))
+  const get = (_kind: string, name: string) => this.configured.has(name) ? { state: this.configured.get(name) } : undefined
+  this.entryPoints = createEntryPoints({
+    membership: { available } as unknown as Membership,
+    view: { get } as unknown as ConfigView,
+    identity: member('vm-a1', 'live'),
+    isTakingWork: () => this.takesWork,
+    maxAgeS: 7
+  })
+})
+
+When(/^the entry points change so that (.*)$/, function (this: EntryWorld, change: string) {
+  const [, vm, state] = /^(\S+) is (\w+)$/.exec(change) ?? []
+  if (vm) this.states.set(vm, state as MemberState)
+  if (change === 'operators take dc-a out') this.configured.set('dc-a', 'out_of_service')
+  if (change === 'operators take vm-a2 out') this.configured.set('vm-a2', 'leaving')
+  if (change === 'vm-a1 itself takes no work') this.takesWork = false
+})
+
+Then(/^the entry points for a caller in (\S+|no dc) are (.*) and then (.*)$/, function (this: EntryWorld, caller: string, first: string, second: string) {
+  for (const expected of [first, second]) {
+    const answer = this.entryPoints.answer({ dataCentre: caller === 'no dc' ? undefined : caller as DataCentreId })
+    assert.equal(answer.entry_points.map(({ vm }) => vm).join(', '), expected)
+  }
+})
+
+Then('GET of the entry points by a caller in {word} answers 200 with {word} first and max-age {int}', async function (this: EntryWorld, dataCentre: string, vm: string, maxAge: number) {
+  const server = createServer()
+  registerEntryPointRoutes(server, this.entryPoints)
+  const response = await server.inject(`/v1/entry-points?data_centre=${dataCentre}`)
+  assert.equal(response.statusCode, 200)
+  assert.equal(response.headers['cache-control'], `max-age=${maxAge}`)
+  const { entry_points: [entry], max_age_s: maxAgeS } = JSON.parse(response.payload) as { entry_points: unknown[], max_age_s: number }
+  assert.deepEqual(entry, { vm, url: `http://${vm}`, data_centre: dataCentre })
+  assert.equal(maxAgeS, maxAge)
+})
+
+Given('an explain memory of {int} traces on {int} VMs', async function (this: EntryWorld, maxTraces: number, size: number) {
+  await startGroup(this, size)
+  this.explains = new Map()
+  for (const [vm, { links, membership, clock }] of this.members) {
+    this.explains.set(vm, createExplain({ peers: links, membership, clock, maxTraces }))
+  }
+})
+
+When('explain records {int} requests with {int} steps each on {word}', function (this: EntryWorld, requests: number, steps: number, vm: string) {
+  const explain = this.explains.get(vm)!
+  for (let r = 1; r <= requests; r++) {
+    explain.begin(`req-${r}` as RequestId, 'team-1' as TeamId)
+    for (let s = 1; s <= steps; s++) explain.add(`req-${r}` as RequestId, 'version', `step ${s}`)
+    explain.setCost(`req-${r}` as RequestId, 12)
+  }
+})
+
+async function find (world: EntryWorld, vm: string, request: string): Promise<ExplainTrace | undefined> {
+  const found = world.explains.get(vm)!.find(request as RequestId)
+  await world.network.clock.advance(2000)
+  return await found
+}
+
+Then('explain on {word} finds {word} with {int} steps, the last one being step {int}', async function (this: EntryWorld, vm: string, request: string, steps: number, last: number) {
+  const trace = await find(this, vm, request)
+  assert.equal(trace?.steps.length, steps)
+  assert.equal(trace?.steps.at(-1)?.text, `step ${last}`)
+  assert.equal(trace?.costMicros, 12)
+})
+
+Then('explain on {word} finds nothing for {word}', async function (this: EntryWorld, vm: string, request: string) {
+  assert.equal(await find(this, vm, request), undefined)
+})
+
+Then('explain on {word} finds {word} while {word} does not answer', async function (this: EntryWorld, vm: string, request: string, silent: string) {
+  this.members.get(silent)!.pause()
+  assert.equal((await find(this, vm, request))?.request, request)
+})
--- a/src/core/membership/gossip.ts
+++ b/src/core/membership/gossip.ts
@@ -61,10 +61,19 @@
     }
     table.hear(gossip.sender)
     for (const record of gossip.updates) table.hear(record, { fromList: gossip.isFullList })
-    if (gossip.payload !== undefined) onPingPayload?.(gossip.payload, from)
+    if (gossip.payload !== undefined) receivePayload(gossip.payload, from)
     return gossip
   }
 
+  /** A payload that its reader cannot handle says nothing about whether the sender is alive. */
+  function receivePayload (payload: unknown, from: VmId): void {
+    try {
+      onPingPayload?.(payload, from)
+    } catch {
+      metrics.count('bad_input', 'membership_payload')
+    }
+  }
+
   async function send (vm: VmId, isFullList: boolean, timeoutMs: number): Promise<void> {
     const answer = await peers.request(vm, 'membership.ping', compose(vm, isFullList), { timeoutMs })
     const { digest } = absorb(answer, vm)
--- a/src/core/quarantine/store.ts
+++ b/src/core/quarantine/store.ts
@@ -39,11 +39,14 @@
       if (action === 'remove') await removeObject(fingerprint)
       if (due.get(fingerprint) === action) due.delete(fingerprint)
     } catch (error) {
-      if (!(error instanceof LacewingError)) throw error
-      metrics.count('retries', `quarantine_${error.kind}`)
+      countFailure(error)
     }
   }
 
+  function countFailure (error: unknown): void {
+    metrics.count('retries', `quarantine_${error instanceof LacewingError ? error.kind : 'internal'}`)
+  }
+
   async function merge (fingerprint: string): Promise<void> {
     for (let attempt = 1; ; attempt++) {
       const entry = book.get(fingerprint)
@@ -91,8 +94,7 @@
       takeOver(items)
       if (isCleaner()) await deleteEnded(items)
     } catch (error) {
-      if (!(error instanceof LacewingError)) throw error
-      metrics.count('retries', `quarantine_${error.kind}`)
+      countFailure(error)
     }
   }
 
