--- a/src/core/admission/scheduler.ts
+++ b/src/core/admission/scheduler.ts
@@ -23,7 +23,7 @@
 import { createTeamLimits } from './team-limits.ts'
 import { createBackendWatch } from './backend-watch.ts'
 import type {
-  BackendChoice, HealthProbe, LeaderSummary, PermitAnswer, PermitRefusalReason, PermitRelease, PermitRequest, PermitSync, Scheduler
+  BackendChoice, HealthProbe, HeldPermit, LeaderSummary, PermitAnswer, PermitRefusalReason, PermitRelease, PermitRequest, PermitSync, Scheduler
 } from './types.ts'
 
 export interface SchedulerOptions {
@@ -38,6 +38,8 @@
   peerSummaries: () => LeaderSummary[]
   permitStartMs?: number
   loadReportLagMs?: number
+  /** Time without grants after a takeover; another than the default only serves to measure what the wait prevents. */
+  settleMs?: number
   maxQueue?: number
   retryBudgetShare?: number
   chooseBackend?: BackendChoice
@@ -50,13 +52,13 @@
 export function createScheduler (options: SchedulerOptions): Scheduler {
   const {
     identity, dataCentre, epoch, isHeld, view, quarantine, clock, metrics, log, permitStartMs = 1000, loadReportLagMs = 1000,
-    maxQueue = 1000, retryBudgetShare = 0.1, random = Math.random
+    settleMs = permitStartMs + loadReportLagMs, maxQueue = 1000, retryBudgetShare = 0.1, random = Math.random
   } = options
   const now = (): number => clock.now()
   let number = 0
   const nextNumber = (): number => ++number
   const permits = createPermits(now)
-  const table = createBackendTable({ view, dataCentre, permits, permitStartMs, loadReportLagMs, now })
+  const table = createBackendTable({ view, dataCentre, permits, loadReportLagMs, now })
   const eligibility = createEligibility({ table, permits, quarantine })
   const prefixes = createPrefixIndex()
   const teamLimits = createTeamLimits({ view, dataCentre, peerSummaries: options.peerSummaries })
@@ -176,9 +178,17 @@
     }
   }
 
-  function register (permit: PermitSync['held'][number], vm: VmId): void {
+  function register ({ firstByteSeen, ...permit }: HeldPermit, vm: VmId): void {
     permits.add({
-      ...permit, vm, grant: -1, grantedAt: now(), target: '', ask: undefined, pendingTokens: 0, firstByteSeen: false, reclaimAt: undefined
+      ...permit,
+      vm,
+      grant: -1,
+      grantedAt: now(),
+      target: '',
+      ask: undefined,
+      pendingTokens: 0,
+      firstByteAt: firstByteSeen ? now() : Infinity,
+      reclaimAt: undefined
     })
   }
 
@@ -196,7 +206,7 @@
 
   function start (): void {
     running = true
-    settledAt = now() + permitStartMs + loadReportLagMs
+    settledAt = now() + settleMs
     table.refresh()
     prober.start()
     timers.push(view.onChange(configChanged))
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -83,6 +83,8 @@
   team: TeamId
   fingerprint: string
   suspect: boolean
+  /** The first byte of the answer has arrived, so the backend server's load report includes the request. */
+  firstByteSeen?: boolean
 }
 
 export interface PermitSync {
@@ -195,7 +197,7 @@
 
 /** Chooses one of the candidates, of which there is at least one. */
 export type BackendChoice = (choice: {
-  estimatedTokens: number
+  request: PermitRequest
   candidates: readonly BackendCandidate[]
   random: () => number
 }) => BackendCandidate
