Prove the gateway's request path and service calls under failure

Tables cover engines that refuse, fail, die before or during the answer, truncate, cross or freeze; callers that go away; resends while running, finished and after the owner died; bad input without any effect; and bookings whose runs the application stand-in counts. Found and fixed on the way: a retry without a permit hid the failure that caused it, and details of backend servers reached callers. The stand-in now flushes before it crashes mid-stream, which made two rows depend on timing.

--- /dev/null
+++ b/features/service-calls.feature
@@ -0,0 +1,67 @@
+Feature: Service calls
+
+  Background:
+    Given service calls through the VMs "vm-1, vm-2" to the runners "a1, a2"
+
+  Scenario Outline: a service booking runs at most once when <fault>
+    Given the service fault "<fault>"
+    When a service booking with the key "k" is sent to "vm-1"
+    Then the service answer is <status> with "<type>" and run "<run>"
+    And the service booking "k" ran <runs> times
+    When a service booking with the key "k" is sent to "<vm>"
+    Then the service answer is <status2> with "<type2>" and run "<run2>"
+    And the service booking "k" ran <runs2> times
+    And the service calls hold no permit and no money
+
+    Examples:
+      | fault                    | status | type              | run          | runs | vm   | status2 | type2           | run2         | runs2 |
+      | nothing fails            | 201    | none              | none         | 1    | vm-2 | 201     | none            | none         | 1     |
+      | a1 is gone               | 201    | none              | none         | 1    | vm-2 | 201     | none            | none         | 1     |
+      | a1 crashes before it ran | 409    | outcome_unknown   | may_have_run | 0    | vm-2 | 409     | outcome_unknown | may_have_run | 0     |
+      | a1 crashes after it ran  | 409    | outcome_unknown   | may_have_run | 1    | vm-2 | 409     | outcome_unknown | may_have_run | 1     |
+      | a1 loses the answer      | 409    | outcome_unknown   | may_have_run | 1    | vm-1 | 409     | outcome_unknown | may_have_run | 1     |
+      | a1 freezes               | 409    | outcome_unknown   | may_have_run | 0    | vm-1 | 409     | outcome_unknown | may_have_run | 0     |
+      | all runners are gone     | 502    | backend_unreachable | not_run    | 0    | vm-2 | 502     | backend_unreachable | not_run  | 0     |
+      | the store is down        | 503    | claim_unavailable | not_run      | 0    | vm-2 | 503     | claim_unavailable | not_run    | 0     |
+      | the claim answer is lost | 503    | claim_unavailable | not_run      | 0    | vm-1 | 201     | none            | none         | 1     |
+      | the claim lands late     | 503    | claim_unavailable | not_run      | 0    | vm-1 | 201     | none            | none         | 1     |
+      | the permit expires once  | 201    | none              | none         | 1    | vm-2 | 201     | none            | none         | 1     |
+      | the done claim is not written | 201 | none            | none         | 1    | vm-1 | 201     | none            | none         | 1     |
+      | the bill is lost         | 503    | billing_lost      | ran          | 1    | vm-2 | 201     | none            | none         | 1     |
+      | no bill can be kept      | 503    | billing_unavailable | not_run    | 0    | vm-2 | 201     | none            | none         | 1     |
+
+  Scenario: a service booking sent to two VMs at once runs once
+    Given the service fault "the runners are slow"
+    When service bookings with the key "k" are sent to all VMs at once
+    Then the service answers are "201, 409"
+    And the service booking "k" ran 1 times
+
+  Scenario: a service booking whose caller goes away is finished and its answer kept
+    Given the service fault "the runners are slow"
+    When a service caller sends a booking with the key "k" and goes away
+    And a service booking with the key "k" is sent to "vm-2"
+    Then the service answer is 201 with "none" and run "none"
+    And the service booking "k" ran 1 times
+
+  Scenario: a service booking whose VM died is not sent again
+    Given the service fault "a1 freezes"
+    When a service booking with the key "k" is under way on "vm-1" and that VM dies
+    And a service booking with the key "k" is sent to "vm-2"
+    Then the service answer is 409 with "outcome_unknown" and run "may_have_run"
+
+  Scenario Outline: a service read is retried when <fault>
+    Given the service fault "<fault>"
+    When a service read is sent to "vm-1"
+    Then the service answer is 200 with "none" and run "none"
+
+    Examples:
+      | fault                    |
+      | a1 is gone               |
+      | a1 crashes before it ran |
+      | a1 freezes               |
+
+  Scenario: a service booking with a used key and another body is refused
+    When a service booking with the key "k" is sent to "vm-1"
+    And a service booking with the key "k" and another body is sent to "vm-2"
+    Then the service answer is 422 with "idempotency_key_reused" and run "not_run"
+    And the service booking "k" ran 1 times
--- /dev/null
+++ b/features/steps/gateway.ts
@@ -0,0 +1,317 @@
+import assert from 'node:assert/strict'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createAnswer, type Answer, type AnswerReader } from '../../src/core/gateway/answer.ts'
+import { brandId, type VmId } from '../../src/core/ids/index.ts'
+import type { CounterName } from '../../src/core/metrics/index.ts'
+import { answerText, startEngine, type EngineFaults, type EngineStandIn } from '../../src/standin/engine/index.ts'
+import { createFakeRegion } from '../support/fakes.ts'
+import { chat, PROMPT, until, type ChatOptions, type ChatResult } from '../support/gateway-client.ts'
+import { addEngine, createSampleView, DATA_CENTRE, startGatewayVm, type GatewayVm } from '../support/gateway-vm.ts'
+
+interface GatewayWorld {
+  engines: Map<string, EngineStandIn>
+  view: ReturnType<typeof createSampleView>
+  region: ReturnType<typeof createFakeRegion>
+  vms: Map<string, GatewayVm>
+  vm: GatewayVm
+  result: ChatResult
+  first: Promise<ChatResult>
+  text: string
+  releaseBill: () => void
+  answer: Answer
+  reader: AnswerReader
+  appended: number
+}
+
+const ANSWER_TOKENS = 8
+const versions = ['kit-v1', 'kit-large-v1', 'kit-v2']
+
+After(async function (this: GatewayWorld) {
+  for (const vm of this.vms?.values() ?? []) await vm.server.stop({ timeout: 0 })
+  for (const engine of this.engines?.values() ?? []) await engine.kill()
+})
+
+Given('a gateway with the engines {string}', async function (this: GatewayWorld, names: string) {
+  this.view = createSampleView()
+  this.region = createFakeRegion()
+  this.engines = new Map()
+  for (const name of names.split(', ')) {
+    const engine = await startEngine({ versions, answerTokens: ANSWER_TOKENS, confidence: { 'kit-v1': 0.9 } })
+    this.engines.set(name, engine)
+    addEngine(this.view, name, engine.address)
+  }
+  this.vm = await startGatewayVm({ view: this.view, region: this.region, firstByteTimeoutMs: 200, idleTimeoutMs: 200 })
+  this.vms = new Map([['vm-1', this.vm]])
+})
+
+Given('a second gateway VM', async function (this: GatewayWorld) {
+  this.vms.set('vm-2', await startGatewayVm({ view: this.view, region: this.region, vm: 'vm-2' }))
+})
+
+Given('the gateway\'s engine {string} has the fault {string}', async function (this: GatewayWorld, name: string, fault: keyof EngineFaults | 'gone') {
+  const engine = this.engines.get(name)!
+  if (fault === 'gone') return engine.kill()
+  Object.assign(engine.state.faults, { [fault]: fault === 'frozen' ? true : 1 })
+})
+
+Given('the gateway\'s engines take {int} ms for a token', async function (this: GatewayWorld, tokenDelayMs: number) {
+  for (const [name, engine] of this.engines) {
+    await engine.kill()
+    const slow = await startEngine({ versions, answerTokens: ANSWER_TOKENS, tokenDelayMs })
+    this.engines.set(name, slow)
+    addEngine(this.view, name, slow.address)
+  }
+})
+
+Given(/^the gateway's configuration changes before the first permit: (.*)$/, function (this: GatewayWorld, change: string) {
+  let isFirst = true
+  const { permits } = this.vm
+  permits.beforeAnswer = () => {
+    if (!isFirst) return
+    isFirst = false
+    // The permit is granted from the state before the change.
+    queueMicrotask(() => CHANGES[change]!(this))
+  }
+})
+
+const CHANGES: Record<string, (world: GatewayWorld) => void> = {
+  'the version is withdrawn' ({ view }) {
+    view.put('Version', 'kit-v2', { model: 'kit', inputMicrosPerToken: 1, outputMicrosPerToken: 2 })
+    view.put('Version', 'kit-v1', { model: 'kit', inputMicrosPerToken: 1, outputMicrosPerToken: 2, state: 'withdrawn' })
+  },
+  'the backend server is leaving' ({ view, engines }) {
+    view.put('BackendServer', 'e1', { dataCentre: DATA_CENTRE, address: engines.get('e1')!.address, versions, state: 'leaving' })
+  },
+  'the permit has expired' ({ vm }) {
+    vm.permits.mayStart = () => {
+      vm.permits.mayStart = () => true
+      return false
+    }
+  }
+}
+
+Given('the gateway\'s billing waits', function (this: GatewayWorld) {
+  const { billing, records } = this.vm.billing
+  billing.record = record => new Promise(resolve => {
+    this.releaseBill = () => {
+      records.push(record)
+      resolve()
+    }
+  })
+})
+
+Given(/^the gateway's bill (could not be kept|is lost at the end|is over the spending limit)$/, function (this: GatewayWorld, problem: string) {
+  if (problem === 'could not be kept') this.vm.billing.accepts = false
+  else if (problem === 'is lost at the end') this.vm.billing.fails = true
+  else this.vm.budget.exhausted = true
+})
+
+Given(/^the gateway's cheap tier is uncertain and the dearer tier (answers|fails)$/, function (this: GatewayWorld, state: string) {
+  this.vm.routing.escalateBelow = 0.95
+  if (state === 'answers') return
+  this.vm.permits.beforeAnswer = request => request.version === 'kit-large-v1'
+    ? { granted: false, refusal: { reason: 'no_capacity', retryAfterMs: 1000, passedOver: [] } }
+    : undefined
+})
+
+When('a gateway caller streams a chat', async function (this: GatewayWorld) {
+  this.result = await chat(this.vm.url)
+})
+
+When('a gateway caller streams a chat with the prompt {string}', async function (this: GatewayWorld, prompt: string) {
+  this.result = await chat(this.vm.url, { prompt })
+})
+
+When('a gateway caller streams a chat with the model {string}', async function (this: GatewayWorld, model: string) {
+  this.result = await chat(this.vm.url, { model })
+})
+
+When('a gateway caller streams a chat and has all text', async function (this: GatewayWorld) {
+  this.first = chat(this.vm.url, {}, text => { this.text = text })
+  await until(() => this.text === wholeText('kit-v1') && this.releaseBill !== undefined)
+})
+
+When('the gateway\'s billing is safe', async function (this: GatewayWorld) {
+  this.releaseBill()
+  this.result = await this.first
+})
+
+When('a gateway caller goes away after {int} tokens', async function (this: GatewayWorld, tokens: number) {
+  const caller = new AbortController()
+  const leave = (text: string) => { if (text.split(' ').length > tokens) caller.abort() }
+  await assert.rejects(chat(this.vm.url, { signal: caller.signal }, leave), { name: 'AbortError' })
+})
+
+When(/^a gateway request with the key "(.*)" (is running|has finished|lost its VM|loses its VM meanwhile)$/, async function (this: GatewayWorld, key: string, state: string) {
+  this.text = ''
+  this.first = chat(this.vm.url, { headers: { 'idempotency-key': key } }, text => { this.text = text })
+  this.first.catch(() => {})
+  await (state === 'has finished' ? this.first : until(() => this.text !== ''))
+  if (state === 'lost its VM') this.region.kill(brandId<VmId>('vm-1'))
+  if (state === 'loses its VM meanwhile') {
+    const owner = this.engines.get('e1')!
+    void until(() => owner.state.stats.received.length > 0 && this.text.split(' ').length > 4).then(() => this.region.kill(brandId<VmId>('vm-1')))
+  }
+})
+
+When('the gateway request with the key {string} is sent again to {string}', async function (this: GatewayWorld, key: string, vm: string) {
+  this.result = await chat(this.vms.get(vm)!.url, { headers: { 'idempotency-key': key } })
+  await this.first
+})
+
+When('the gateway request with the key {string} is sent again with another prompt', async function (this: GatewayWorld, key: string) {
+  this.result = await chat(this.vm.url, { prompt: 'another', headers: { 'idempotency-key': key } })
+})
+
+When('the gateway VM is leaving', function (this: GatewayWorld) {
+  this.vm.member.member.state = 'leaving'
+})
+
+const BOOKING = { path: '/v1/services/order-desk/dispatches', body: '{"order":1}' }
+const BAD_INPUT: Record<string, ChatOptions> = {
+  'no key': { headers: { authorization: '' } },
+  'an unknown key': { headers: { authorization: 'Bearer nobody' } },
+  'an expired key': { headers: { authorization: 'Bearer key-expired' } },
+  'the key of a wrong team': { headers: { authorization: 'Bearer key-of-guest' } },
+  'an unknown model': { model: 'nothing' },
+  'a body that is not JSON': { body: '{"model":' },
+  'a body without messages': { body: '{"model":"kit"}' },
+  'a body with two choices': { body: '{"model":"kit","n":2,"messages":[{"role":"user","content":"x"}]}' },
+  'a body over the limit': { prompt: 'x'.repeat(1_100_000) },
+  'an oversized prompt': { prompt: 'x'.repeat(10_000) },
+  'a deadline that is no number': { headers: { 'x-deadline-ms': 'soon' } },
+  'an unknown priority': { headers: { 'x-priority': 'first' } },
+  'an unknown path': { path: '/v1/nothing' },
+  'a booking without a key': BOOKING,
+  'a booking by a wrong team': { ...BOOKING, headers: { authorization: 'Bearer key-of-guest', 'idempotency-key': 'k' } },
+  'a call of an unknown service': { ...BOOKING, path: '/v1/services/nothing/dispatches' },
+  'a call of an unknown route': { ...BOOKING, path: '/v1/services/order-desk/other' },
+  'a call with dot segments': { ...BOOKING, path: '/v1/services/order-desk/status%2f..%2fdispatches' }
+}
+
+When(/^a gateway caller sends (.*)$/, async function (this: GatewayWorld, input: string) {
+  this.result = await chat(this.vm.url, BAD_INPUT[input]!)
+})
+
+function wholeText (version: string): string {
+  return answerText(version, PROMPT, ANSWER_TOKENS).join('')
+}
+
+Then('the gateway answer is the whole answer of {string}', function (this: GatewayWorld, version: string) {
+  assert.equal(this.result.status, 200, JSON.stringify(this.result))
+  assert.equal(this.result.text, wholeText(version))
+  assert.equal(this.result.finishReason, 'stop')
+  assert.equal(this.result.done, true)
+  assert.equal(this.result.headers.get('x-lacewingstage-version'), version)
+})
+
+Then('the gateway answer is {int} with the error {string} and run {string}', function (this: GatewayWorld, status: number, type: string, run: string) {
+  const { status: found, error, done } = this.result
+  assert.deepEqual({ status: found, type: error?.type, run: error?.run, done }, { status, type, run, done: false })
+})
+
+Then('the gateway resumed on {string}: {string}', function (this: GatewayWorld, name: string, resumed: string) {
+  const { received } = this.engines.get(name)!.state.stats
+  assert.deepEqual(received.map(entry => entry.resumed), [resumed === 'yes'])
+})
+
+Then('the gateway reported {int} crashes to the quarantine', function (this: GatewayWorld, crashes: number) {
+  assert.equal(this.vm.quarantine.reports.length, crashes)
+})
+
+Then('the gateway counted a {word} for {string}', function (this: GatewayWorld, counter: CounterName, reason: string) {
+  assert.equal(this.vm.metrics.value(counter, reason), 1)
+})
+
+Then('the gateway billed {string} with {int} output tokens', function (this: GatewayWorld, outcome: string, tokens: number) {
+  const found = this.vm.billing.records.map(record => [record.outcome, record.lines.reduce((sum, line) => sum + line.outputTokens, 0)])
+  assert.deepEqual(found, outcome === 'nothing' ? [] : [[outcome, tokens]])
+})
+
+Then('the gateway bills {string} with at least {int} and fewer than {int} output tokens', async function (this: GatewayWorld, outcome: string, least: number, limit: number) {
+  await until(() => this.vm.gateway.running() === 0)
+  const [record, ...others] = this.vm.billing.records
+  assert.equal(others.length, 0)
+  assert.equal(record?.outcome, outcome)
+  const [{ inputTokens, outputTokens }] = record.lines as [typeof record.lines[0]]
+  assert.ok(inputTokens > 0 && outputTokens >= least && outputTokens < limit, `${inputTokens} ${outputTokens}`)
+})
+
+Then('the gateway billed the versions {string}', function (this: GatewayWorld, billed: string) {
+  assert.equal(this.vm.billing.records.length, 1)
+  assert.deepEqual(this.vm.billing.records[0]!.lines.map(line => line.version).join(', '), billed)
+})
+
+Then('the gateway billed under one id', function (this: GatewayWorld) {
+  const ids = [...this.vms.values()].flatMap(vm => vm.billing.records.map(record => record.id))
+  assert.equal(new Set(ids).size, 1)
+})
+
+Then('the gateway holds no permit and no money', async function (this: GatewayWorld) {
+  await until(() => this.vm.gateway.running() === 0)
+  assert.equal(this.vm.permits.client.heldCount(), 0)
+  assert.equal(this.vm.budget.open, 0)
+})
+
+Then('the gateway\'s engines received {int} requests', function (this: GatewayWorld, count: number) {
+  const received = [...this.engines.values()].map(engine => engine.state.stats.received.length)
+  assert.equal(received.reduce((sum, value) => sum + value, 0), count)
+})
+
+Then('the gateway\'s engine {string} cancels {int} request', async function (this: GatewayWorld, name: string, count: number) {
+  const { stats } = this.engines.get(name)!.state
+  await until(() => stats.cancelled === count)
+})
+
+Then('the gateway\'s engine {string} received no request of the old choice', function (this: GatewayWorld, name: string) {
+  const received = this.engines.get(name)!.state.stats.received.map(entry => entry.version)
+  const served = this.result.headers.get('x-lacewingstage-version')
+  assert.ok(received.every(version => version === served))
+  assert.equal(this.vm.permits.releases[0]?.outcome, 'not_sent')
+})
+
+Then('the gateway stream has no last chunk', async function (this: GatewayWorld) {
+  const ended = await Promise.race([this.first.then(() => true), new Promise(resolve => setImmediate(() => resolve(false)))])
+  assert.equal(ended, false)
+})
+
+Then('the gateway answer names other entry points', function (this: GatewayWorld) {
+  assert.deepEqual(this.result.error?.entry_points, ['http://other-vm'])
+  assert.ok(this.result.headers.get('retry-after'))
+})
+
+Then('the gateway has drained only after its streams were complete', async function (this: GatewayWorld) {
+  const order: string[] = []
+  const drained = this.vm.gateway.drain().then(() => order.push('drained'))
+  assert.equal(this.vm.gateway.running() > 0, true)
+  const first = await this.first
+  await drained
+  assert.equal(first.done, true)
+  assert.equal(this.vm.billing.records.length, 1)
+  assert.deepEqual(order, ['drained'])
+})
+
+When('a gateway answer with a window of {int} characters gets {int} characters', async function (this: GatewayWorld, window: number, characters: number) {
+  this.answer = createAnswer({ window })
+  this.reader = this.answer.open()
+  this.appended = 0
+  const append = async () => {
+    for (; this.appended < characters; this.appended++) await this.answer.append({ text: 'x', tokens: 1 })
+  }
+  void append()
+  await new Promise(resolve => setImmediate(resolve))
+})
+
+Then('the gateway answer accepted {int} characters', function (this: GatewayWorld, characters: number) {
+  assert.equal(this.answer.characters(), characters)
+})
+
+Then('the gateway answer accepts the rest once its reader has taken them', async function (this: GatewayWorld) {
+  while (this.appended < 300) {
+    await this.reader.wait()
+    this.reader.take()
+    this.reader.confirm()
+    await new Promise(resolve => setImmediate(resolve))
+  }
+  assert.equal(this.answer.characters(), 300)
+})
--- a/src/core/gateway/permits.ts
+++ b/src/core/gateway/permits.ts
@@ -4,6 +4,7 @@
 } from '../admission/types.ts'
 import type { Clock } from '../clock/index.ts'
 import type { ConfigView } from '../config/types.ts'
+import type { EngineFailure } from '../engine/index.ts'
 import { AdmissionError, GatewayError, type ErrorName } from '../errors/index.ts'
 import type { Explain } from '../explain/types.ts'
 import type { DataCentreId, ServiceId, VersionId } from '../ids/index.ts'
@@ -78,6 +79,12 @@
   return dataCentre?.state === 'in_service' && backendServer?.state === 'in_service'
 }
 
+/** When a retry gets no permit, the failure that made it necessary says more than the refusal. */
+export function withoutPermit (refusal: unknown, failure: EngineFailure | undefined): unknown {
+  const isRefusal = refusal instanceof GatewayError && refusal.kind !== 'request_quarantined'
+  return isRefusal && failure ? failure : refusal
+}
+
 async function ask ({ permits, metrics }: PermitDependencies, dataCentre: DataCentreId, request: PermitRequest): Promise<PermitAnswer> {
   try {
     return await permits.acquire(dataCentre, request)
--- a/src/core/gateway/responses.ts
+++ b/src/core/gateway/responses.ts
@@ -1,6 +1,6 @@
 /** Form of errors for callers. `run` says whether the request reached a backend server. */
 import type { ResponseObject, ResponseToolkit } from '@hapi/hapi'
-import { GatewayError, LacewingError, type RunState } from '../errors/index.ts'
+import { EngineError, GatewayError, LacewingError, type RunState } from '../errors/index.ts'
 import type { RequestId } from '../ids/index.ts'
 import { DEFAULT_RETRY_AFTER_MS, HEADERS } from './constants.ts'
 
@@ -22,8 +22,9 @@
   entryPoints?: readonly string[]
 }
 
-/** Converts anything thrown into an error of the catalogue. */
+/** Converts anything thrown into an error of the catalogue. Details of backend servers are not the caller's business. */
 export function toLacewingError (error: unknown): LacewingError {
+  if (error instanceof EngineError) return new GatewayError(error.kind, { cause: error })
   return error instanceof LacewingError ? error : new GatewayError('internal', { cause: error })
 }
 
--- a/src/core/gateway/run.ts
+++ b/src/core/gateway/run.ts
@@ -11,7 +11,7 @@
 import { MAX_ATTEMPTS, MAX_CHOICES } from './constants.ts'
 import { chatLine } from './bill.ts'
 import { reserveBudget, type BudgetDependencies } from './budget.ts'
-import { acquirePermit, isInService, VERSION_WITHDRAWN, type PermitDependencies } from './permits.ts'
+import { acquirePermit, isInService, VERSION_WITHDRAWN, withoutPermit, type PermitDependencies } from './permits.ts'
 import type { ChatCall, Limits } from './types.ts'
 
 export interface RunDependencies extends PermitDependencies, BudgetDependencies {
@@ -89,15 +89,17 @@
 }
 
 async function runTier (deps: RunDependencies, call: ChatCall, tier: Tier): Promise<void> {
+  let failure: EngineFailure | undefined
   for (;;) {
-    const permit = await choosePermit(deps, call, tier)
+    const permit = await choosePermit(deps, call, tier).catch(error => { throw withoutPermit(error, failure) })
     try {
       await attempt(deps, call, tier, permit)
       return
     } catch (error) {
       if (isVersionFault(error)) observe(deps, call, tier, true)
       if (!mayRetry(deps, call, tier, error)) throw error
-      noteRetry(deps, call, tier, permit, error as EngineFailure)
+      failure = error as EngineFailure
+      noteRetry(deps, call, tier, permit, failure)
     }
   }
 }
--- a/src/core/gateway/service-run.ts
+++ b/src/core/gateway/service-run.ts
@@ -12,7 +12,7 @@
 import { explain, refuseQuarantined, requireBilling } from './chat.ts'
 import { compose } from './compose.ts'
 import { MAX_ATTEMPTS, MAX_CHOICES } from './constants.ts'
-import { acquirePermit, isInService, VERSION_WITHDRAWN, type PermitDependencies } from './permits.ts'
+import { acquirePermit, isInService, VERSION_WITHDRAWN, withoutPermit, type PermitDependencies } from './permits.ts'
 import type { Filter, ServiceRequest } from './types.ts'
 
 export interface ServiceDependencies extends PermitDependencies, BillDependencies, BudgetDependencies {
@@ -89,13 +89,15 @@
 }
 
 async function sendRepeatable (deps: ServiceDependencies, call: ServiceContext): Promise<ServiceResult> {
+  let failure: EngineFailure | undefined
   for (;;) {
-    const permit = await choosePermit(deps, call)
+    const permit = await choosePermit(deps, call).catch(error => { throw withoutPermit(error, failure) })
     try {
       return await attempt(deps, call, permit, call.abort.signal)
     } catch (error) {
       if (!mayRetry(deps, call, error)) throw error
-      noteRetry(deps, call, permit, error as EngineFailure)
+      failure = error as EngineFailure
+      noteRetry(deps, call, permit, failure)
     }
   }
 }
@@ -103,9 +105,10 @@
 /** Sets `call.result` unless another VM or an earlier send has the claim, which throws. */
 async function sendOnce (deps: ServiceDependencies, call: ServiceContext): Promise<void> {
   let claim: HeldClaim | undefined
+  let failure: EngineFailure | undefined
   try {
     for (;;) {
-      const permit = await choosePermit(deps, call)
+      const permit = await choosePermit(deps, call).catch(error => { throw withoutPermit(error, failure) })
       claim ??= await claimFor(deps, call, permit)
       if (!claim) return
       if (!mayStart(deps, call, permit) || !claim.maySend()) {
@@ -115,7 +118,10 @@
         continue
       }
       const result = await tryOnce(deps, call, permit)
-      if (!result) continue
+      if (result instanceof EngineFailure) {
+        failure = result
+        continue
+      }
       const held = claim
       claim = undefined
       await held.complete({ status: result.status, contentType: result.contentType, body: result.body })
@@ -129,15 +135,15 @@
   }
 }
 
-/** Returns undefined when no byte was sent and another backend server may be tried. */
-async function tryOnce (deps: ServiceDependencies, call: ServiceContext, permit: Permit): Promise<ServiceResult | undefined> {
+/** Returns the failure when no byte was sent and another backend server may be tried. */
+async function tryOnce (deps: ServiceDependencies, call: ServiceContext, permit: Permit): Promise<ServiceResult | EngineFailure> {
   try {
     // The caller's leaving does not stop a call whose outcome it will ask for.
     return await attempt(deps, call, permit, new AbortController().signal)
   } catch (error) {
-    if (call.sent || !mayRetry(deps, call, error)) throw error
-    noteRetry(deps, call, permit, error as EngineFailure)
-    return undefined
+    if (call.sent || !(error instanceof EngineFailure) || !mayRetry(deps, call, error)) throw error
+    noteRetry(deps, call, permit, error)
+    return error
   }
 }
 
--- a/src/standin/engine/completions.ts
+++ b/src/standin/engine/completions.ts
@@ -26,6 +26,8 @@
   response: ServerResponse
 }
 
+type CountedFault = 'fail' | 'truncate' | 'cross' | 'dieBeforeFirstToken' | 'dieMidStream' | 'freezeMidStream'
+
 export interface Completions {
   handle(request: IncomingMessage, response: ServerResponse): Promise<void>
   cancel(request: string): boolean
@@ -39,7 +41,8 @@
   random: () => number
 }
 
-const DIE_AFTER_TOKENS = 2
+/** Tokens that are sent before a fault in mid-stream. */
+const FAULT_AFTER_TOKENS = 2
 const BAD_SHARE = 0.2
 const DEFAULT_MAX_TOKENS = 256
 
@@ -78,7 +81,7 @@
     return body.messages.some(message => message.content.includes(options.crashText))
   }
 
-  function takeFault (fault: 'fail' | 'truncate' | 'cross' | 'dieBeforeFirstToken' | 'dieMidStream'): boolean {
+  function takeFault (fault: CountedFault): boolean {
     if (state.faults[fault] <= 0) return false
     state.faults[fault]--
     return true
@@ -159,15 +162,20 @@
     const truncates = takeFault('truncate')
     const crosses = takeFault('cross')
     const dies = takeFault('dieMidStream')
+    const freezes = takeFault('freezeMidStream')
     response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' })
     response.flushHeaders()
     for (const [index, token] of plan.tokens.entries()) {
       if (options.tokenDelayMs > 0) await delay(options.tokenDelayMs)
+      if (freezes && index === FAULT_AFTER_TOKENS) state.faults.frozen = true
       await thaw(run)
       if (run.cancelled || run.instance !== state.instance) return
-      if (dies && index === DIE_AFTER_TOKENS) return fallOver('crashes')
-      if (truncates && index === DIE_AFTER_TOKENS) return void response.end()
-      const id = crosses && index === DIE_AFTER_TOKENS ? 'another-request' : run.request
+      if (dies && index === FAULT_AFTER_TOKENS) {
+        await flush(response)
+        return fallOver('crashes')
+      }
+      if (truncates && index === FAULT_AFTER_TOKENS) return void response.end()
+      const id = crosses && index === FAULT_AFTER_TOKENS ? 'another-request' : run.request
       await write(run, chunk(id, run.version, { content: token }, null))
     }
     await write(run, lastChunk(run, plan, options))
@@ -245,3 +253,8 @@
     run.response.once('close', resolve)
   })
 }
+
+/** Waits until everything written so far has left the process, so that a crash does not take it along. */
+async function flush (response: ServerResponse): Promise<void> {
+  await new Promise<void>(resolve => response.write(': flush\n\n', () => resolve()))
+}
--- a/src/standin/engine/index.ts
+++ b/src/standin/engine/index.ts
@@ -119,7 +119,7 @@
 }
 
 function noFaults (): EngineFaults {
-  return { badVersions: [], frozen: false, truncate: 0, cross: 0, dieBeforeFirstToken: 0, dieMidStream: 0, fail: 0 }
+  return { badVersions: [], frozen: false, truncate: 0, cross: 0, dieBeforeFirstToken: 0, dieMidStream: 0, freezeMidStream: 0, fail: 0 }
 }
 
 function noStats (): EngineStats {
--- a/src/standin/engine/types.ts
+++ b/src/standin/engine/types.ts
@@ -48,6 +48,8 @@
   dieBeforeFirstToken: number
   /** Requests during which the engine falls over after two tokens. */
   dieMidStream: number
+  /** Requests during which the engine freezes after two tokens. */
+  freezeMidStream: number
   /** Requests refused with status 500. */
   fail: number
 }
