--- /dev/null
+++ b/src/bench/cascade.ts
@@ -0,0 +1,102 @@
+/**
+ * Cost of the cascade at the quality target on two synthetic workloads, against always the cheapest tier, always the
+ * best, a fixed cascade, and two optima.
+ */
+import { createRandom } from './random.ts'
+import { alwaysTier, clairvoyant, fixedCascade, foreseeAnswers, meanOf, ours, type Policy, type Served } from './cascade-policies.ts'
+import { drawRequest, RATED_SHARE, RATING_ERROR, WORKLOADS, type Request, type TeamLoad, type Workload } from './cascade-workloads.ts'
+import type { Benchmark, BenchmarkOptions, BenchmarkTable } from './types.ts'
+
+const WINDOW = 500
+const REQUESTS_PER_TEAM = 30_000
+const QUICK_REQUESTS_PER_TEAM = 3000
+export const COST_BAR = 1.15
+/** What the ratings of one window cannot tell from chance: 1.96 standard errors of their mean. */
+export const QUALITY_TOLERANCE = 1.96 * RATING_ERROR / Math.sqrt(WINDOW * RATED_SHARE)
+
+export interface PolicyResult {
+  costMicros: number
+  quality: number
+  /** Lowest mean quality of any window of 500 answers of a team, less the team's target. */
+  worstWindow: number
+}
+
+function worstWindow (served: Served[], target: number): number {
+  let sum = 0
+  let worst = Infinity
+  served.forEach(({ quality }, index) => {
+    sum += quality
+    if (index >= WINDOW) sum -= served[index - WINDOW]!.quality
+    if (index >= WINDOW - 1) worst = Math.min(worst, sum / WINDOW - target)
+  })
+  return worst
+}
+
+type TeamRequests = { load: TeamLoad, requests: Request[] }[]
+
+function summarise (runs: { served: Served[], target: number }[]): PolicyResult {
+  const all = meanOf(runs.flatMap(run => run.served))
+  return { ...all, worstWindow: Math.min(...runs.map(run => worstWindow(run.served, run.target))) }
+}
+
+/** Serves the teams' requests in turn, so that a policy learns about all teams at the same time. */
+function serveAll (teams: TeamRequests, policy: Policy): PolicyResult {
+  const runs = teams.map(({ load }) => ({ target: load.qualityTarget, served: [] as Served[] }))
+  for (let index = 0; index < teams[0]!.requests.length; index++) {
+    teams.forEach(({ load, requests }, team) => runs[team]!.served.push(policy(load, requests[index]!, index * teams.length + team)))
+  }
+  return summarise(runs)
+}
+
+/** Runs every policy on the same requests. */
+export function compareCascades (workload: Workload, seed: number, requestsPerTeam: number): Map<string, PolicyResult> {
+  const random = createRandom(seed)
+  const teams = workload.teams.map(load => ({
+    load, requests: Array.from({ length: requestsPerTeam }, (_, index) => drawRequest(workload, index, random))
+  }))
+  const foresees = summarise(teams.map(({ load, requests }) => ({ target: load.qualityTarget, served: foreseeAnswers(load.qualityTarget, requests) })))
+  return new Map([
+    ['always cheap', serveAll(teams, alwaysTier(0))],
+    ['always best', serveAll(teams, alwaysTier(-1))],
+    ['fixed cascade', serveAll(teams, fixedCascade(0.6))],
+    ['clairvoyant optimum', serveAll(teams, clairvoyant(workload, seed + 1))],
+    ['ours', serveAll(teams, ours({ workload, seed: seed + 2 }))],
+    ['ours, 8 VMs that learn apart', serveAll(teams, ours({ workload, seed: seed + 2, vms: 8 }))],
+    ['foresees each answer', { ...foresees, worstWindow: NaN }]
+  ])
+}
+
+function rowsOf (workload: Workload, { seeds, quick }: BenchmarkOptions): (string | number)[][] {
+  const results = seeds.map(seed => compareCascades(workload, seed, quick ? QUICK_REQUESTS_PER_TEAM : REQUESTS_PER_TEAM))
+  return [...results[0]!.keys()].map(policy => {
+    const runs = results.map(result => ({ ...result.get(policy)!, optimum: result.get('clairvoyant optimum')!.costMicros }))
+    const ratios = runs.map(run => run.costMicros / run.optimum)
+    const mean = (values: number[]) => values.reduce((a, b) => a + b, 0) / values.length
+    const worst = Math.min(...runs.map(run => run.worstWindow))
+    return [
+      workload.name, policy, round(mean(runs.map(run => run.costMicros)), 0), round(mean(ratios), 3), round(Math.max(...ratios), 3),
+      round(mean(runs.map(run => run.quality)), 3), Number.isNaN(worst) ? '-' : round(worst, 3)
+    ]
+  })
+}
+
+const round = (value: number, digits: number) => Number(value.toFixed(digits))
+
+async function run (options: BenchmarkOptions): Promise<BenchmarkTable> {
+  const rows = WORKLOADS.flatMap(workload => rowsOf(workload, options))
+  const own = rows.filter(row => row[1] === 'ours')
+  const met = own.every(row => Number(row[4]) <= COST_BAR && Number(row[6]) >= -QUALITY_TOLERANCE)
+  return {
+    title: 'Cascade: cost at the quality target',
+    columns: ['workload', 'policy', 'micros a request', 'of optimum, mean', 'of optimum, worst seed', 'quality', `worst window of ${WINDOW}, less target`],
+    rows,
+    notes: [
+      `Bar ${met ? 'met' : 'missed'}: ours costs at most ${COST_BAR} times the clairvoyant optimum for every seed, and no window of ${WINDOW} answers is below the target by more than ${QUALITY_TOLERANCE.toFixed(3)}, which is 1.96 standard errors of the ratings in a window.`,
+      'The clairvoyant optimum knows the law of every class, version and confidence and takes the cheapest plan that reaches the target in each class; "foresees each answer" also sees the answers of all tiers before it chooses, which no policy can.',
+      `Ratings reach the learner 200 to 250 requests late, for ${100 * RATED_SHARE}% of answers and for all explored ones, with a standard deviation of ${RATING_ERROR}.`,
+      `Seeds ${options.seeds.join(', ')}; ${options.quick ? QUICK_REQUESTS_PER_TEAM : REQUESTS_PER_TEAM} requests a team, the learning phase included.`
+    ]
+  }
+}
+
+export const cascadeBenchmark: Benchmark = { name: 'cascade', summary: 'cost of the cascade at the quality target', run }
--- a/src/core/cascade/constants.ts
+++ b/src/core/cascade/constants.ts
@@ -2,7 +2,11 @@
 import type { CascadePolicy } from './types.ts'
 
 /** Bands into which the confidence from 0 to 1 is divided. */
-export const CONFIDENCE_BANDS = 8
+export const CONFIDENCE_BANDS = 16
+/** Thresholds per band. Within a band quality counts as constant, which understates the part that is kept. */
+export const STEPS_PER_BAND = 4
+/** Ratings that a flat relation between confidence and quality counts for. */
+export const FLAT_STRENGTH = 2
 /** Band of answers whose engine reported no confidence. */
 export const NO_CONFIDENCE = CONFIDENCE_BANDS
 /** Combinations of team, class and version that are remembered; classes come from callers. */
--- a/src/core/cascade/index.ts
+++ b/src/core/cascade/index.ts
@@ -6,8 +6,8 @@
 import type { VersionOutcome } from '../routing/types.ts'
 import { createLru } from '../session/lru.ts'
 import { DEFAULT_POLICY, MAX_LEARNED_KEYS, PLAN_REFRESH_OBSERVATIONS } from './constants.ts'
-import { bandOf, createLearner, type VersionKey } from './learner.ts'
-import { choosePlan, type Plan, type TierEstimate } from './plan.ts'
+import { createLearner, type VersionKey } from './learner.ts'
+import { choosePlan, escalates, type Plan, type TierEstimate } from './plan.ts'
 import type { Cascade, CascadePolicy, CascadeQuestion, Tier } from './types.ts'
 
 export type * from './types.ts'
@@ -68,9 +68,7 @@
       if (tier + 1 >= tiers.length || remainingMs < policy.minimumTimeLeftMs) return false
       const { start, keepFrom } = planFor(question)
       if (tier < start) return true
-      const threshold = keepFrom[tier - start] ?? 0
-      const band = bandOf(confidence)
-      return threshold > 0 && (confidence === undefined || band < threshold)
+      return escalates(keepFrom[tier - start] ?? 0, confidence)
     },
     next (question, tier) {
       return Math.min(question.tiers.length - 1, Math.max(planFor(question).start, tier + 1))
--- a/src/core/cascade/learner.ts
+++ b/src/core/cascade/learner.ts
@@ -3,7 +3,7 @@
  * occurs, and cost. Answers to escalated requests are kept apart, because these requests are harder than the rest.
  */
 import { createLru } from '../session/lru.ts'
-import { CONFIDENCE_BANDS, MAX_LEARNED_KEYS, NO_CONFIDENCE } from './constants.ts'
+import { CONFIDENCE_BANDS, FLAT_STRENGTH, MAX_LEARNED_KEYS, NO_CONFIDENCE } from './constants.ts'
 import { addValue, EMPTY_SAMPLE, estimate, type Estimate, type Sample } from './estimate.ts'
 import type { CascadePolicy } from './types.ts'
 import type { VersionOutcome } from '../routing/types.ts'
@@ -80,15 +80,17 @@
     },
     bands (key, priorQuality) {
       const entry = find(key)
+      const samples = entry?.bands ?? []
       const { mean } = quality(key, priorQuality)
+      const expected = fitLine(samples, mean)
       const occurrences = entry?.occurrences ?? []
-      // One pseudo-occurrence per band keeps a band that was not seen yet from counting as impossible.
-      const seen = Array.from({ length: CONFIDENCE_BANDS + 1 }, (_, band) => (occurrences[band] ?? 0) + (band === NO_CONFIDENCE ? 0 : 0.5))
+      // A fraction of an occurrence per band keeps a band that was not seen yet from counting as impossible.
+      const seen = Array.from({ length: CONFIDENCE_BANDS + 1 }, (_, band) => (occurrences[band] ?? 0) + (band === NO_CONFIDENCE ? 0 : 0.25))
       const total = seen.reduce((sum, count) => sum + count, 0)
-      return seen.map((count, band) => ({
-        share: count / total,
-        quality: estimate(entry?.bands[band] ?? EMPTY_SAMPLE, { mean, strength: policy.bandStrength })
-      }))
+      return seen.map((count, band) => {
+        const prior = { mean: band === NO_CONFIDENCE ? mean : expected(band), strength: policy.bandStrength }
+        return { share: count / total, quality: estimate(samples[band] ?? EMPTY_SAMPLE, prior) }
+      })
     },
     meanCost (key) {
       const cost = find(key)?.cost
@@ -97,6 +99,20 @@
   }
 }
 
+/** Least-squares line through the ratings by band, drawn towards a flat one at `mean` while there are few. */
+function fitLine (bands: readonly Sample[], mean: number): (band: number) => number {
+  const rated = bands.slice(0, CONFIDENCE_BANDS).map(({ count, sum }, band) => ({ count, sum, x: (band + 0.5) / CONFIDENCE_BANDS }))
+  const total = rated.reduce((sum, { count }) => sum + count, 0)
+  if (total === 0) return () => mean
+  const centre = rated.reduce((sum, { count, x }) => sum + count * x, 0) / total
+  const level = rated.reduce((sum, band) => sum + band.sum, 0) / total
+  const covariance = rated.reduce((sum, { count, sum: ratings, x }) => sum + (x - centre) * (ratings - level * count), 0)
+  const spread = rated.reduce((sum, { count, x }) => sum + count * (x - centre) ** 2, 0)
+  // Confidences that differ by about 0.2 carry one unit of this weight each.
+  const slope = covariance / (spread + FLAT_STRENGTH * 0.04)
+  return band => Math.min(1, Math.max(0, mean + slope * ((band + 0.5) / CONFIDENCE_BANDS - centre)))
+}
+
 /** Band of a confidence between 0 and 1. */
 export function bandOf (confidence: number | undefined): number {
   if (confidence === undefined || Number.isNaN(confidence)) return NO_CONFIDENCE
