Add the controller of roll-outs, its sequential test and the simulation

Cause: a version that fails must be stopped without an operator, and a roll-out must continue when its controller dies. Ruled out: a likelihood ratio over the totals, because a version that turns bad late has to outweigh its good history; one baseline over a long memory, because a fault that hits both versions then stops a good one (seen in the scenario of the outage). Change: a cumulative sum of log-likelihood ratios against the old version in the same period for failures, latency and ratings; the Rollout object as record, then the weights; reports with sums that may be lost or repeated.

--- /dev/null
+++ b/features/rollout.feature
@@ -0,0 +1,65 @@
+Feature: Rollout
+
+  Scenario Outline: rollout of a version that <fault> is stopped and rolled back
+    Given rollout of a version that <fault>
+    When rollout runs for up to 3600 s
+    Then rollout state is "rolled_back" because of "<reason>"
+    And rollout weights are 1 for the old version and 0 for the withdrawn new one
+
+    Examples:
+      | fault                                | reason   |
+      | fails one in five                    | failures |
+      | fails one in five from 200 s on      | failures |
+      | is three times as slow               | latency  |
+      | is rated 0.2 lower                   | ratings  |
+
+  Scenario Outline: rollout of a version that <behaviour> is completed
+    Given rollout of a version that <behaviour>
+    When rollout runs for up to 7200 s
+    Then rollout state is "done"
+    And rollout weights are 0 for the old version and 1 for the new one
+
+    Examples:
+      | behaviour                                 |
+      | is as good as the old one                 |
+      | fails as often as the old one in an outage |
+
+  Scenario Outline: rollout continues when its controller dies <moment>
+    Given rollout of a version that <behaviour>
+    When rollout runs until <moment>
+    And rollout controller dies and another VM takes over
+    And rollout runs for up to 7200 s
+    Then rollout state is "<state>"
+
+    Examples:
+      | behaviour                 | moment                                  | state       |
+      | is as good as the old one | stage 2 is recorded                     | done        |
+      | is as good as the old one | stage 2 is written to one version only  | done        |
+      | fails one in five         | it is stopped                           | rolled_back |
+      | fails one in five         | only the old version got its weight back | rolled_back |
+
+  Scenario Outline: rollout is changed by an operator who <change>
+    Given rollout of a version that <behaviour>
+    When rollout runs until stage 2 is recorded
+    And rollout operator <change> while the controller decides
+    And rollout runs for up to 7200 s
+    Then rollout state is "<state>"
+
+    Examples:
+      | behaviour                 | change                 | state       |
+      | is as good as the old one | pauses it              | paused      |
+      | is as good as the old one | pauses and resumes it  | done        |
+      | is as good as the old one | stops it               | rolled_back |
+      | is as good as the old one | sets the new weight to 0.3 | paused  |
+      | is as good as the old one | withdraws the new version | rolled_back |
+      | is as good as the old one | withdraws the old version and stops it | paused |
+
+  Scenario: rollout is not changed by a VM that is no longer the controller
+    Given rollout of a version that is as good as the old one
+    When rollout runs until stage 2 is recorded
+    And rollout loses its controller between two writes
+    Then rollout has one version at the weights of stage 2 and stage 1 applied
+
+  Scenario: rollout evidence follows the behaviour of a version
+    Then rollout evidence stays below the limit without a difference and rises with any larger one
+    And rollout evidence stops within 250 requests a version that turned bad after 20000 good ones
--- /dev/null
+++ b/features/steps/rollout.ts
@@ -0,0 +1,153 @@
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import fc from 'fast-check'
+import { createRolloutSimulation, GOOD, type Behaviour, type Simulation } from '../../src/bench/rollout-simulation.ts'
+import type { Rollout } from '../../src/core/config/types.ts'
+import { createJudge, logLikelihoodRatio, upperRate } from '../../src/core/rollout/judge.ts'
+import { createRolloutController } from '../../src/core/rollout/index.ts'
+import { emptyTally } from '../../src/core/rollout/tally.ts'
+import { silentLog } from '../../src/core/logging/index.ts'
+
+const SEED = 20261204
+
+interface RolloutWorld { simulation: Simulation }
+
+const BAD: Behaviour = { ...GOOD, failureShare: 0.2 }
+
+const BEHAVIOURS: Record<string, (version: 'from' | 'to', atMs: number) => Behaviour> = {
+  'fails one in five': version => version === 'to' ? BAD : GOOD,
+  'fails one in five from 200 s on': (version, atMs) => version === 'to' && atMs > 200_000 ? BAD : GOOD,
+  'is three times as slow': version => version === 'to' ? { ...GOOD, firstTokenMs: 600 } : GOOD,
+  'is rated 0.2 lower': version => version === 'to' ? { ...GOOD, rating: 0.65 } : GOOD,
+  'is as good as the old one': () => GOOD,
+  'fails as often as the old one in an outage': (_, atMs) => atMs % 200_000 > 150_000 ? { ...BAD, firstTokenMs: 900 } : GOOD
+}
+
+function recordedStage (simulation: Simulation, stage: number, applied: boolean): (rollout: Rollout) => boolean {
+  return rollout => rollout.stage === stage && (rollout.appliedStage === stage) === applied && simulation.rollout().state === 'running'
+}
+
+function setRollout (simulation: Simulation, changes: Partial<Rollout>): void {
+  simulation.config.set('Rollout', 'roll', { ...simulation.rollout(), ...changes })
+}
+
+function setVersion ({ config }: Simulation, name: string, changes: object): void {
+  config.set('Version', name, { ...config.view.get('Version', name)!, ...changes })
+}
+
+Given(/^rollout of a version that (.+)$/, function (this: RolloutWorld, behaviour: string) {
+  console.log(`rollout seed ${SEED}`)
+  this.simulation = createRolloutSimulation({ seed: SEED, behaviour: BEHAVIOURS[behaviour]!, rollout: { stages: [0.05, 0.2, 0.5, 1] } })
+})
+
+When('rollout runs for up to {int} s', async function (this: RolloutWorld, seconds: number) {
+  await this.simulation.run(seconds, rollout => ['done', 'rolled_back', 'paused'].includes(rollout.state))
+})
+
+When(/^rollout runs until (.+)$/, async function (this: RolloutWorld, moment: string) {
+  const { simulation } = this
+  const isStopped = (rollout: Rollout) => rollout.state === 'stopped'
+  const onStop = moment === 'it is stopped' || moment.startsWith('only the old')
+  await simulation.run(7200, onStop ? isStopped : recordedStage(simulation, 2, false))
+  if (moment.startsWith('only the old')) setVersion(simulation, 'from', { weight: 1 })
+  if (moment.includes('one version only')) setVersion(simulation, 'to', { weight: 0.5 })
+})
+
+When('rollout controller dies and another VM takes over', function (this: RolloutWorld) {
+  this.simulation.region.kill('vm-0')
+  this.simulation.region.declare('vm-0', 'dead')
+  this.simulation.setController('vm-1')
+})
+
+/** The operator's write lands after the controller has read the record and before it writes. */
+When(/^rollout operator (.+) while the controller decides$/, async function (this: RolloutWorld, change: string) {
+  const { simulation } = this
+  // Lets the controller write the weights of the stage first, so that the operator meets a stage in progress.
+  await simulation.run(5)
+  const changes: Record<string, () => void> = {
+    'pauses it': () => setRollout(simulation, { state: 'paused' }),
+    'pauses and resumes it': () => {
+      setRollout(simulation, { state: 'paused' })
+      setRollout(simulation, { state: 'running' })
+    },
+    'stops it': () => setRollout(simulation, { state: 'stopped', reason: 'operator' }),
+    'sets the new weight to 0.3': () => setVersion(simulation, 'to', { weight: 0.3 }),
+    'withdraws the new version': () => setVersion(simulation, 'to', { state: 'withdrawn' }),
+    'withdraws the old version and stops it': () => {
+      setVersion(simulation, 'from', { state: 'withdrawn' })
+      setRollout(simulation, { state: 'stopped', reason: 'operator' })
+    }
+  }
+  const { change: write } = simulation.config
+  let raced = false
+  simulation.config.change = async request => {
+    if (!raced) {
+      raced = true
+      changes[change]!()
+    }
+    return write(request)
+  }
+  await simulation.run(600, () => raced)
+  assert.ok(raced, 'the controller did not write')
+})
+
+When('rollout loses its controller between two writes', async function (this: RolloutWorld) {
+  const { config, clock, metrics } = this.simulation
+  this.simulation.setController('none')
+  let writes = 0
+  const controller = createRolloutController({
+    config: { view: config.view, change: request => { writes++; return config.change(request) } },
+    isController: () => writes < 1,
+    outcomes: { total: () => undefined },
+    clock,
+    metrics,
+    log: silentLog
+  })
+  await controller.tick()
+})
+
+Then('rollout has one version at the weights of stage 2 and stage 1 applied', function (this: RolloutWorld) {
+  const { config, rollout } = this.simulation
+  assert.deepEqual([config.view.get('Version', 'to')!.weight, config.view.get('Version', 'from')!.weight], [0.5, 0.8])
+  assert.equal(rollout().appliedStage, 1)
+})
+
+Then(/^rollout state is "(\w+)"(?: because of "(\w+)")?$/, function (this: RolloutWorld, state: string, reason: string | undefined) {
+  const rollout = this.simulation.rollout()
+  assert.equal(rollout.state, state, `${rollout.reason}, stage ${rollout.stage}, seed ${SEED}`)
+  if (reason) assert.ok(rollout.reason?.includes(reason), rollout.reason)
+})
+
+Then(/^rollout weights are (\d) for the old version and (\d) for the (withdrawn new one|new one)$/, function (this: RolloutWorld, from: string, to: string, which: string) {
+  const { view } = this.simulation.config
+  assert.equal(view.get('Version', 'from')!.weight, Number(from))
+  assert.equal(view.get('Version', 'to')!.weight, Number(to))
+  assert.equal(view.get('Version', 'to')!.state, which.startsWith('withdrawn') ? 'withdrawn' : 'active')
+})
+
+Then('rollout evidence stays below the limit without a difference and rises with any larger one', function () {
+  console.log(`rollout property seed ${SEED}`)
+  const rate = fc.double({ min: 0.001, max: 0.9, noNaN: true })
+  fc.assert(fc.property(fc.nat(500), fc.nat(500), rate.filter(value => value < 0.69), fc.double({ min: 0.01, max: 0.3, noNaN: true }), (events, others, baseline, rise) => {
+    const trials = events + others
+    const evidence = logLikelihoodRatio({ events, trials }, baseline, rise)
+    assert.ok(logLikelihoodRatio({ events: events + 1, trials: trials + 1 }, baseline, rise) > evidence)
+    assert.ok(logLikelihoodRatio({ events, trials: trials + 1 }, baseline, rise) < evidence)
+    assert.ok(logLikelihoodRatio({ events: baseline * trials, trials }, baseline, rise) <= 1e-9)
+    assert.ok(upperRate({ events, trials }) > 0 && upperRate({ events, trials }) <= 1)
+  }), { seed: SEED })
+})
+
+Then('rollout evidence stops within {int} requests a version that turned bad after {int} good ones', function (limit: number, good: number) {
+  const judge = createJudge()
+  const total = { from: emptyTally(), to: emptyTally() }
+  const judged = (requests: number, failures: number) => {
+    total.from = { ...total.from, requests: total.from.requests + requests, failures: total.from.failures + requests / 100 }
+    total.to = { ...total.to, requests: total.to.requests + requests, failures: total.to.failures + failures }
+    return judge.judge(structuredClone(total))
+  }
+  for (let served = 0; served < good; served += 100) assert.equal(judged(100, 1).worse, undefined)
+  let bad = 10
+  while (judged(10, 2).worse === undefined) bad += 10
+  assert.ok(bad <= limit, `stopped after ${bad} requests`)
+})
--- a/src/core/cascade/constants.ts
+++ b/src/core/cascade/constants.ts
@@ -11,13 +11,21 @@
 export const NO_CONFIDENCE = CONFIDENCE_BANDS
 /** Combinations of team, class and version that are remembered; classes come from callers. */
 export const MAX_LEARNED_KEYS = 5000
+/** Team under which the experience of all teams is kept; not a valid team id. */
+export const ALL_TEAMS = '*'
 /** A plan is computed again after this many observations of its class. */
 export const PLAN_REFRESH_OBSERVATIONS = 16
 
+/** Explorations that a team may save up while nothing is worth exploring. */
+export const MAX_SAVED_EXPLORATIONS = 20
+
 export const DEFAULT_POLICY: CascadePolicy = {
   priorStrength: 4,
+  poolStrength: 10,
   bandStrength: 3,
   margin: 1,
+  optimism: 1.5,
+  worthwhileSaving: 0.03,
   memory: 500,
   minimumTimeLeftMs: 1500,
   assumedOutputTokens: 256
--- a/src/core/cascade/estimate.ts
+++ b/src/core/cascade/estimate.ts
@@ -13,12 +13,16 @@
   mean: number
   /** Variance of the mean. */
   variance: number
+  /** Variance of a single value. */
+  spread: number
 }
 
 export interface Prior {
   mean: number
   /** Number of values the prior counts for. */
   strength: number
+  /** Variance of a single value; by default that of yes-or-no answers. */
+  spread?: number
 }
 
 export const EMPTY_SAMPLE: Readonly<Sample> = { count: 0, sum: 0, squares: 0 }
@@ -38,6 +42,6 @@
   const weight = sample.count + prior.strength
   const mean = (sample.sum + prior.mean * prior.strength) / weight
   const deviation = Math.max(0, sample.squares - 2 * mean * sample.sum + mean * mean * sample.count)
-  const spread = (deviation + prior.mean * (1 - prior.mean) * prior.strength) / weight
-  return { mean, variance: spread / (weight + 1) }
+  const spread = (deviation + (prior.spread ?? prior.mean * (1 - prior.mean)) * prior.strength) / weight
+  return { mean, variance: spread / (weight + 1), spread }
 }
--- a/src/core/cascade/index.ts
+++ b/src/core/cascade/index.ts
@@ -6,6 +6,7 @@
 import type { VersionOutcome } from '../routing/types.ts'
 import { createLru } from '../session/lru.ts'
 import { DEFAULT_POLICY, MAX_LEARNED_KEYS, PLAN_REFRESH_OBSERVATIONS } from './constants.ts'
+import { createExploration } from './exploration.ts'
 import { createLearner, type VersionKey } from './learner.ts'
 import { choosePlan, escalates, type Plan, type TierEstimate } from './plan.ts'
 import type { Cascade, CascadePolicy, CascadeQuestion, Tier } from './types.ts'
@@ -18,12 +19,18 @@
   random?: () => number
 }
 
-interface CachedPlan { plan: Plan, observations: number }
+interface CachedPlans {
+  plan: Plan
+  /** Plan if the estimates are too low; what it would save is worth learning about. */
+  optimistic: Plan
+  observations: number
+}
 
 export function createCascade ({ policy: changes = {}, random = Math.random }: CascadeOptions = {}): Cascade {
   const policy = { ...DEFAULT_POLICY, ...changes }
   const learner = createLearner(policy)
-  const plans = createLru<CachedPlan>(MAX_LEARNED_KEYS)
+  const exploration = createExploration(random)
+  const plans = createLru<CachedPlans>(MAX_LEARNED_KEYS)
   const observations = createLru<number>(MAX_LEARNED_KEYS)
 
   function estimateTier (question: CascadeQuestion, tier: Tier): TierEstimate {
@@ -41,37 +48,43 @@
     return promptTokens * tier.inputMicrosPerToken + policy.assumedOutputTokens * tier.outputMicrosPerToken
   }
 
-  function planFor (question: CascadeQuestion): Plan {
-    const mayEscalate = question.deadlineMs >= 2 * policy.minimumTimeLeftMs
+  const mayEscalate = ({ deadlineMs }: CascadeQuestion) => deadlineMs >= 2 * policy.minimumTimeLeftMs
+
+  function plansFor (question: CascadeQuestion): CachedPlans {
+    const { team, requestClass, qualityTarget } = question
     const versions = question.tiers.map(tier => tier.version)
-    const cacheKey = JSON.stringify([question.team, question.requestClass, versions, question.qualityTarget, mayEscalate])
+    const cacheKey = JSON.stringify([team, requestClass, versions, qualityTarget, mayEscalate(question)])
     const seen = observations.get(classKey(question)) ?? 0
     const cached = plans.get(cacheKey)
-    if (cached && seen - cached.observations < PLAN_REFRESH_OBSERVATIONS) return cached.plan
+    if (cached && seen - cached.observations < PLAN_REFRESH_OBSERVATIONS) return cached
     const tiers = question.tiers.map(tier => estimateTier(question, tier))
-    const plan = choosePlan({ tiers, target: question.qualityTarget, margin: policy.margin, mayEscalate })
-    plans.set(cacheKey, { plan, observations: seen })
-    return plan
+    const choose = (margin: number) => choosePlan({ tiers, target: qualityTarget, margin, mayEscalate: mayEscalate(question) })
+    const fresh = { plan: choose(policy.margin), optimistic: choose(-policy.optimism), observations: seen }
+    plans.set(cacheKey, fresh)
+    return fresh
   }
 
   return {
     decide (question) {
-      const { start, quality } = planFor(question)
-      const mayExplore = start > 0 && question.deadlineMs >= 2 * policy.minimumTimeLeftMs
-      if (mayExplore && random() < question.explorationShare) {
-        return { tier: Math.floor(random() * start), explores: true, why: 'explores a cheaper tier; the answer will be escalated' }
+      const { plan, optimistic } = plansFor(question)
+      const savingMicros = plan.cost - optimistic.cost
+      const isWorthwhile = savingMicros > plan.cost * policy.worthwhileSaving && mayEscalate(question)
+      const explores = exploration.spend(question.team, question.explorationShare, isWorthwhile ? savingMicros : 0)
+      if (explores && optimistic.start < plan.start) {
+        return { tier: optimistic.start, explores, why: 'explores a cheaper tier; the answer will be escalated' }
       }
-      return { tier: start, explores: false, why: `expected quality ${quality.mean.toFixed(3)}, target ${question.qualityTarget}` }
+      const why = `expected quality ${plan.quality.mean.toFixed(3)}, target ${question.qualityTarget}`
+      return { tier: plan.start, explores, why }
     },
     shouldEscalate (question) {
       const { tier, tiers, confidence, remainingMs } = question
       if (tier + 1 >= tiers.length || remainingMs < policy.minimumTimeLeftMs) return false
-      const { start, keepFrom } = planFor(question)
+      const { start, keepFrom } = plansFor(question).plan
       if (tier < start) return true
       return escalates(keepFrom[tier - start] ?? 0, confidence)
     },
     next (question, tier) {
-      return Math.min(question.tiers.length - 1, Math.max(planFor(question).start, tier + 1))
+      return Math.min(question.tiers.length - 1, Math.max(plansFor(question).plan.start, tier + 1))
     },
     observe (outcome: VersionOutcome) {
       learner.observe(outcome)
--- a/src/core/cascade/learner.ts
+++ b/src/core/cascade/learner.ts
@@ -3,8 +3,8 @@
  * occurs, and cost. Answers to escalated requests are kept apart, because these requests are harder than the rest.
  */
 import { createLru } from '../session/lru.ts'
-import { CONFIDENCE_BANDS, FLAT_STRENGTH, MAX_LEARNED_KEYS, NO_CONFIDENCE } from './constants.ts'
-import { addValue, EMPTY_SAMPLE, estimate, type Estimate, type Sample } from './estimate.ts'
+import { ALL_TEAMS, CONFIDENCE_BANDS, FLAT_STRENGTH, MAX_LEARNED_KEYS, NO_CONFIDENCE } from './constants.ts'
+import { addValue, EMPTY_SAMPLE, estimate, type Estimate, type Prior, type Sample } from './estimate.ts'
 import type { CascadePolicy } from './types.ts'
 import type { VersionOutcome } from '../routing/types.ts'
 
@@ -59,38 +59,63 @@
   }
 
   function quality (key: VersionKey, priorQuality: number): Estimate {
+    return estimate(find(key)?.quality ?? EMPTY_SAMPLE, qualityPrior(key, priorQuality))
+  }
+
+  /** Experience of all teams, or else the version's other answers, or else the configured expectation. */
+  function qualityPrior (key: VersionKey, priorQuality: number): Prior {
+    const pool = { ...key, team: ALL_TEAMS }
+    const shared = key.team === ALL_TEAMS ? 0 : Math.min(policy.poolStrength, find(pool)?.quality.count ?? 0)
+    const strength = policy.priorStrength + shared
+    if (shared > 0) return { ...quality(pool, priorQuality), strength }
     // Before an escalated answer was rated, the version's other answers are the best guess.
-    const mean = key.escalated ? quality({ ...key, escalated: false }, priorQuality).mean : priorQuality
-    return estimate(find(key)?.quality ?? EMPTY_SAMPLE, { mean, strength: policy.priorStrength })
+    if (key.escalated) return { ...quality({ ...key, escalated: false }, priorQuality), strength }
+    return { mean: priorQuality, strength }
+  }
+
+  function bands (key: VersionKey, priorQuality: number): Band[] {
+    const entry = find(key)
+    const priors = bandPriors(key, priorQuality)
+    // A fraction of an occurrence per band keeps a band that was not seen yet from counting as impossible.
+    const seen = priors.map((_, band) => (entry?.occurrences[band] ?? 0) + (band === NO_CONFIDENCE ? 0 : 0.25))
+    const total = seen.reduce((sum, count) => sum + count, 0)
+    return seen.map((count, band) => ({
+      share: count / total,
+      quality: estimate(entry?.bands[band] ?? EMPTY_SAMPLE, priors[band]!)
+    }))
+  }
+
+  function bandPriors (key: VersionKey, priorQuality: number): Prior[] {
+    const pool = { ...key, team: ALL_TEAMS }
+    const { mean, spread } = quality(key, priorQuality)
+    const samples = (find(pool) ?? find(key))?.bands ?? []
+    const expected = fitLine(samples, mean)
+    return Array.from({ length: CONFIDENCE_BANDS + 1 }, (_, band) => ({
+      mean: band === NO_CONFIDENCE ? mean : expected(band),
+      strength: policy.bandStrength,
+      spread
+    }))
+  }
+
+  function add (outcome: VersionOutcome, team: string): void {
+    const entry = findOrCreate({ ...outcome, team, escalated: outcome.escalated ?? false })
+    const band = bandOf(outcome.confidence)
+    if (outcome.rating === undefined) {
+      entry.occurrences[band] = entry.occurrences[band]! + 1
+      entry.cost = addValue(entry.cost, outcome.costMicros, policy.memory)
+      return
+    }
+    entry.quality = addValue(entry.quality, outcome.rating, policy.memory)
+    entry.bands[band] = addValue(entry.bands[band]!, outcome.rating, policy.memory)
   }
 
   return {
     quality,
+    bands,
     observe (outcome) {
       if (outcome.failed) return
-      const entry = findOrCreate({ ...outcome, escalated: outcome.escalated ?? false })
-      const band = bandOf(outcome.confidence)
-      if (outcome.rating === undefined) {
-        entry.occurrences[band] = entry.occurrences[band]! + 1
-        entry.cost = addValue(entry.cost, outcome.costMicros, policy.memory)
-        return
-      }
-      entry.quality = addValue(entry.quality, outcome.rating, policy.memory)
-      entry.bands[band] = addValue(entry.bands[band]!, outcome.rating, policy.memory)
-    },
-    bands (key, priorQuality) {
-      const entry = find(key)
-      const samples = entry?.bands ?? []
-      const { mean } = quality(key, priorQuality)
-      const expected = fitLine(samples, mean)
-      const occurrences = entry?.occurrences ?? []
-      // A fraction of an occurrence per band keeps a band that was not seen yet from counting as impossible.
-      const seen = Array.from({ length: CONFIDENCE_BANDS + 1 }, (_, band) => (occurrences[band] ?? 0) + (band === NO_CONFIDENCE ? 0 : 0.25))
-      const total = seen.reduce((sum, count) => sum + count, 0)
-      return seen.map((count, band) => {
-        const prior = { mean: band === NO_CONFIDENCE ? mean : expected(band), strength: policy.bandStrength }
-        return { share: count / total, quality: estimate(samples[band] ?? EMPTY_SAMPLE, prior) }
-      })
+      add(outcome, outcome.team)
+      add(outcome, ALL_TEAMS)
     },
     meanCost (key) {
       const cost = find(key)?.cost
--- a/src/core/cascade/plan.ts
+++ b/src/core/cascade/plan.ts
@@ -17,7 +17,7 @@
   start: number
   /** For each tier from `start` on: answers of lower confidence are escalated. 0 keeps every answer. */
   keepFrom: number[]
-  quality: Estimate
+  quality: Pick<Estimate, 'mean' | 'variance'>
   cost: number
 }
 
--- a/src/core/cascade/types.ts
+++ b/src/core/cascade/types.ts
@@ -11,10 +11,16 @@
 export interface CascadePolicy {
   /** Answers that the prior expectation of a version's quality counts for. */
   priorStrength: number
+  /** Answers that other teams' experience with the version in a class of the same name counts for at most. */
+  poolStrength: number
   /** Answers that the class's quality counts for in each band of confidence. */
   bandStrength: number
   /** Standard errors by which the estimated quality must exceed the target. */
   margin: number
+  /** Standard errors by which an estimate may be too low in the optimistic view that guides exploration. */
+  optimism: number
+  /** Share of a plan's cost that the optimistic view must save to be explored. */
+  worthwhileSaving: number
   /** Ratings are forgotten beyond this effective number, so that a changed version is noticed. */
   memory: number
   /** Time that must be left to escalate, milliseconds. */
@@ -38,7 +44,7 @@
 export interface CascadeDecision {
   /** Index of the tier that answers first. */
   tier: number
-  /** The tier is tried only to learn about it; its answer will be escalated. */
+  /** The request is spent on learning: its answers should be rated, and one below the plan's tier is escalated. */
   explores: boolean
   why: string
 }
--- a/src/core/config/types.ts
+++ b/src/core/config/types.ts
@@ -98,7 +98,10 @@
   /** Shares of new sessions for `to`, in order. */
   stages: z.array(z.number().min(0).max(1)).min(1).default([0.01, 0.05, 0.2, 0.5, 1]),
   stage: z.number().int().min(0).default(0),
+  /** `stopped` asks the controller to roll back; `rolled_back` and `done` are final. */
   state: z.enum(['running', 'paused', 'stopped', 'rolled_back', 'done']).default('running'),
+  /** Stage whose weights are written to the versions; set by the controller. */
+  appliedStage: z.number().int().min(0).optional(),
   stageMinimumMs: z.number().int().nonnegative().default(60_000),
   stageMinimumRequests: z.number().int().positive().default(100),
   /** Why the roll-out was stopped or rolled back. */
--- a/src/core/peer/types.ts
+++ b/src/core/peer/types.ts
@@ -7,6 +7,7 @@
   | 'config.push' | 'config.pull'
   | 'permit.request' | 'permit.release' | 'permit.sync' | 'leader.summary'
   | 'billing.witness' | 'billing.drop'
+  | 'rollout.outcomes'
   | 'quarantine.report' | 'explain.get' | 'answer.join'
 
 /** Handles one message; the returned value is the answer to a request and is ignored for a notification. */
--- /dev/null
+++ b/src/core/rollout/outcome-reports.ts
@@ -0,0 +1,120 @@
+/**
+ * Carries outcomes to the region's controller. Each VM counts what its requests to the two versions of a roll-out did
+ * and sends the sums since the roll-out began. A lost or repeated report does no harm, and a new controller
+ * has the full picture after one period, less what dead VMs had counted.
+ */
+import type { Clock, TimerCancel } from '../clock/index.ts'
+import type { ConfigEntry, ConfigView } from '../config/types.ts'
+import type { VmId } from '../ids/index.ts'
+import type { Membership } from '../membership/types.ts'
+import type { PeerLinks } from '../peer/types.ts'
+import type { VersionOutcome } from '../routing/types.ts'
+import type { VmIdentity } from '../settings/index.ts'
+import { REPORT_PERIOD_MS, REPORT_PERIOD_PER_VM_MS } from './constants.ts'
+import { addTallies, countOutcome, emptyRolloutTally } from './tally.ts'
+import type { OutcomeReport, Outcomes, RolloutTally } from './types.ts'
+
+export interface OutcomeReports extends Outcomes {
+  observe(outcome: VersionOutcome): void
+  start(): void
+  stop(): void
+}
+
+export interface OutcomeReportsOptions {
+  identity: VmIdentity
+  view: ConfigView
+  peers: PeerLinks
+  membership: Membership
+  /** VM that controls the region's roll-outs; undefined while there is none. */
+  controller: () => VmId | undefined
+  clock: Clock
+}
+
+type RolloutEntry = ConfigEntry<'Rollout'>
+
+interface Counted { pair: string, tally: RolloutTally, changed: boolean }
+interface Received { pair: string, tallies: Map<string, RolloutTally> }
+
+export function createOutcomeReports (options: OutcomeReportsOptions): OutcomeReports {
+  const { identity, view, peers, membership, controller, clock } = options
+  const counted = new Map<string, Counted>()
+  const received = new Map<string, Received>()
+  let lastController: VmId | undefined
+  let stopTimer: TimerCancel | undefined
+  let lastSentMs = -Infinity
+
+  peers.handle('rollout.outcomes', body => accept(body as OutcomeReport))
+
+  /** Follows a roll-out from its start to its end; a repeated one starts from 0. */
+  function current ({ name, spec }: RolloutEntry): Counted | undefined {
+    const pair = pairOf(spec)
+    if (spec.state !== 'running' && spec.state !== 'paused') {
+      counted.delete(name)
+      received.delete(name)
+      return undefined
+    }
+    const known = counted.get(name)
+    if (known?.pair === pair) return known
+    const fresh = { pair, tally: emptyRolloutTally(), changed: false }
+    counted.set(name, fresh)
+    received.delete(name)
+    return fresh
+  }
+
+  function accept ({ rollout, pair, vm, boot, tally }: OutcomeReport): void {
+    const entry = view.entry('Rollout', rollout)
+    if (!entry || pairOf(entry.spec) !== pair || !current(entry)) return
+    const known = received.get(rollout) ?? { pair, tallies: new Map<string, RolloutTally>() }
+    received.set(rollout, known)
+    known.tallies.set(`${vm}.${boot}`, tally)
+  }
+
+  function send (): void {
+    const target = controller()
+    const isNew = target !== lastController
+    lastController = target
+    if (target === undefined || target === identity.vm) return
+    // A large region reports less often, so that the controller's links stay within the control budget.
+    const periodMs = Math.max(REPORT_PERIOD_MS, membership.members().length * REPORT_PERIOD_PER_VM_MS)
+    if (!isNew && clock.now() - lastSentMs < periodMs) return
+    lastSentMs = clock.now()
+    for (const entry of view.list('Rollout')) {
+      const own = current(entry)
+      if (!own || !(own.changed || isNew)) continue
+      own.changed = false
+      const report: OutcomeReport = { rollout: entry.name, pair: own.pair, vm: identity.vm, boot: identity.boot, tally: own.tally }
+      peers.notify(target, 'rollout.outcomes', report)
+    }
+  }
+
+  return {
+    observe (outcome) {
+      for (const entry of view.list('Rollout')) {
+        const isTo = entry.spec.to === outcome.version
+        if (!isTo && entry.spec.from !== outcome.version) continue
+        const own = current(entry)
+        if (!own) continue
+        countOutcome(isTo ? own.tally.to : own.tally.from, outcome)
+        own.changed = true
+      }
+    },
+    total (rollout) {
+      const entry = view.entry('Rollout', rollout)
+      const own = entry && current(entry)
+      if (!own) return undefined
+      const tallies = [own.tally, ...received.get(rollout)?.tallies.values() ?? []]
+      return tallies.reduce((sum, tally) => ({ from: addTallies(sum.from, tally.from), to: addTallies(sum.to, tally.to) }), emptyRolloutTally())
+    },
+    start () {
+      stopTimer ??= clock.every(REPORT_PERIOD_MS, send)
+    },
+    stop () {
+      stopTimer?.()
+      stopTimer = undefined
+    }
+  }
+}
+
+function pairOf ({ from, to }: RolloutEntry['spec']): string {
+  return `${from} ${to}`
+}
