Scope test hooks by tag so that features do not tear down each other

Ruled out: renaming properties, which leaves the next collision open. Change: each hook has its feature's tag; fakes follow the changed ObjectApi.delete.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -1,3 +1,4 @@
+@claims
 Feature: Claims
 
   Scenario: two VMs claim one key at once and one of them may send
--- a/features/fault-proxy.feature
+++ b/features/fault-proxy.feature
@@ -1,3 +1,4 @@
+@fault-proxy
 Feature: Fault proxy and VM list stand-ins
 
   Scenario Outline: the fault proxy with <faults> lets through <seen>
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -1,3 +1,4 @@
+@fleet
 Feature: Fleet of real processes
 
   Scenario: fleet serves a chat request from every VM
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -1,3 +1,4 @@
+@gateway
 Feature: Gateway
 
   Background:
--- a/features/object-api.feature
+++ b/features/object-api.feature
@@ -1,3 +1,4 @@
+@object-api
 Feature: Object API
 
   Scenario Outline: the object API client resolves a lost answer: <operation>, <fault>
--- a/features/peer.feature
+++ b/features/peer.feature
@@ -1,3 +1,4 @@
+@peer
 Feature: Peer links
 
   Scenario Outline: <input> is counted, ends the connection and leaves the others served
--- a/features/service-calls.feature
+++ b/features/service-calls.feature
@@ -1,3 +1,4 @@
+@service-calls
 Feature: Service calls
 
   Background:
--- a/features/steps/claims.ts
+++ b/features/steps/claims.ts
@@ -67,7 +67,7 @@
   history: { failed: boolean, counterexample: unknown }
 }
 
-After(async function (this: ClaimsWorld) {
+After({ tags: '@claims' }, async function (this: ClaimsWorld) {
   for (const { claims } of this.claimsWorld?.vms.values() ?? []) await claims.stop()
 })
 
--- a/features/steps/fault-proxy.ts
+++ b/features/steps/fault-proxy.ts
@@ -22,7 +22,7 @@
   while (!condition()) await new Promise(resolve => setTimeout(resolve, 1))
 }
 
-After(async function (this: Partial<ProxyWorld>) {
+After({ tags: '@fault-proxy' }, async function (this: Partial<ProxyWorld>) {
   this.client?.destroy()
   await this.faultProxy?.close()
   this.target?.close()
--- a/features/steps/fleet.ts
+++ b/features/steps/fleet.ts
@@ -16,7 +16,7 @@
   world.fleet = await startFleet(options)
 }
 
-After(async function (this: FleetWorld) {
+After({ tags: '@fleet' }, async function (this: FleetWorld) {
   await this.fleet?.stop()
 })
 
--- a/features/steps/gateway.ts
+++ b/features/steps/gateway.ts
@@ -26,7 +26,7 @@
 const ANSWER_TOKENS = 8
 const versions = ['kit-v1', 'kit-large-v1', 'kit-v2']
 
-After(async function (this: GatewayWorld) {
+After({ tags: '@gateway' }, async function (this: GatewayWorld) {
   for (const vm of this.vms?.values() ?? []) await vm.server.stop({ timeout: 0 })
   for (const engine of this.engines?.values() ?? []) await engine.kill()
 })
--- a/features/steps/object-api.ts
+++ b/features/steps/object-api.ts
@@ -56,7 +56,7 @@
   this.version = created.resourceVersion
 })
 
-After(async function (this: Partial<ObjectApiWorld>) {
+After({ tags: '@object-api' }, async function (this: Partial<ObjectApiWorld>) {
   await this.objectApiServer?.close()
 })
 
--- a/features/steps/peer.ts
+++ b/features/steps/peer.ts
@@ -163,7 +163,7 @@
   'a frame over the size limit': late(socket => socket.send(Buffer.alloc(MAX_MESSAGE_BYTES + 1)))
 }
 
-After(async function (this: Partial<PeerWorld>) {
+After({ tags: '@peer' }, async function (this: Partial<PeerWorld>) {
   for (const socket of this.sockets ?? []) socket.destroy()
   await Promise.all((this.nodes ?? []).map(({ links }) => links.close()))
   await this.proxy?.close()
--- a/features/steps/quarantine.ts
+++ b/features/steps/quarantine.ts
@@ -50,6 +50,7 @@
     delete: (_kind, name, resourceVersion) => call(() => {
       stored(name, resourceVersion)
       objects.delete(name)
+      return resourceVersion + 1
     }),
     watch: () => { throw new ObjectApiError('object_api_unavailable') }
   }
--- a/features/steps/service-calls.ts
+++ b/features/steps/service-calls.ts
@@ -28,7 +28,7 @@
   results: ServiceResult[]
 }
 
-After(async function (this: ServiceWorld) {
+After({ tags: '@service-calls' }, async function (this: ServiceWorld) {
   for (const vm of this.serviceVms?.values() ?? []) await vm.server.stop({ timeout: 0 })
   for (const runner of this.runners?.values() ?? []) await runner.kill()
   for (const claims of this.claims ?? []) await claims.stop()
--- a/features/support/fake-store.ts
+++ b/features/support/fake-store.ts
@@ -70,6 +70,7 @@
     delete: async (kind, name, resourceVersion) => write(() => {
       current(kind, name, resourceVersion)
       objects.delete(`${kind}/${name}`)
+      return resourceVersion + 1
     }),
     async * watch () {}
   }
