Test that a team at its limit waits without holding up others

Cause: the path for a wholly used team limit had no scenario; only the share of one data centre had.

Change: a scenario in which the third request of a team with a limit of 2 waits while another team is served, and is refused as team_limit at its deadline. The interleavings print their seed.

Ruled out: a separate step for each position; the step takes the position.

Conclusion: both outcomes of the team limit are covered.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -252,12 +252,20 @@
     When admission of each data centre is asked for 10 permits
     Then admission of all data centres has granted 12 permits
 
+  Scenario: a team at its limit waits and does not hold up others
+    Given admission leads 1 warm backend servers with 8 slots and an allowance of 8
+    And admission has a limit of 2 for team-1
+    When admission queues 3 requests of team-1 and 2 of team-2
+    Then admission has granted 4 permits
+    When admission waits 10000 ms
+    Then admission refused request 3 of team-1 with "team_limit"
+
   Scenario: a full queue gives up the last request of the longest flow
     Given admission leads 1 cold backend servers with 8 slots and an allowance of 1
     And admission has a queue bound of 4
     And admission has 1 requests running
     When admission queues 4 requests of team-1 and 1 of team-2
-    Then admission refused the fourth request of team-1 with "queue_full"
+    Then admission refused request 4 of team-1 with "queue_full"
 
   Scenario: no interleaving of grants, releases, deaths and takeovers overloads a cold backend server
     When admission runs random interleavings with seed 20261204
--- a/features/steps/admission-interleavings.ts
+++ b/features/steps/admission-interleavings.ts
@@ -61,6 +61,7 @@
 
 /** Runs the interleavings; returns the number of overloads, or rejects with the smallest failing interleaving. */
 export async function runInterleavings (seed: number): Promise<number> {
+  console.log(`admission interleavings seed ${seed}`)
   const step = fc.record({ operation: fc.constantFrom(...OPERATIONS), which: fc.nat(1000), ms: fc.integer({ min: 1, max: 1200 }) })
   const property = fc.asyncProperty(fc.array(step, { minLength: 50, maxLength: 300, size: 'max' }), async steps => await overloadsOf(steps) === 0)
   await fc.assert(property, { seed, numRuns: 200 })
--- a/features/steps/admission.ts
+++ b/features/steps/admission.ts
@@ -62,6 +62,10 @@
   putContract(this.stand.view, 'team-2', { weight: second, maxConcurrent: 1000 })
 })
 
+Given('admission has a limit of {int} for team-1', function (this: World, maxConcurrent: number) {
+  putContract(this.stand.view, 'team-1', { maxConcurrent })
+})
+
 Given('admission has learned that a request takes {int} ms', async function (this: World, ms: number) {
   const [asked] = await askMany(this.stand, 1)
   await this.stand.clock.advance(ms - SETTLE_STEP_MS)
@@ -408,6 +412,6 @@
   assert.equal(this.stands.reduce((sum, stand) => sum + stand.grants.length, 0), count)
 })
 
-Then('admission refused the fourth request of team-1 with {string}', function (this: World, reason: string) {
-  assert.equal(refusalOf(this.batch[3]!).reason, reason)
+Then('admission refused request {int} of team-1 with {string}', function (this: World, position: number, reason: string) {
+  assert.equal(refusalOf(this.batch[position - 1]!).reason, reason)
 })
