Keep a backend server warm that misses probes while it answers requests

Cause: a busy engine can miss two probes in a row. It was then taken as cold and ramped up from its allowance, which takes capacity away when it is scarce.

Change: a probe that fails while a first byte of the backend server arrives does not count as a failure. It still gets no new request without a proof. The prompt rate is learned from first bytes only, no longer from releases of requests that failed without one.

Ruled out: a longer probe timeout, which delays the proof for every grant.

Conclusion: missed probes alone do not reset the ramp of a working server.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -48,6 +48,22 @@
     And admission waits 100 ms
     Then admission counts 0 backend servers as warm
 
+  Scenario Outline: a backend server that misses probes and answers <answers> of 7 requests counts as warm <warm> times
+    Given admission leads 1 warm backend servers with 16 slots and an allowance of 1
+    And admission has 7 requests running
+    And admission has probes that time out
+    When admission is asked by 1 VMs for 1 permits each
+    And admission gets a first byte of <answers> running requests, one each 400 ms
+    And admission waits <rest> ms
+    Then admission counts <warm> backend servers as warm
+    When admission is asked by 3 VMs for 1 permits each
+    Then admission has granted 8 permits
+
+    Examples:
+      | answers | rest | warm |
+      | 7       | 0    | 1    |
+      | 0       | 2800 | 0    |
+
   Scenario: a first byte of the former instance does not turn the new one cold
     Given admission leads 1 warm backend servers with 8 slots and an allowance of 1
     And admission has 2 requests running
--- a/features/steps/admission-stand.ts
+++ b/features/steps/admission-stand.ts
@@ -14,8 +14,8 @@
 
 export const VM = brandId<VmId>('vm-1')
 export const SETTLE_MS = 2000
-/** Longer than the ramp of 8 slots in steps of one. */
-export const RAMP_MS = 2500
+/** Longer than the ramp of 16 slots in steps of one. */
+export const RAMP_MS = 4500
 
 export interface Asked {
   request: PermitRequest
@@ -36,6 +36,7 @@
   held: boolean
   /** One-way delay of health probes. */
   probeDelayMs: number
+  probesTimeOut: boolean
   asked: Asked[]
   /** Granted requests in the order of the grants. */
   grants: Asked[]
@@ -59,6 +60,7 @@
     epoch: 0,
     held: true,
     probeDelayMs: 0,
+    probesTimeOut: false,
     asked: [],
     grants: []
   } as unknown as AdmissionStand
@@ -97,6 +99,7 @@
   await delay()
   const report = engineAt(stand, address).health()
   await delay()
+  if (stand.probesTimeOut) throw new Error('no answer')
   return report
 }
 
--- a/features/steps/admission.ts
+++ b/features/steps/admission.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { DATA_CENTRE, permitRequest, putBackendServer, putContract, VERSION } from '../../src/bench/admission-fixture.ts'
+import { PROBE_TIMEOUT_MS } from '../../src/core/admission/constants.ts'
 import { createPrefixIndex, type PrefixIndex } from '../../src/core/admission/prefix-index.ts'
 import type { PermitRequest, Priority } from '../../src/core/admission/types.ts'
 import { brandId, type DataCentreId, type TeamId, type VmId } from '../../src/core/ids/index.ts'
@@ -76,6 +77,11 @@
   this.stand.probeDelayMs = ms / 2
 })
 
+Given('admission has probes that time out', function (this: World) {
+  this.stand.probeDelayMs = PROBE_TIMEOUT_MS / 2
+  this.stand.probesTimeOut = true
+})
+
 Given('admission has a queue bound of {int}', async function (this: World, maxQueue: number) {
   lead(this.stand, { maxQueue })
   await this.stand.clock.advance(SETTLE_MS + RAMP_MS)
@@ -126,6 +132,14 @@
   finish(this.stand, this.running[0]!, 'crashed')
 })
 
+When('admission gets a first byte of {int} running requests, one each 400 ms', async function (this: World, count: number) {
+  const { instance } = this.stand.engines.get('runner-1')!
+  for (const asked of this.running.slice(0, count)) {
+    await this.stand.clock.advance(400)
+    this.stand.scheduler.firstByte({ id: permitOf(asked).id, instance }, VM)
+  }
+})
+
 When('admission gets a first byte of the former instance', function (this: World) {
   const { address } = this.stand.engines.get('runner-1')!
   this.stand.scheduler.firstByte({ id: permitOf(this.running[0]!).id, instance: `${address}#1` }, VM)
--- a/src/core/admission/backend-watch.ts
+++ b/src/core/admission/backend-watch.ts
@@ -53,13 +53,16 @@
     changed()
   }
 
+  function learnFirstByte (record: PermitRecord): void {
+    const entry = table.get(record.backendServer)
+    if (!entry || record.firstByteAt < Infinity) return
+    noteFirstByte(entry.promptProgress, record, now())
+    record.firstByteAt = now()
+  }
+
   function observe (record: PermitRecord, instance: string): void {
     const entry = table.get(record.backendServer)
     if (!entry) return
-    if (record.firstByteAt === Infinity) {
-      noteFirstByte(entry.promptProgress, record, now())
-      record.firstByteAt = now()
-    }
     if (!observeFirstByte(entry.warmth, { instance, grant: record.grant, number: nextNumber() })) return
     noteCold(entry, 'instance')
     prober.probe(entry)
@@ -95,6 +98,7 @@
       changed()
     },
     firstByte (record, instance) {
+      learnFirstByte(record)
       observe(record, instance)
       changed()
     },
--- a/src/core/admission/probes.ts
+++ b/src/core/admission/probes.ts
@@ -52,6 +52,8 @@
       onAnswer(entry, { report, probe, sentAt })
       return
     }
+    // A busy backend server may answer requests and miss probes; without a probe it gets no new ones, but stays warm.
+    if (entry.promptProgress.lastFirstByteAt >= sentAt) return
     entry.failures++
     if (entry.unreachable || entry.failures < PROBE_FAILURES_UNTIL_UNREACHABLE) return
     entry.unreachable = true
