Look up the shortest prefix first; correct the eviction order of the engine model

Cause: half of the CPU time of a grant went into looking up every prefix of a prompt for every backend server, and the engine model of the benchmarks removed short prefixes before the longer ones that are built on them.

Change: a backend server without the shortest prefix is passed over by one look-up. The model removes the longest prefix first, as engines do.

Ruled out: an index by prefix, which has to be kept in step with each eviction.

--- a/src/bench/engine-model.ts
+++ b/src/bench/engine-model.ts
@@ -85,7 +85,8 @@
 
   function store (hashes: readonly string[]): void {
     const stored = hashes.filter(hash => !cache.has(hash))
-    for (const hash of [...hashes].reverse()) {
+    // The longest prefix is the oldest, so that it is removed before the shorter ones it is built on.
+    for (const hash of hashes) {
       cache.delete(hash)
       cache.set(hash, true)
     }
--- a/src/core/admission/prefix-index.ts
+++ b/src/core/admission/prefix-index.ts
@@ -65,7 +65,8 @@
     clear: backendServer => { caches.delete(backendServer) },
     cachedShare (backendServer, prefixHashes) {
       const cache = caches.get(backendServer)
-      if (!cache) return 0
+      // A prefix cannot be cached without the shorter ones, so most backend servers are passed over by one look-up.
+      if (!cache || !cache.prefixes.has(prefixHashes.at(-1) ?? '')) return 0
       const index = prefixHashes.findIndex(prefix => cache.prefixes.has(prefix))
       if (index === -1) return 0
       const isCertain = cache.prefixes.get(prefixHashes[index]!) === cache.generation
