Count a revision as in force only with everything before it

Cause: one call can change several objects, and the command line waits for the highest revision; a VM that missed an earlier push was reported as up to date. Ruled out: comparing the highest revision of each VM, for the same reason. Change: the probe carries the objects after the asker's completeTo together with its hash, and a VM that does not know the revision itself confirms nothing. Removing either check fails the new scenario. Conclusion: a confirmed revision has no gap below it.

--- a/features/config.feature
+++ b/features/config.feature
@@ -130,6 +130,13 @@
     When the configuration VM a3 is cut off and a1 changes Model/big
     Then the configuration revision is in force on a1 a2 and missing on a3
 
+  Scenario: configuration in force counts earlier changes of the same call, and is unknown to a VM without the revision
+    Given configuration VMs a1 a2 a3
+    And the configuration holds models, versions, a contract and a rollout
+    When the configuration push of the first of two changes to a3 is lost
+    Then the configuration revision is in force on a1 a2 and missing on a3
+    And the configuration revision after the newest one is in force on none
+
   Scenario Outline: a configuration object that another client wrote wrongly is not put in force: <case>
     Given configuration VMs a1 a2 a3
     And the configuration holds models, versions, a contract and a rollout
--- a/features/steps/config.ts
+++ b/features/steps/config.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check'
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
 import {
-  ConfigConflictError, createConfigController, createConfigReplica, type ConfigController, type ConfigReplica
+  ConfigConflictError, createConfigController, createConfigReplica, type ConfigController, type ConfigReplica, type InForce
 } from '../../src/core/config/index.ts'
 import type { AcceptedChange, ConfigChange, ConfigRecord } from '../../src/core/config/types.ts'
 import { errorMessage, LacewingError } from '../../src/core/errors/index.ts'
@@ -323,12 +323,29 @@
 
 Then('the configuration revision is in force on a1 a2 and missing on a3', async function (this: ConfigWorld) {
   const [result] = this.results as PromiseFulfilledResult<AcceptedChange[]>[]
-  const waiting = firstVm(this).controller.waitInForce(result!.value[0]!.resourceVersion, 1000)
-  await this.clock.advance(1500)
-  const { inForce, missing } = await waiting
+  const { inForce, missing } = await waitInForce(this, result!.value.at(-1)!.resourceVersion)
   assert.deepEqual({ inForce, missing }, { inForce: ['a1', 'a2'], missing: ['a3'] })
 })
 
+async function waitInForce (world: ConfigWorld, revision: number): Promise<InForce> {
+  const waiting = firstVm(world).controller.waitInForce(revision, 1000)
+  await world.clock.advance(1500)
+  return await waiting
+}
+
+When('the configuration push of the first of two changes to a3 is lost', async function (this: ConfigWorld) {
+  const { id } = this.vms.get('a3')!
+  this.hub.cut.add(id)
+  await makeChange(this, 'Model/big tier=5', 'a1')
+  this.hub.cut.delete(id)
+  await makeChange(this, 'Model/spare tier=6', 'a1')
+})
+
+Then('the configuration revision after the newest one is in force on none', async function (this: ConfigWorld) {
+  const { inForce } = await waitInForce(this, firstVm(this).replica.revision() + 1)
+  assert.deepEqual(inForce, [])
+})
+
 function record (name: string, resourceVersion: number, deleted = false): ConfigRecord {
   const spec = deleted ? null : { tier: resourceVersion, contextTokens: 1 }
   return { kind: 'Model', name, spec, resourceVersion, writeId: '', deleted } as ConfigRecord
--- a/src/core/config/exchange.ts
+++ b/src/core/config/exchange.ts
@@ -8,7 +8,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { PeerLinks } from '../peer/types.ts'
 import { PULL_TIMEOUT_MS, PUSH_TIMEOUT_MS } from './constants.ts'
-import type { ObjectVersion, ProbeAnswer, PullMessage, PushMessage, RepairAnswer } from './messages.ts'
+import type { ObjectVersion, ProbeAnswer, ProbeMessage, PullMessage, PushMessage, RepairAnswer } from './messages.ts'
 import type { ConfigReplica, ConfigSummary } from './replica.ts'
 import type { ConfigRecord } from './types.ts'
 
@@ -29,7 +29,7 @@
   /** Fetches what differs from a VM. Returns whether that VM has loaded its configuration; rejects when unreachable. */
   pullFrom (vm: VmId): Promise<boolean>
   onSummary (from: VmId, summary: ConfigSummary): void
-  /** Whether the revision is in force on the VM; false when the VM cannot be asked. */
+  /** Whether everything up to the revision is in force on the VM; false when the VM cannot be asked. */
   probe (vm: VmId, revision: number): Promise<boolean>
   otherVms (): VmId[]
 }
@@ -45,7 +45,7 @@
   })
   peers.handle('config.pull', body => {
     const message = body as PullMessage
-    if (message.ask === 'probe') return { inForce: isInForce(message.revision, message.object) } satisfies ProbeAnswer
+    if (message.ask === 'probe') return { inForce: isInForce(message) } satisfies ProbeAnswer
     return { synced: replica.isSynced(), snapshot: replica.snapshotFor(message.digest) } satisfies RepairAnswer
   })
 
@@ -103,20 +103,30 @@
     if (summary.revision > own.revision || lasts) repair(from)
   }
 
-  function isInForce (revision: number, object: ObjectVersion | undefined): boolean {
-    const known = object && replica.record(object.kind, object.name)
-    if (!known || known.resourceVersion < object.resourceVersion) return replica.completeTo() >= revision
-    return !replica.isInvalid(object.kind, object.name)
+  function isInForce ({ revision, hash, completeTo, objects }: ProbeMessage): boolean {
+    if (objects.some(({ kind, name }) => replica.isInvalid(kind, name))) return false
+    if (replica.summary().hash === hash || replica.completeTo() >= revision) return true
+    return replica.completeTo() >= completeTo && objects.every(hasVersion)
   }
 
-  function objectAt (revision: number): ObjectVersion | undefined {
-    const record = replica.recordAt(revision)
-    return record && { kind: record.kind, name: record.name, resourceVersion: record.resourceVersion }
+  function hasVersion ({ kind, name, resourceVersion }: ObjectVersion): boolean {
+    const known = replica.record(kind, name)
+    return known !== undefined && known.resourceVersion >= resourceVersion
+  }
+
+  /** Undefined while this VM does not know the revision itself, so that equal hashes would prove nothing. */
+  function probeMessage (revision: number): ProbeMessage | undefined {
+    const { hash, completeTo } = replica.summary()
+    const isKnown = completeTo >= revision || replica.recordsBetween(revision - 1, revision).length > 0
+    if (!isKnown) return undefined
+    const objects = replica.recordsBetween(completeTo, revision).map(({ kind, name, resourceVersion }) => ({ kind, name, resourceVersion }))
+    return { ask: 'probe', revision, hash, completeTo, objects }
   }
 
   async function probe (vm: VmId, revision: number): Promise<boolean> {
-    const message: PullMessage = { ask: 'probe', revision, object: objectAt(revision) }
-    if (vm === membership.self().vm) return isInForce(revision, message.object)
+    const message = probeMessage(revision)
+    if (!message) return false
+    if (vm === membership.self().vm) return isInForce(message)
     try {
       const { inForce } = await peers.request<ProbeAnswer>(vm, 'config.pull', message, { timeoutMs: PULL_TIMEOUT_MS })
       return inForce
--- a/src/core/config/messages.ts
+++ b/src/core/config/messages.ts
@@ -13,10 +13,21 @@
   resourceVersion: number
 }
 
-/** `repair` asks for the content that differs from a digest, `probe` whether an object version is in force. */
-export type PullMessage =
-  | { ask: 'repair', digest: ConfigDigest }
-  | { ask: 'probe', revision: number, object: ObjectVersion | undefined }
+/**
+ * Asks whether everything up to a revision is in force. Hash and completeness of the asker show what its list of
+ * objects leaves out.
+ */
+export interface ProbeMessage {
+  ask: 'probe'
+  revision: number
+  hash: number
+  completeTo: number
+  /** Versions of the asker after its `completeTo`, up to the revision. */
+  objects: ObjectVersion[]
+}
+
+/** `repair` asks for the content that differs from a digest. */
+export type PullMessage = { ask: 'repair', digest: ConfigDigest } | ProbeMessage
 
 export interface RepairAnswer {
   /** False while the answering VM has not loaded its configuration itself. */
--- a/src/core/config/replica.ts
+++ b/src/core/config/replica.ts
@@ -45,8 +45,8 @@
   snapshotFor (digest: ConfigDigest): ConfigSnapshot
   /** Record of the object, also of a deleted one. */
   record (kind: ConfigKind, name: string): ConfigRecord | undefined
-  /** Record that was produced by the store version. */
-  recordAt (resourceVersion: number): ConfigRecord | undefined
+  /** Records, also of deleted objects, with a version above the first and up to the second one. */
+  recordsBetween (above: number, upTo: number): ConfigRecord[]
   /** Objects whose newest version is not in force because it breaks the schema. */
   invalidObjects (): InvalidObject[]
   isInvalid (kind: ConfigKind, name: string): boolean
@@ -192,7 +192,7 @@
       records: recordsNewerThan(digest), buckets: differingBuckets(digest), completeTo, basedOn: digest.hash
     }),
     record: (kind, name) => records.get(`${kind}/${name}`),
-    recordAt: resourceVersion => [...records.values()].find(record => record.resourceVersion === resourceVersion),
+    recordsBetween: (above, upTo) => [...records.values()].filter(({ resourceVersion }) => resourceVersion > above && resourceVersion <= upTo),
     invalidObjects: () => [...invalid.values()],
     isInvalid: (kind, name) => invalid.has(`${kind}/${name}`),
     completeTo: () => completeTo,
