--- a/src/core/admission/grants.ts
+++ b/src/core/admission/grants.ts
@@ -29,7 +29,7 @@
 }
 
 export type GrantResult =
-  | { state: 'granted', answer: PermitAnswer & { granted: true }, record: PermitRecord }
+  | { state: 'granted', answer: PermitAnswer & { granted: true }, entry: BackendEntry }
   | { state: 'blocked', by: Waiting['blockedBy'], passedOver: PassedOver[] }
   | { state: 'refused', reason: PermitRefusalReason, passedOver: PassedOver[] }
 
@@ -79,7 +79,7 @@
       warm: entry.warmth.state === 'warm',
       slots: entry.spec.slots,
       inFlight: table.load(entry),
-      pendingTokens: permits.of(entry.id).reduce((sum, record) => sum + (record.firstByteSeen ? 0 : record.pendingTokens), 0),
+      pendingTokens: permits.of(entry.id).reduce((sum, record) => sum + (record.firstByteAt < Infinity ? 0 : record.pendingTokens), 0),
       cachedShare: prefixes.cachedShare(entry.id, request.prefixHashes),
       sentBefore: homes.get(request.fingerprint) === entry.id
     }
@@ -101,7 +101,7 @@
       target,
       ask,
       pendingTokens: (1 - candidate.cachedShare) * request.estimatedTokens,
-      firstByteSeen: false,
+      firstByteAt: Infinity,
       reclaimAt: undefined
     }
     permits.add(created)
@@ -114,7 +114,7 @@
   function grant (waiting: Waiting, open: BackendEntry[], passedOver: PassedOver[]): GrantResult {
     const { request, enqueuedAt } = waiting
     const candidates = open.map(entry => candidateOf(entry, request))
-    const chosen = options.chooseBackend({ estimatedTokens: request.estimatedTokens, candidates, random: options.random })
+    const chosen = options.chooseBackend({ request, candidates, random: options.random })
     const entry = table.get(chosen.backendServer)!
     const created = record(waiting, entry, chosen)
     const permit = {
@@ -126,7 +126,7 @@
       version: request.version,
       startWithinMs: permitStartMs
     }
-    return { state: 'granted', record: created, answer: { granted: true, permit, passedOver, queuedMs: clock.now() - enqueuedAt } }
+    return { state: 'granted', entry, answer: { granted: true, permit, passedOver, queuedMs: clock.now() - enqueuedAt } }
   }
 
   function tryGrant (waiting: Waiting): GrantResult {
@@ -143,7 +143,8 @@
     }
     if (passedOver.every(isFinal) && open.length === 0) return { state: 'refused', reason: 'no_backend_server', passedOver }
     const room = teamLimits.roomFor(request.team, permits.ofTeam(request.team))
-    if (room === 'share_used') return { state: 'refused', reason: 'team_limit', passedOver }
+    // Another data centre may have room for the team, so this is no refusal for good.
+    if (room === 'share_used') return { state: 'refused', reason: 'no_capacity', passedOver }
     if (room === 'limit_used') return { state: 'blocked', by: 'team', passedOver }
     if (open.length === 0) return { state: 'blocked', by: 'capacity', passedOver }
     return grant(waiting, open, passedOver)
