--- a/features/steps/config.ts
+++ b/features/steps/config.ts
@@ -30,7 +30,7 @@
   api: MemoryObjectApi
   list: ReturnType<typeof createMemberList>
   hub: ReturnType<typeof createPeerHub>
-  vms: Map<string, Vm>
+  configVms: Map<string, Vm>
   replica: ConfigReplica
   lastChange: ConfigChange
   results: PromiseSettledResult<AcceptedChange[]>[]
@@ -53,13 +53,13 @@
     random: () => 0.5
   })
   const vm: Vm = { id, replica, controller, ready: false }
-  world.vms.set(name, vm)
+  world.configVms.set(name, vm)
   void controller.start().then(() => { vm.ready = true })
   return vm
 }
 
 /** Every VM pings every other one, as the membership does in turn. */
-function pingAll ({ vms, hub }: ConfigWorld): void {
+function pingAll ({ configVms: vms, hub }: ConfigWorld): void {
   for (const from of vms.values()) {
     for (const to of vms.values()) {
       if (from !== to && !hub.cut.has(from.id) && !hub.cut.has(to.id)) to.controller.onPingPayload(from.id, from.controller.pingPayload())
@@ -78,7 +78,7 @@
 function parseChange (text: string, world: ConfigWorld): ConfigChange {
   const [target, ...fields] = text.split(' ')
   const [kind, name] = target!.split('/') as [ConfigKind, string]
-  const resourceVersion = [...world.vms.values()][0]?.replica.entry(kind, name)?.resourceVersion
+  const resourceVersion = [...world.configVms.values()][0]?.replica.entry(kind, name)?.resourceVersion
   if (fields[0] === 'deleted') return { kind, name, spec: null, resourceVersion }
   const spec = Object.fromEntries(fields.map(field => {
     const [key, value] = field.split('=') as [string, string]
@@ -100,7 +100,7 @@
   'Rollout/small-2 model=small from=small-1 to=small-2'
 ]
 
-function firstVm ({ vms }: ConfigWorld): Vm {
+function firstVm ({ configVms: vms }: ConfigWorld): Vm {
   return [...vms.values()][0]!
 }
 
@@ -123,7 +123,7 @@
   this.api = createMemoryObjectApi({ clock: this.clock })
   this.list = createMemberList()
   this.hub = createPeerHub()
-  this.vms = new Map()
+  this.configVms = new Map()
   for (const name of names.split(' ')) addVm(this, name)
   await settle(this)
 })
@@ -135,7 +135,7 @@
 
 async function makeChange (world: ConfigWorld, text: string, vmName: string): Promise<void> {
   world.lastChange = parseChange(text, world)
-  world.results = await Promise.allSettled([world.vms.get(vmName)!.controller.change([world.lastChange])])
+  world.results = await Promise.allSettled([world.configVms.get(vmName)!.controller.change([world.lastChange])])
   await settle(world)
 }
 
@@ -167,7 +167,7 @@
 
 When(/^two configuration changes race to (create|update) (\S+) on a1 and a2$/, async function (this: ConfigWorld, _: string, target: string) {
   const changes = [7, 8].map(tier => parseChange(`${target} tier=${tier}`, this))
-  this.results = await Promise.allSettled(changes.map((change, index) => [...this.vms.values()][index]!.controller.change([change])))
+  this.results = await Promise.allSettled(changes.map((change, index) => [...this.configVms.values()][index]!.controller.change([change])))
   await settle(this)
 })
 
@@ -181,7 +181,7 @@
 
 Then('the configuration of all VMs is equal to the object API', async function (this: ConfigWorld) {
   await pingFor(this, 4)
-  for (const { replica } of this.vms.values()) assert.deepEqual(liveObjects(replica), storedObjects(this))
+  for (const { replica } of this.configVms.values()) assert.deepEqual(liveObjects(replica), storedObjects(this))
 })
 
 When(/^the configuration change "(.*)" on a1 meets (an outage|a lost answer)$/, async function (this: ConfigWorld, text: string, fault: string) {
@@ -198,16 +198,16 @@
 })
 
 Given('the configuration of a1 alone gets Model\\/big tier 5 and of a2 alone loses Model\\/spare, then the object API fails', async function (this: ConfigWorld) {
-  for (const vm of this.vms.values()) vm.controller.stop()
+  for (const vm of this.configVms.values()) vm.controller.stop()
   this.hub.state.lostTypes.add('config.push')
-  await this.vms.get('a1')!.controller.change([parseChange('Model/big tier=5', this)])
-  await this.vms.get('a2')!.controller.change([parseChange('Model/spare deleted', this)])
+  await this.configVms.get('a1')!.controller.change([parseChange('Model/big tier=5', this)])
+  await this.configVms.get('a2')!.controller.change([parseChange('Model/spare deleted', this)])
   this.api.state.down = true
 })
 
 Given('the object API of the configuration fails and a1 is cut off', function (this: ConfigWorld) {
   this.api.state.down = true
-  this.hub.cut.add(this.vms.get('a1')!.id)
+  this.hub.cut.add(this.configVms.get('a1')!.id)
 })
 
 When('the configuration VM a3 starts', async function (this: ConfigWorld) {
@@ -216,7 +216,7 @@
 })
 
 Then('the configuration of a3 is ready with Model\\/big tier 5 and without Model\\/spare', function (this: ConfigWorld) {
-  const { ready, replica } = this.vms.get('a3')!
+  const { ready, replica } = this.configVms.get('a3')!
   assert.ok(ready)
   assert.equal(replica.get('Model', 'big')?.tier, 5)
   assert.equal(replica.get('Model', 'spare'), undefined)
@@ -224,7 +224,7 @@
 })
 
 Then('the configuration of a3 is not ready and refuses changes', async function (this: ConfigWorld) {
-  const { ready, controller } = this.vms.get('a3')!
+  const { ready, controller } = this.configVms.get('a3')!
   assert.equal(ready, false)
   await assert.rejects(controller.change([parseChange('Model/new tier=1', this)]), { kind: 'vm_not_ready' })
 })
@@ -235,30 +235,30 @@
 })
 
 Then('the configuration of a3 is ready', function (this: ConfigWorld) {
-  assert.ok(this.vms.get('a3')!.ready)
+  assert.ok(this.configVms.get('a3')!.ready)
 })
 
 When('the configuration pushes are lost and a1 changes Model\\/big and a2 deletes Model\\/spare', async function (this: ConfigWorld) {
-  for (const vm of this.vms.values()) vm.controller.stop()
+  for (const vm of this.configVms.values()) vm.controller.stop()
   this.hub.state.lostTypes.add('config.push')
-  await this.vms.get('a1')!.controller.change([parseChange('Model/big tier=5', this)])
-  await this.vms.get('a2')!.controller.change([parseChange('Model/spare deleted', this)])
+  await this.configVms.get('a1')!.controller.change([parseChange('Model/big tier=5', this)])
+  await this.configVms.get('a2')!.controller.change([parseChange('Model/spare deleted', this)])
 })
 
 When(/^the configuration is repaired by (.+)$/, async function (this: ConfigWorld, repair: string) {
   if (repair === 'pings alone') this.api.state.down = true
-  else for (const { controller } of this.vms.values()) void controller.start()
+  else for (const { controller } of this.configVms.values()) void controller.start()
   await pingFor(this, 3)
 })
 
 When('the configuration VM a4 is cut off while Model\\/spare is deleted and its tombstone dropped', async function (this: ConfigWorld) {
-  this.hub.cut.add(this.vms.get('a4')!.id)
+  this.hub.cut.add(this.configVms.get('a4')!.id)
   await makeChange(this, 'Model/spare deleted', 'a1')
   // A new watch begins with bookmarks, which complete the watching VMs; pings complete the others.
   this.api.cutWatches()
   await pingFor(this, 2)
-  for (const name of ['a1', 'a2', 'a3']) assert.equal(this.vms.get(name)!.replica.record('Model', 'spare'), undefined, name)
-  assert.ok(this.vms.get('a4')!.replica.get('Model', 'spare'))
+  for (const name of ['a1', 'a2', 'a3']) assert.equal(this.configVms.get(name)!.replica.record('Model', 'spare'), undefined, name)
+  assert.ok(this.configVms.get('a4')!.replica.get('Model', 'spare'))
 })
 
 When('the object API of the configuration fails and a4 is reachable again', function (this: ConfigWorld) {
@@ -266,7 +266,7 @@
   this.hub.cut.clear()
 })
 
-function watching ({ vms }: ConfigWorld): string {
+function watching ({ configVms: vms }: ConfigWorld): string {
   return [...vms].filter(([, { controller }]) => controller.isWatching()).map(([name]) => name).join(' ')
 }
 
@@ -277,13 +277,13 @@
 })
 
 When(/^the configuration VM (\w+) (leaves|dies)$/, async function (this: ConfigWorld, name: string, how: string) {
-  const { id, controller } = this.vms.get(name)!
+  const { id, controller } = this.configVms.get(name)!
   if (how === 'dies') controller.stop()
   this.list.setState(id, how === 'dies' ? 'dead' : 'leaving')
   await settle(this)
 })
 
-async function changeDirectly ({ api, vms }: ConfigWorld, name: string, spec: object | null): Promise<void> {
+async function changeDirectly ({ api, configVms: vms }: ConfigWorld, name: string, spec: object | null): Promise<void> {
   const { resourceVersion } = [...vms.values()][0]!.replica.entry('Model', name)!
   if (spec === null) await api.delete('Model', name, resourceVersion)
   else await api.update('Model', name, spec, resourceVersion)
@@ -301,7 +301,7 @@
   await changeDirectly(this, 'big', { tier: 9, contextTokens: 1 })
   await settle(this)
   // Checked before any ping, so that only the watch and the push of a watching VM can have brought it.
-  for (const { replica } of this.vms.values()) assert.deepEqual(liveObjects(replica), storedObjects(this))
+  for (const { replica } of this.configVms.values()) assert.deepEqual(liveObjects(replica), storedObjects(this))
 })
 
 When('another client writes Model\\/big with {} to the object API of the configuration', async function (this: ConfigWorld, spec: string) {
@@ -310,14 +310,14 @@
 })
 
 Then('the configuration of every VM has Model\\/big with {int} and reports {int} invalid objects', function (this: ConfigWorld, tier: number, invalid: number) {
-  for (const { replica } of this.vms.values()) {
+  for (const { replica } of this.configVms.values()) {
     assert.deepEqual(replica.get('Model', 'big'), { tier, contextTokens: 8192 })
     assert.equal(replica.invalidObjects().length, invalid)
   }
 })
 
 When('the configuration VM a3 is cut off and a1 changes Model\\/big', async function (this: ConfigWorld) {
-  this.hub.cut.add(this.vms.get('a3')!.id)
+  this.hub.cut.add(this.configVms.get('a3')!.id)
   await makeChange(this, 'Model/big tier=5', 'a1')
 })
 
@@ -334,7 +334,7 @@
 }
 
 When('the configuration push of the first of two changes to a3 is lost', async function (this: ConfigWorld) {
-  const { id } = this.vms.get('a3')!
+  const { id } = this.configVms.get('a3')!
   this.hub.cut.add(id)
   await makeChange(this, 'Model/big tier=5', 'a1')
   this.hub.cut.delete(id)
--- a/features/steps/object-api.ts
+++ b/features/steps/object-api.ts
@@ -16,7 +16,7 @@
 interface ObjectApiWorld {
   objectApiServer: ObjectApiServer
   metrics: Metrics
-  client: ObjectApiClient
+  objectApiClient: ObjectApiClient
   /** Second client, for changes by somebody else. */
   other: ObjectApiClient
   version: number
@@ -48,7 +48,7 @@
 Given('an object API that holds Model\\/m', async function (this: ObjectApiWorld) {
   this.objectApiServer = await startObjectApiServer({ port: 0, bookmarkMs: 100 })
   this.metrics = createMetrics()
-  this.client = newClient(this.objectApiServer.url, this.metrics)
+  this.objectApiClient = newClient(this.objectApiServer.url, this.metrics)
   this.other = newClient(this.objectApiServer.url, createMetrics())
   // Moves the counter on, so that the version before that of Model/m is a valid one.
   await this.other.create('Service', 's', ORIGINAL)
@@ -83,7 +83,7 @@
   }
 })
 
-function send ({ client, version }: ObjectApiWorld, operation: Operation, spec: unknown = WRITTEN): Promise<unknown> {
+function send ({ objectApiClient: client, version }: ObjectApiWorld, operation: Operation, spec: unknown = WRITTEN): Promise<unknown> {
   if (operation === 'create') return client.create('Model', 'm', spec)
   if (operation === 'update') return client.update('Model', 'm', spec, version)
   return client.delete('Model', 'm', version)
@@ -98,7 +98,7 @@
 
 When('the object API client sends a {word} that is refused because of {}', async function (this: ObjectApiWorld, operation: Operation, cause: string) {
   if (cause === 'an old version') this.version -= 1
-  if (cause === 'a closed port') this.client = newClient('http://127.0.0.1:1', this.metrics)
+  if (cause === 'a closed port') this.objectApiClient = newClient('http://127.0.0.1:1', this.metrics)
   const spec = cause === 'a value above 1 MB' ? 'x'.repeat(1_048_577) : WRITTEN
   this.outcome = await outcomeOf(() => send(this, operation, spec))
 })
@@ -115,7 +115,7 @@
 Given('an object API outage that a read has noticed', async function (this: ObjectApiWorld) {
   this.writesBefore = this.objectApiServer.control.counters().writes
   this.objectApiServer.control.outage('refuse')
-  assert.equal(await outcomeOf(() => this.client.get('Model', 'm')), 'object_api_unavailable')
+  assert.equal(await outcomeOf(() => this.objectApiClient.get('Model', 'm')), 'object_api_unavailable')
 })
 
 Given('an object API that hangs', function (this: ObjectApiWorld) {
@@ -132,7 +132,7 @@
 
 async function collect (world: ObjectApiWorld, from: number, signal: AbortSignal): Promise<void> {
   world.events = []
-  for await (const event of world.client.watch(['Model', 'Version'], from, signal)) world.events.push(event)
+  for await (const event of world.objectApiClient.watch(['Model', 'Version'], from, signal)) world.events.push(event)
 }
 
 When('an object API watch of Model and Version sees a create, an update and a delete', async function (this: ObjectApiWorld) {
--- a/features/steps/operator.ts
+++ b/features/steps/operator.ts
@@ -18,7 +18,7 @@
 
 interface OperatorWorld {
   api: MemoryObjectApi
-  server: Server
+  operatorServer: Server
   replica: ConfigReplica
   answer: { statusCode: number, payload: string }
 }
@@ -47,8 +47,8 @@
     objectApi: world.api, replica: world.replica, peers: createPeerHub().linksOf(identity.vm), membership: list.viewOf(identity.vm), identity, clock, metrics, log: silentLog, watch: false
   })
   await config.start()
-  world.server = Hapi.server()
-  registerOperatorRoutes(world.server, {
+  world.operatorServer = Hapi.server()
+  registerOperatorRoutes(world.operatorServer, {
     config,
     view: world.replica,
     authenticate: createOperatorAuthenticator({ view: world.replica, clock }),
@@ -60,12 +60,12 @@
   })
 }
 
-async function send ({ server }: OperatorWorld, { method, path, caller, ifMatch, body, address = '10.0.0.1' }: Call): Promise<OperatorWorld['answer']> {
+async function send ({ operatorServer }: OperatorWorld, { method, path, caller, ifMatch, body, address = '10.0.0.1' }: Call): Promise<OperatorWorld['answer']> {
   const headers: Record<string, string> = {}
   if (caller && caller !== 'nobody') headers.authorization = `Bearer ${caller}-key`
   if (ifMatch && ifMatch !== 'none') headers['if-match'] = ifMatch
   const payload = body === undefined || body === 'none' ? {} : { payload: body }
-  return await server.inject({ method, url: `/operator/v1${path}`, headers, remoteAddress: address, ...payload })
+  return await operatorServer.inject({ method, url: `/operator/v1${path}`, headers, remoteAddress: address, ...payload })
 }
 
 Given('an operator API without operators', async function (this: OperatorWorld) {
--- a/features/steps/quarantine.ts
+++ b/features/steps/quarantine.ts
@@ -50,6 +50,8 @@
     delete: (_kind, name, resourceVersion) => call(() => {
       stored(name, resourceVersion)
       objects.delete(name)
+      version += 1
+      return version
     }),
     watch: () => { throw new ObjectApiError('object_api_unavailable') }
   }
--- a/features/support/fake-store.ts
+++ b/features/support/fake-store.ts
@@ -70,6 +70,8 @@
     delete: async (kind, name, resourceVersion) => write(() => {
       current(kind, name, resourceVersion)
       objects.delete(`${kind}/${name}`)
+      version += 1
+      return version
     }),
     async * watch () {}
   }
