--- a/features/steps/quarantine.ts
+++ b/features/steps/quarantine.ts
@@ -50,12 +50,7 @@
     delete: (_kind, name, resourceVersion) => call(() => {
       stored(name, resourceVersion)
       objects.delete(name)
-<<<<<<< HEAD
-      version += 1
-      return version
-=======
       return resourceVersion + 1
->>>>>>> main
     }),
     watch: () => { throw new ObjectApiError('object_api_unavailable') }
   }
