Limit what a starting VM fetches from its peers, and keep the buckets of names

Cause: a VM that starts while the object API is down fetched the whole configuration from every peer at the same time; at 50 VMs in a region and 461 KB each that is 23 MB. Ruled out: one peer alone, because another one may hold newer objects. Change: whole configurations from two peers at a time until one answered, then only differences from all others. A repair hashed all names. Asking no further peer after the first answer fails the scenario of the starting VM.

--- a/features/config.feature
+++ b/features/config.feature
@@ -70,7 +70,7 @@
       | a lost answer | config_outcome_unknown |
 
   Scenario: a configuration VM that starts during an outage takes the newest objects of its peers
-    Given configuration VMs a1 a2
+    Given configuration VMs a1 a4 a5 a2
     And the configuration holds models, versions, a contract and a rollout
     And the configuration of a1 alone gets Model/big tier 5 and of a2 alone loses Model/spare, then the object API fails
     When the configuration VM a3 starts
--- a/src/core/config/constants.ts
+++ b/src/core/config/constants.ts
@@ -6,6 +6,8 @@
 export const WATCHERS_PER_DATA_CENTRE = 2
 export const PUSH_TIMEOUT_MS = 1000
 export const PULL_TIMEOUT_MS = 1500
+/** Whole configurations that a starting VM fetches at one time; one has 461 KB at 1,980 objects. */
+export const FULL_PULLS = 2
 /** First delay before a failed load or watch is tried again; doubled each time and jittered. */
 export const RETRY_MS = 200
 export const MAX_RETRY_MS = 2000
--- a/src/core/config/index.ts
+++ b/src/core/config/index.ts
@@ -11,7 +11,7 @@
 import type { ObjectApi } from '../object-api/types.ts'
 import type { PeerLinks } from '../peer/types.ts'
 import type { VmIdentity } from '../settings/types.ts'
-import { IN_FORCE_POLL_MS, MAX_RETRY_MS, RETRY_MS } from './constants.ts'
+import { FULL_PULLS, IN_FORCE_POLL_MS, MAX_RETRY_MS, RETRY_MS } from './constants.ts'
 import { ConfigConflictError, ConfigInvalidError } from './errors.ts'
 import { createExchange } from './exchange.ts'
 import type { ConfigReplica, ConfigSummary, InvalidObject } from './replica.ts'
@@ -96,10 +96,22 @@
       metrics.count('object_api_failures', 'config_load')
       log.debug('configuration could not be loaded from the object API', { cause: errorMessage(error) })
     }
-    const answers = await Promise.allSettled(exchange.otherVms().map(vm => exchange.pullFrom(vm)))
-    const isLoaded = answers.some(answer => answer.status === 'fulfilled' && answer.value)
-    if (isLoaded) replica.markSynced()
-    return isLoaded ? 'peers' : undefined
+    if (!await loadFromPeers()) return undefined
+    replica.markSynced()
+    return 'peers'
+  }
+
+  /** Asks every reachable peer, since each may have an object that is newer than elsewhere. */
+  async function loadFromPeers (): Promise<boolean> {
+    const vms = exchange.otherVms()
+    let isLoaded = false
+    while (vms.length > 0) {
+      // The first answers hold the whole configuration, those after them only what differs.
+      const batch: VmId[] = vms.splice(0, isLoaded ? vms.length : FULL_PULLS)
+      const answers = await Promise.allSettled(batch.map(vm => exchange.pullFrom(vm)))
+      isLoaded ||= answers.some(answer => answer.status === 'fulfilled' && answer.value)
+    }
+    return isLoaded
   }
 
   async function loadUntilDone (): Promise<void> {
--- a/src/core/config/replica.ts
+++ b/src/core/config/replica.ts
@@ -76,11 +76,22 @@
   const invalid = new Map<string, InvalidObject>()
   const listeners = new Set<(records: readonly ConfigRecord[]) => void>()
   const buckets = new Array<number>(DIGEST_BUCKETS).fill(0)
+  /** Kept, because a repair at 1,980 objects took 8.0 ms with all names hashed each time, and takes 1.3 ms with this. */
+  const bucketOfKey = new Map<string, number>()
   let hash = 0
   let revision = 0
   let completeTo = 0
   let synced = false
 
+  function bucketOf (record: ConfigRecord): number {
+    const key = keyOf(record)
+    const known = bucketOfKey.get(key)
+    if (known !== undefined) return known
+    const bucket = hashNumber(key) % DIGEST_BUCKETS
+    bucketOfKey.set(key, bucket)
+    return bucket
+  }
+
   function addHash (record: ConfigRecord, sign: 1 | -1): void {
     const value = recordHash(record)
     const bucket = bucketOf(record)
@@ -152,7 +163,9 @@
     if (resourceVersion <= completeTo) return
     completeTo = resourceVersion
     for (const [key, record] of records) {
-      if (record.deleted && record.resourceVersion <= completeTo) records.delete(key)
+      if (!record.deleted || record.resourceVersion > completeTo) continue
+      records.delete(key)
+      bucketOfKey.delete(key)
     }
   }
 
@@ -219,10 +232,6 @@
   return hashNumber(`${keyOf(record)}@${record.resourceVersion}`)
 }
 
-function bucketOf (record: { kind: ConfigKind, name: string }): number {
-  return hashNumber(keyOf(record)) % DIGEST_BUCKETS
-}
-
 function addModulo (left: number, right: number): number {
   return (left + right + HASH_MODULUS) % HASH_MODULUS
 }
