Bound slow and oversized callers and answer them with their own status

hapi answered every broken request with 400 and reset a chunked body over the limit without any answer, so a caller could not tell what it had to change. Header overflow is now 431, a slow sender 408, and a body over the limit 413 after it was discarded.

--- a/features/service-calls.feature
+++ b/features/service-calls.feature
@@ -30,6 +30,17 @@
       | the bill is lost         | 503    | billing_lost      | ran          | 1    | vm-2 | 201     | none            | none         | 1     |
       | no bill can be kept      | 503    | billing_unavailable | not_run    | 0    | vm-2 | 201     | none            | none         | 1     |
 
+  Scenario: a service booking is not sent on a permit that expired while its claim was written
+    Given the service fault "the permit expires once"
+    When a service booking with the key "k" is sent to "vm-1"
+    Then the service permits were released as "not_sent, completed"
+
+  Scenario: a service read that may have run on a crashed runner is not reported as not run
+    Given the service fault "a1 crashes before it ran"
+    And the service fault "a2 is gone"
+    When a service read is sent to "vm-1"
+    Then the service answer is 502 with "backend_unreachable" and run "may_have_run"
+
   Scenario: a service booking sent to two VMs at once runs once
     Given the service fault "the runners are slow"
     When service bookings with the key "k" are sent to all VMs at once
--- a/features/steps/service-calls.ts
+++ b/features/steps/service-calls.ts
@@ -69,6 +69,7 @@
 const FAULTS: Record<string, (world: ServiceWorld) => void | Promise<void>> = {
   'nothing fails' () {},
   'a1 is gone': ({ runners }) => runners.get('a1')!.kill(),
+  'a2 is gone': ({ runners }) => runners.get('a2')!.kill(),
   async 'all runners are gone' ({ runners }) {
     for (const runner of runners.values()) await runner.kill()
   },
@@ -156,6 +157,10 @@
   assert.equal(runs(this, key), count)
 })
 
+Then('the service permits were released as {string}', function (this: ServiceWorld, outcomes: string) {
+  assert.equal(this.serviceVms.get('vm-1')!.permits.releases.map(release => release.outcome).join(', '), outcomes)
+})
+
 Then('the service calls hold no permit and no money', function (this: ServiceWorld) {
   for (const { permits, budget } of this.serviceVms.values()) {
     assert.equal(permits.client.heldCount(), 0)
--- a/src/core/gateway/chat-handler.ts
+++ b/src/core/gateway/chat-handler.ts
@@ -3,7 +3,6 @@
  * answer.
  */
 import type { Lifecycle, Request, ResponseToolkit } from '@hapi/hapi'
-import type { Contract } from '../config/types.ts'
 import { GatewayError } from '../errors/index.ts'
 import type { VmId } from '../ids/index.ts'
 import type { Answer, AnswerReader } from './answer.ts'
@@ -11,7 +10,7 @@
 import { CallFailure } from './call-failure.ts'
 import { createChatRun } from './chat.ts'
 import { REJOIN_GRACE_MS } from './constants.ts'
-import { readChat } from './intake.ts'
+import { readChat, type CallerInput } from './intake.ts'
 import type { Joins } from './joins.ts'
 import { answerHeaders, relayStream, wholeBody } from './relay.ts'
 import type { ChatCall, GatewayOptions, Work } from './types.ts'
@@ -22,14 +21,14 @@
   work: Work
 }
 
-type Handle = (request: Request, h: ResponseToolkit, contract: Contract) => Promise<Lifecycle.ReturnValue>
+type Handle = (request: Request, h: ResponseToolkit, input: CallerInput) => Promise<Lifecycle.ReturnValue>
 
 export function createChatHandler (options: ChatHandlerOptions): Handle {
   const { metrics, work } = options
   const produce = createChatRun(options)
 
-  return async (request, h, contract) => {
-    const call = readChat(request, { ...options, contract })
+  return async (request, h, input) => {
+    const call = readChat(request, { ...options, ...input })
     metrics.count('requests', 'chat')
     const answer = joinHere(options, call) ?? start(options, call, () => work.track(run(call)))
     try {
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -2,15 +2,17 @@
  * The callers' side of an entry VM: routes for chat completions, models and plain services on the caller server, and
  * the filter chain behind them.
  */
+import type { Readable } from 'node:stream'
 import type { Lifecycle, Request, ResponseObject, ResponseToolkit, RouteOptions } from '@hapi/hapi'
 import type { Contract } from '../config/types.ts'
 import { GatewayError, type ErrorName } from '../errors/index.ts'
 import { createAnswerBook } from './answer-book.ts'
 import { createAuthenticate } from './authenticate.ts'
+import { readCallerBody } from './body.ts'
 import { CallFailure } from './call-failure.ts'
 import { createChatHandler } from './chat-handler.ts'
 import { HEADERS } from './constants.ts'
-import { readServiceRequest } from './intake.ts'
+import { readServiceRequest, type CallerInput } from './intake.ts'
 import { createJoins } from './joins.ts'
 import { errorAnswer, toLacewingError } from './responses.ts'
 import { createServiceRun } from './service-run.ts'
@@ -28,7 +30,7 @@
 
 /** Registers the routes of the gateway on a caller server. */
 export function createGateway (options: GatewayOptions): Gateway {
-  const { server, metrics, peers, membership, clock } = options
+  const { server, metrics, peers, membership, clock, limits } = options
   const { work, running, drain } = createWork()
   const authenticate = createAuthenticate(options)
   const book = createAnswerBook({ clock })
@@ -37,7 +39,7 @@
   const handleService = createServiceHandler(options, work)
 
   const admitted: RouteOptions = { ext: { onPreAuth: { method: admit } } }
-  const withBody: RouteOptions = { ...admitted, payload: { parse: false, output: 'data' } }
+  const withBody: RouteOptions = { ...admitted, payload: { parse: false, output: 'stream' } }
 
   /** Runs before the body is read, so that a caller without a key cannot make this VM hold its body. */
   function admit (request: Request, h: ResponseToolkit): symbol {
@@ -47,12 +49,13 @@
   }
 
   /** Passes an admitted request on, and answers with an error of the catalogue when it is refused. */
-  function guarded (handle: (request: Request, h: ResponseToolkit, contract: Contract) => Promise<Lifecycle.ReturnValue>): Lifecycle.Method {
+  function guarded (handle: (request: Request, h: ResponseToolkit, input: CallerInput) => Promise<Lifecycle.ReturnValue>): Lifecycle.Method {
     return async (request, h) => {
       const { contract } = request.app as CallerState
       try {
         requireTakingWork(options, running())
-        return await work.track(handle(request, h, contract!))
+        const body = await readCallerBody(request.payload as Readable | null, limits.max_body_bytes)
+        return await work.track(handle(request, h, { contract: contract!, body }))
       } catch (error) {
         return refuse(options, h, error)
       }
@@ -121,8 +124,8 @@
 
 function createServiceHandler (options: GatewayOptions, work: Work) {
   const run = createServiceRun(options)
-  return async (request: Request, h: ResponseToolkit, contract: Contract): Promise<ResponseObject> => {
-    const call = readServiceRequest(request, { ...options, contract })
+  return async (request: Request, h: ResponseToolkit, input: CallerInput): Promise<ResponseObject> => {
+    const call = readServiceRequest(request, { ...options, ...input })
     options.metrics.count('requests', 'service')
     const { res } = request.raw
     res.once('close', () => { if (!res.writableFinished) call.abort.abort() })
--- a/src/core/gateway/intake.ts
+++ b/src/core/gateway/intake.ts
@@ -40,15 +40,19 @@
 
 const deadlineSchema = z.coerce.number().int().min(1).max(86_400_000)
 
-export interface IntakeOptions {
+export interface CallerInput {
+  contract: Contract
+  /** Empty when there is none. */
+  body: Buffer
+}
+
+export interface IntakeOptions extends CallerInput {
   clock: Clock
   view: ConfigView
-  contract: Contract
 }
 
 /** Throws GatewayError `bad_request`. */
-export function readChat (request: Request, { clock, contract }: IntakeOptions): ChatCall {
-  const raw = request.payload as Buffer
+export function readChat (request: Request, { clock, contract, body: raw }: IntakeOptions): ChatCall {
   const body = parseChat(raw)
   const call = readCall(request, contract, clock, { kind: 'chat', content: raw })
   return {
@@ -68,13 +72,12 @@
 }
 
 /** Throws GatewayError `unknown_service`, `forbidden`, `not_found`, `idempotency_key_required` or `bad_request`. */
-export function readServiceRequest (request: Request, { clock, view, contract }: IntakeOptions): ServiceRequest {
+export function readServiceRequest (request: Request, { clock, view, contract, body: content }: IntakeOptions): ServiceRequest {
   const { service, path } = servicePath(request)
   const method = request.method.toUpperCase()
   const route = findRoute(view, contract, { service, method, path: decodePath(path.split('?')[0]!) })
-  const content = request.payload as Buffer | null
-  if (content && !isUtf8(content)) throw new GatewayError('bad_request', { detail: 'The body is not valid UTF-8.' })
-  const call = readCall(request, contract, clock, { kind: `${method} ${service}${path}`, content: content ?? Buffer.alloc(0) })
+  if (!isUtf8(content)) throw new GatewayError('bad_request', { detail: 'The body is not valid UTF-8.' })
+  const call = readCall(request, contract, clock, { kind: `${method} ${service}${path}`, content })
   if (!route.idempotent && call.idempotencyKey === undefined) throw new GatewayError('idempotency_key_required')
   return {
     ...call,
@@ -82,7 +85,7 @@
     method,
     path,
     contentType: header(request, 'content-type', 256),
-    body: content && content.length > 0 ? content.toString('utf8') : undefined
+    body: content.length > 0 ? content.toString('utf8') : undefined
   }
 }
 
@@ -138,9 +141,9 @@
   return { role: role === 'developer' ? 'system' : role, content }
 }
 
-function parseJson (raw: Buffer | null): unknown {
+function parseJson (raw: Buffer): unknown {
   try {
-    return JSON.parse(raw?.toString('utf8') ?? '')
+    return JSON.parse(raw.toString('utf8'))
   } catch (error) {
     throw new GatewayError('bad_request', { detail: 'The body is not valid JSON.', cause: error })
   }
--- a/src/core/gateway/server.ts
+++ b/src/core/gateway/server.ts
@@ -5,10 +5,11 @@
 import { readFileSync } from 'node:fs'
 import { createServer as createHttpServer, type RequestListener, type ServerOptions } from 'node:http'
 import { createServer as createHttpsServer } from 'node:https'
+import type { Duplex } from 'node:stream'
 import Hapi, { type Request, type ResponseObject, type ResponseToolkit, type Server } from '@hapi/hapi'
 import type { Boom } from '@hapi/boom'
 import { GatewayError, LacewingError, type ErrorName } from '../errors/index.ts'
-import { errorAnswer } from './responses.ts'
+import { errorAnswer, errorBody } from './responses.ts'
 import type { Limits } from './types.ts'
 
 export interface CallerServerOptions {
@@ -36,9 +37,26 @@
     }
   })
   server.ext('onPreResponse', toCatalogueError)
+  // hapi answers every broken request with 400, which hides limits and timeouts from callers.
+  listener.removeAllListeners('clientError')
+  listener.on('clientError', answerBrokenRequest)
   return server
 }
 
+const STATUS_OF_BROKEN_REQUEST: Record<string, string> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+}
+
+/** Answers a request that is not valid HTTP; nothing of it has run. */
+function answerBrokenRequest (error: NodeJS.ErrnoException, socket: Duplex): void {
+  if (!socket.writable) return void socket.destroy()
+  const status = STATUS_OF_BROKEN_REQUEST[error.code ?? ''] ?? '400 Bad Request'
+  const body = JSON.stringify(errorBody(new GatewayError('bad_request', { detail: status.slice(4) })))
+  const head = `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n`
+  socket.end(head + body)
+}
+
 function createListener (limits: Limits, tls: CallerServerOptions['tls']) {
   const options: ServerOptions = {
     maxHeaderSize: limits.max_header_bytes,
