--- a/src/core/gateway/body.ts
+++ b/src/core/gateway/body.ts
@@ -8,19 +8,26 @@
   const chunks: Buffer[] = []
   let size = 0
   return new Promise((resolve, reject) => {
-    const fail = (error: GatewayError) => {
-      stream.off('data', onData)
+    const stop = () => {
+      stream.off('data', onData).off('end', onEnd).off('error', onBroken).off('close', onBroken)
+      stream.on('error', () => {})
       stream.resume()
-      reject(error)
     }
     const onData = (chunk: Buffer) => {
       size += chunk.length
-      if (size > maxBytes) return fail(new GatewayError('body_too_large'))
       chunks.push(chunk)
+      if (size <= maxBytes) return
+      stop()
+      reject(new GatewayError('body_too_large'))
     }
-    stream.on('data', onData)
-    stream.once('end', () => resolve(Buffer.concat(chunks)))
-    stream.once('error', cause => fail(new GatewayError('bad_request', { detail: 'The body ended early.', cause })))
-    stream.once('close', () => fail(new GatewayError('bad_request', { detail: 'The body ended early.' })))
+    const onEnd = () => {
+      stop()
+      resolve(Buffer.concat(chunks))
+    }
+    const onBroken = (cause?: unknown) => {
+      stop()
+      reject(new GatewayError('bad_request', { detail: 'The body ended early.', cause }))
+    }
+    stream.on('data', onData).on('end', onEnd).on('error', onBroken).on('close', onBroken)
   })
 }
--- a/src/standin/engine/completions.ts
+++ b/src/standin/engine/completions.ts
@@ -1,4 +1,5 @@
 /** Chat completions of the engine stand-in: admission to slots, streaming, cancelling and faults during an answer. */
+import { once } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { setTimeout as delay } from 'node:timers/promises'
 import { prefixHashes } from '../../core/engine/prefix.ts'
@@ -248,10 +249,10 @@
 
 async function write (run: Run, body: object): Promise<void> {
   if (run.response.destroyed || run.response.write(`data: ${JSON.stringify(body)}\n\n`)) return
-  await new Promise<void>(resolve => {
-    run.response.once('drain', resolve)
-    run.response.once('close', resolve)
-  })
+  const stop = new AbortController()
+  const events = ['drain', 'close'].map(name => once(run.response, name, { signal: stop.signal }).catch(() => {}))
+  await Promise.race(events)
+  stop.abort()
 }
 
 /** Waits until everything written so far has left the process, so that a crash does not take it along. */
