Tell joined callers the truth about a request that was sent

A resend that joined a running answer reported its errors with its own sent flag, which is never set, so a crash that the first call had caused was answered as not_run. The answer itself now carries the flag, also when it is followed on another VM.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -47,6 +47,14 @@
     Then the gateway answer is 422 with the error "request_quarantined" and run "not_run"
     And the gateway's engines received 2 requests
 
+  Scenario: a gateway resend that joins a failing request is not told that it did not run
+    Given the gateway's engines take 20 ms for a token
+    And the gateway's engine "e1" has the fault "dieBeforeFirstToken"
+    And the gateway's engine "e2" has the fault "dieBeforeFirstToken"
+    When two gateway callers send the key "k" at once
+    Then the gateway answer is 422 with the error "request_quarantined" and run "may_have_run"
+    And the gateway's engines received 2 requests
+
   Scenario: the gateway cancels the run of a caller that goes away and bills what was delivered
     Given the gateway's engines take 20 ms for a token
     When a gateway caller goes away after 2 tokens
@@ -160,3 +168,25 @@
     When a gateway answer with a window of 100 characters gets 300 characters
     Then the gateway answer accepted 101 characters
     And the gateway answer accepts the rest once its reader has taken them
+
+  Scenario: the gateway disconnects a caller that takes nothing
+    Given a gateway caller that takes nothing
+    When 30000 ms pass for the gateway caller
+    Then the gateway caller is disconnected
+
+  Scenario Outline: the gateway forgets finished answers when <case>
+    Given a gateway answer book for 100 characters
+    When the gateway answer book keeps 3 answers of 40 characters
+    And the gateway answer book waits <ms> ms
+    Then the gateway answer book knows "<known>"
+
+    Examples:
+      | case            | ms     | known |
+      | memory is short | 0      | 2, 3  |
+      | they are old    | 900000 |       |
+
+  Scenario: a gateway engine that sends an endless line is cut off
+    Given the gateway's engine "e1" is replaced by one that sends an endless line
+    When a gateway caller streams a chat
+    Then the gateway answer is the whole answer of "kit-v1"
+    And the gateway counted a retries for "line_too_long"
--- a/features/steps/gateway.ts
+++ b/features/steps/gateway.ts
@@ -1,9 +1,15 @@
 import assert from 'node:assert/strict'
+import type { ServerResponse } from 'node:http'
+import { PassThrough } from 'node:stream'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
 import { createAnswer, type Answer, type AnswerReader } from '../../src/core/gateway/answer.ts'
-import { brandId, type VmId } from '../../src/core/ids/index.ts'
+import { createAnswerBook, type AnswerBook } from '../../src/core/gateway/answer-book.ts'
+import { relayStream } from '../../src/core/gateway/relay.ts'
+import { brandId, type RequestId, type VmId } from '../../src/core/ids/index.ts'
 import type { CounterName } from '../../src/core/metrics/index.ts'
 import { answerText, startEngine, type EngineFaults, type EngineStandIn } from '../../src/standin/engine/index.ts'
+import { listen } from '../../src/standin/http.ts'
 import { createFakeRegion } from '../support/fakes.ts'
 import { chat, PROMPT, until, type ChatOptions, type ChatResult } from '../support/gateway-client.ts'
 import { addEngine, createSampleView, DATA_CENTRE, startGatewayVm, type GatewayVm } from '../support/gateway-vm.ts'
@@ -21,6 +27,9 @@
   answer: Answer
   reader: AnswerReader
   appended: number
+  clock: ManualClock
+  caller: PassThrough
+  book: AnswerBook
 }
 
 const ANSWER_TOKENS = 8
@@ -197,6 +206,72 @@
   return answerText(version, PROMPT, ANSWER_TOKENS).join('')
 }
 
+When('two gateway callers send the key {string} at once', async function (this: GatewayWorld, key: string) {
+  const callers = [1, 2].map(() => chat(this.vm.url, { headers: { 'idempotency-key': key } }))
+  const results = await Promise.all(callers)
+  assert.deepEqual(results[0]?.error?.run, results[1]?.error?.run)
+  this.result = results[1]!
+})
+
+Given('a gateway caller that takes nothing', async function (this: GatewayWorld) {
+  this.clock = createManualClock()
+  this.answer = createAnswer()
+  this.answer.setMeta({ version: brandId('kit-v1') })
+  await this.answer.append({ text: 'x', tokens: 1 })
+  // A response whose buffer is full and never drains.
+  this.caller = Object.assign(new PassThrough(), { writeHead () {}, write: () => false })
+  const options = { request: brandId<RequestId>('req-1'), includeUsage: false, clock: this.clock, metrics: this.vm.metrics, wasSent: () => true }
+  void relayStream(this.answer, this.answer.open(), this.caller as unknown as ServerResponse, options)
+})
+
+When('{int} ms pass for the gateway caller', async function (this: GatewayWorld, ms: number) {
+  await this.clock.advance(ms - 1)
+  assert.equal(this.caller.destroyed, false)
+  await this.clock.advance(1)
+})
+
+Then('the gateway caller is disconnected', function (this: GatewayWorld) {
+  assert.equal(this.caller.destroyed, true)
+  assert.equal(this.vm.metrics.value('streams', 'caller_stalled'), 1)
+})
+
+Given('a gateway answer book for {int} characters', function (this: GatewayWorld, maxCharacters: number) {
+  this.clock = createManualClock()
+  this.book = createAnswerBook({ clock: this.clock, maxCharacters })
+})
+
+When('the gateway answer book keeps {int} answers of {int} characters', async function (this: GatewayWorld, count: number, characters: number) {
+  for (let id = 1; id <= count; id++) {
+    const answer = createAnswer()
+    this.book.add(String(id), answer, 'same')
+    await answer.append({ text: 'x'.repeat(characters), tokens: 1 })
+    answer.finish({ reason: 'stop', usage: { inputTokens: 1, outputTokens: 1, cachedTokens: 0 } })
+    this.book.settle(String(id), answer)
+  }
+})
+
+When('the gateway answer book waits {int} ms', function (this: GatewayWorld, ms: number) {
+  return this.clock.advance(ms)
+})
+
+Then('the gateway answer book knows {string}', function (this: GatewayWorld, known: string) {
+  assert.equal(['1', '2', '3'].filter(id => this.book.find(id)).join(', '), known)
+})
+
+Given('the gateway\'s engine {string} is replaced by one that sends an endless line', async function (this: GatewayWorld, name: string) {
+  await this.engines.get(name)!.kill()
+  const endless = await listen((request, response) => {
+    request.resume()
+    response.writeHead(200, { 'content-type': 'text/event-stream' })
+    const send = () => { while (response.write('x'.repeat(16_384))); }
+    response.on('drain', send)
+    response.on('error', () => {})
+    send()
+  })
+  this.engines.set(name, Object.assign(this.engines.get(name)!, { kill: endless.kill }))
+  addEngine(this.view, name, endless.address)
+})
+
 Then('the gateway answer is the whole answer of {string}', function (this: GatewayWorld, version: string) {
   assert.equal(this.result.status, 200, JSON.stringify(this.result))
   assert.equal(this.result.text, wholeText(version))
--- a/src/core/gateway/answer.ts
+++ b/src/core/gateway/answer.ts
@@ -48,6 +48,9 @@
   append(part: AnswerPart): Promise<void>
   finish(end: AnswerEnd): void
   fail(error: unknown): void
+  /** Notes that bytes of the request may have reached a backend server, here or at another VM. */
+  noteSent(): void
+  wasSent(): boolean
   end(): AnswerEnd | undefined
   error(): unknown
   hasEnded(): boolean
@@ -78,6 +81,7 @@
   let deliveredCharacters = 0
   let deliveredTokens = 0
   let meta: AnswerMeta | undefined
+  let sent = false
   let end: AnswerEnd | undefined
   let failure: { error: unknown } | undefined
   let abandoned = () => {}
@@ -148,6 +152,8 @@
       failure = { error }
       changed.notify()
     },
+    noteSent () { sent = true },
+    wasSent: () => sent,
     end: () => end,
     error: () => failure?.error,
     hasEnded,
--- a/src/core/gateway/chat-handler.ts
+++ b/src/core/gateway/chat-handler.ts
@@ -34,7 +34,8 @@
     try {
       return await relay(options, { request, h, call, answer })
     } catch (error) {
-      throw new CallFailure(call, error)
+      // A joined answer may have been sent for by another call.
+      throw new CallFailure({ request: call.request, sent: answer.wasSent() }, error)
     }
   }
 
@@ -82,6 +83,7 @@
       const owner = await joins.locate(id, dead)
       if (owner === self || owner === dead) break
       metrics.count('requests', 'joined_remote')
+      answer.noteSent()
       if (await joins.follow(owner, { id, fingerprint, answer, signal: abort.signal })) return true
       dead = owner
     }
@@ -114,7 +116,7 @@
     if (answer.error() !== undefined && answer.parts().length === 0) throw answer.error()
     if (reader.isClosed()) return h.abandon
     const { clock, metrics } = options
-    await relayStream(answer, reader, res, { request: call.request, includeUsage, clock, metrics, wasSent: () => call.sent })
+    await relayStream(answer, reader, res, { request: call.request, includeUsage, clock, metrics, wasSent: answer.wasSent })
     return h.abandon
   } finally {
     reader.close()
--- a/src/core/gateway/run.ts
+++ b/src/core/gateway/run.ts
@@ -178,6 +178,7 @@
 
 function noteSent (call: ChatCall, tier: Tier): void {
   call.sent = true
+  call.answer.noteSent()
   call.unbilledVersion = tier.choice.version
 }
 
