--- a/src/core/peer/types.ts
+++ b/src/core/peer/types.ts
@@ -7,6 +7,7 @@
   | 'config.push' | 'config.pull'
   | 'permit.request' | 'permit.release' | 'permit.sync' | 'leader.summary'
   | 'billing.witness' | 'billing.drop'
+  | 'rollout.outcomes'
   | 'quarantine.report' | 'explain.get' | 'answer.join'
 
 /** Handles one message; the returned value is the answer to a request and is ignored for a notification. */
@@ -24,6 +25,10 @@
 export interface PeerLinks {
   /** Maps a VM to the address its peer port listens on, `IP:PORT`. */
   setAddress(vm: VmId, address: string): void
+  /** Drops the address of a VM and closes the connections to it. */
+  forget(vm: VmId): void
+  /** Replaces the accepted keys; connections that used a key which is no longer accepted are closed. */
+  setSharedKeys(keys: readonly string[]): void
   request<Answer>(to: VmId, type: PeerMessageType, body: unknown, options?: PeerRequestOptions): Promise<Answer>
   /** Sends without an answer; delivery is not confirmed. */
   notify(to: VmId, type: PeerMessageType, body: unknown): void
