Choose again before asking for a permit when the version was withdrawn

The choice of data centres leaves out withdrawn versions, so a retry whose version was withdrawn after its first attempt found no candidate and was refused, although the model had a current version. A VM that is out of service answers vm_leaving instead of vm_not_ready.

--- a/features/caller-server.feature
+++ b/features/caller-server.feature
@@ -1,3 +1,4 @@
+@caller-server
 Feature: Caller server
 
   Background:
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -126,6 +126,12 @@
       | the backend server is leaving  | kit-v1  |
       | the permit has expired         | kit-v1  |
 
+  Scenario: a gateway retry whose version was withdrawn meanwhile uses the current version
+    Given the gateway's engine "e1" has the fault "dieBeforeFirstToken"
+    And the gateway's version is withdrawn when an engine crashes
+    When a gateway caller streams a chat
+    Then the gateway answer is the whole answer of "kit-v2"
+
   Scenario: the gateway holds the last chunk until the bill is safe
     Given the gateway's billing waits
     When a gateway caller streams a chat and has all text
--- a/features/steps/caller-server.ts
+++ b/features/steps/caller-server.ts
@@ -13,7 +13,7 @@
 const MAX_CONNECTIONS = 3
 const BODY_LIMIT = 1000
 
-After(async function (this: CallerWorld) {
+After({ tags: '@caller-server' }, async function (this: CallerWorld) {
   for (const socket of this.sockets ?? []) socket.destroy()
   await this.callerVm?.server.stop({ timeout: 0 })
 })
--- a/features/steps/gateway.ts
+++ b/features/steps/gateway.ts
@@ -99,6 +99,10 @@
   }
 }
 
+Given('the gateway\'s version is withdrawn when an engine crashes', function (this: GatewayWorld) {
+  this.vm.quarantine.quarantine.reportCrash = () => CHANGES['the version is withdrawn']!(this)
+})
+
 Given('the gateway\'s billing waits', function (this: GatewayWorld) {
   const { billing, records } = this.vm.billing
   billing.record = record => new Promise(resolve => {
--- a/features/support/gateway-vm.ts
+++ b/features/support/gateway-vm.ts
@@ -88,7 +88,10 @@
     identity: { vm: member.member.vm, boot: member.member.boot, region: member.member.region, dataCentre: member.member.dataCentre },
     view,
     routing: routing.routing,
-    chooseDataCentres: () => [{ dataCentre: brandId<DataCentreId>(DATA_CENTRE), why: 'only one' }],
+    chooseDataCentres ({ version }) {
+      const isActive = version === undefined || view.get('Version', version)?.state === 'active'
+      return isActive ? [{ dataCentre: brandId<DataCentreId>(DATA_CENTRE), why: 'only one' }] : []
+    },
     permits: permits.client,
     claims: options.claims?.(member) ?? noClaims,
     billing: billing.billing,
--- a/src/bench/relay-parts.ts
+++ b/src/bench/relay-parts.ts
@@ -39,7 +39,7 @@
     claims: { acquire: unused, find: unused, stop: async () => {} } satisfies Claims,
     billing: { canAccept: () => true, record: async () => {}, pending: () => 0, start () {}, drain: async () => 0 },
     budget: { reserve: async () => ({ settle () {} }), returnChunks: async () => {} },
-    quarantine: { isQuarantined: () => false, isSuspect: () => false, reportCrash () {}, remainingMs: () => 0, lift: async () => {} },
+    quarantine: { isQuarantined: () => false, isSuspect: () => false, reportCrash () {}, remainingMs: () => 0, lift: async () => {}, start: async () => {}, stop () {} },
     engine: createEngineClient({ clock, metrics }),
     services: createServiceClient({ clock, metrics }),
     explain: { begin () {}, add () {}, setCost () {}, find: async () => undefined },
@@ -111,6 +111,8 @@
     reportFirstByte () {},
     release () {},
     summaries: () => [],
-    heldCount: () => 0
+    heldCount: () => 0,
+    start () {},
+    stop () {}
   }
 }
--- a/src/core/gateway/index.ts
+++ b/src/core/gateway/index.ts
@@ -104,13 +104,19 @@
 }
 
 /** Throws GatewayError when this VM takes no new work now. */
-function requireTakingWork ({ isTakingWork, membership, limits }: GatewayOptions, running: number): void {
+function requireTakingWork (options: GatewayOptions, running: number): void {
+  const { isTakingWork, membership, limits } = options
   if (membership.isIsolated()) throw new GatewayError('vm_isolated')
-  if (membership.self().state === 'leaving') throw new GatewayError('vm_leaving')
+  if (isLeaving(options)) throw new GatewayError('vm_leaving')
   if (!isTakingWork()) throw new GatewayError('vm_not_ready')
   if (running >= limits.max_connections) throw new GatewayError('overloaded')
 }
 
+function isLeaving ({ membership, view, identity }: GatewayOptions): boolean {
+  if (membership.self().state === 'leaving') return true
+  return view.get('VirtualMachine', identity.vm)?.state === 'leaving' || view.get('DataCentre', identity.dataCentre)?.state === 'out_of_service'
+}
+
 function refuse ({ entryPoints, metrics }: GatewayOptions, h: ResponseToolkit, thrown: unknown): ResponseObject {
   const call = thrown instanceof CallFailure ? thrown.call : undefined
   const error = toLacewingError(thrown instanceof CallFailure ? thrown.cause : thrown)
--- a/src/core/gateway/run.ts
+++ b/src/core/gateway/run.ts
@@ -106,28 +106,39 @@
 
 /** Returns a permit that may be used now; otherwise chooses again, at most a few times. */
 async function choosePermit (deps: RunDependencies, call: ChatCall, tier: Tier): Promise<Permit> {
-  const { routing, permits, view, metrics, clock } = deps
+  const { routing, permits, metrics, clock } = deps
   for (let choices = 0; choices < MAX_CHOICES; choices++) {
     if (call.abort.signal.aborted) throw new EngineFailure('cancelled', { sent: false })
     if (clock.now() >= call.deadline) throw new GatewayError('deadline_exceeded')
+    if (!routing.isStillPermitted(call.contract, tier.choice.version)) {
+      metrics.count('retries', 'version_withdrawn')
+      await chooseAgain(deps, call, tier)
+    }
     const permit = await acquirePermit(deps, call, {
       version: tier.choice.version,
       prefixHashes: prefixHashes(call.body.messages),
       estimatedTokens: call.choiceRequest.promptTokens + call.body.maxTokens,
       isRetry: call.attempts > 0
     })
-    const isPermitted = routing.isStillPermitted(call.contract, tier.choice.version)
-    if (permit !== VERSION_WITHDRAWN) {
-      const isCancelled = call.abort.signal.aborted
-      if (isPermitted && !isCancelled && isInService(view, permit) && permits.mayStart(permit)) return permit
-      permits.release(permit, { outcome: 'not_sent' })
+    if (permit === VERSION_WITHDRAWN) {
+      // The leader knows of the withdrawal before this VM does, which will choose again once it has caught up.
+      metrics.count('retries', 'version_withdrawn')
+      await chooseAgain(deps, call, tier)
+      continue
     }
-    metrics.count('retries', isPermitted ? 'permit_outdated' : 'version_withdrawn')
-    if (!isPermitted || permit === VERSION_WITHDRAWN) await chooseAgain(deps, call, tier)
+    if (mayDispatch(deps, call, tier, permit)) return permit
+    permits.release(permit, { outcome: 'not_sent' })
+    metrics.count('retries', 'permit_outdated')
   }
   throw new GatewayError('permit_refused')
 }
 
+/** Checks once more what may have changed while the permit was on its way. */
+function mayDispatch ({ routing, permits, view }: RunDependencies, call: ChatCall, tier: Tier, permit: Permit): boolean {
+  if (call.abort.signal.aborted || !routing.isStillPermitted(call.contract, tier.choice.version)) return false
+  return isInService(view, permit) && permits.mayStart(permit)
+}
+
 async function chooseAgain (deps: RunDependencies, call: ChatCall, tier: Tier): Promise<void> {
   const { routing, explain } = deps
   const choice = await routing.choose(call.choiceRequest)
