Resume answers that have begun after their deadline for the start

The deadline of a contract (60 s by default) ended retries, so a long answer whose engine died after a minute could not be resumed and stayed partial. The deadline now bounds the start; once text was delivered a resume may wait 10 s for a permit. Cutting long answers at the deadline was ruled out: a dossier of 65,536 tokens takes longer at any speed. Without the change the new scenario fails.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -42,6 +42,16 @@
       | dieMidStream        | 200    | request_quarantined | may_have_run | partial | 4      |
       | truncate            | 200    | answer_truncated    | may_have_run | partial | 4      |
 
+  Scenario: a gateway answer that has begun is resumed although its deadline for the start has passed
+    Given the gateway's engine "e1" has the fault "freezeMidStream"
+    When a gateway caller streams a chat with a deadline of 150 ms
+    Then the gateway answer is the whole answer of "kit-v1"
+
+  Scenario: a gateway request that waits for a frozen engine beyond its deadline is not sent again
+    Given the gateway's engine "e1" has the fault "frozen"
+    When a gateway caller streams a chat with a deadline of 150 ms
+    Then the gateway answer is 502 with the error "backend_failed" and run "may_have_run"
+
   Scenario: a gateway request that crashed two engines is refused without reaching a third
     When a gateway caller streams a chat with the prompt "[crash]"
     And a gateway caller streams a chat with the prompt "[crash]"
--- a/features/steps/gateway.ts
+++ b/features/steps/gateway.ts
@@ -135,6 +135,10 @@
   this.result = await chat(this.vm.url, { prompt })
 })
 
+When('a gateway caller streams a chat with a deadline of {int} ms', async function (this: GatewayWorld, ms: number) {
+  this.result = await chat(this.vm.url, { headers: { 'x-deadline-ms': String(ms) } })
+})
+
 When('a gateway caller streams a chat with the model {string}', async function (this: GatewayWorld, model: string) {
   this.result = await chat(this.vm.url, { model })
 })
--- a/src/core/gateway/constants.ts
+++ b/src/core/gateway/constants.ts
@@ -16,6 +16,9 @@
 /** Sends of one request to backend servers, the first one included. */
 export const MAX_ATTEMPTS = 4
 
+/** Longest wait for a permit that resumes an answer after its deadline for the start has passed. */
+export const RESUME_WAIT_MS = 10_000
+
 /** Choices of version and data centre for one send before the request is refused. */
 export const MAX_CHOICES = 4
 
--- a/src/core/gateway/run.ts
+++ b/src/core/gateway/run.ts
@@ -8,7 +8,7 @@
 import { GatewayError } from '../errors/index.ts'
 import type { VersionChoice, VersionRouter } from '../routing/types.ts'
 import type { AnswerEnd, AnswerPart } from './answer.ts'
-import { MAX_ATTEMPTS, MAX_CHOICES } from './constants.ts'
+import { MAX_ATTEMPTS, MAX_CHOICES, RESUME_WAIT_MS } from './constants.ts'
 import { chatLine } from './bill.ts'
 import { reserveBudget, type BudgetDependencies } from './budget.ts'
 import { acquirePermit, isInService, VERSION_WITHDRAWN, withoutPermit, type PermitDependencies } from './permits.ts'
@@ -247,13 +247,16 @@
 function mayRetry ({ clock }: RunDependencies, call: ChatCall, tier: Tier, error: unknown): boolean {
   if (!(error instanceof EngineFailure) || error.reason === 'cancelled' || error.reason === 'answer_too_large') return false
   if (error.status !== undefined && WRONG_REQUEST_STATUSES.has(error.status)) return false
-  return call.attempts < MAX_ATTEMPTS && tier.tokens < call.body.maxTokens && clock.now() < call.deadline
+  if (call.attempts >= MAX_ATTEMPTS || tier.tokens >= call.body.maxTokens) return false
+  // The deadline is for the start; a long answer that has begun is worth finishing.
+  return tier.tokens > 0 || clock.now() < call.deadline
 }
 
 function noteRetry (deps: RunDependencies, call: ChatCall, tier: Tier, permit: Permit, failure: EngineFailure): void {
-  const { metrics, explain, quarantine } = deps
+  const { metrics, explain, quarantine, clock } = deps
   call.exclude.push(permit.backendServer)
   const isResume = tier.tokens > 0
+  if (isResume) call.deadline = Math.max(call.deadline, clock.now() + RESUME_WAIT_MS)
   metrics.count(isResume ? 'resumes' : 'retries', failure.reason)
   explain.add(call.request, 'retry', `${permit.backendServer}: ${failure.message}`)
   if (quarantine.isQuarantined(call.fingerprint)) throw new GatewayError('request_quarantined', { cause: failure })
