Check the gateway's promises under random engine faults with a fixed seed

150 requests, three in ten sent twice with a key, over two VMs while engines fail, die, truncate, omit [DONE] or cross chunks: each answer was its own and whole or said that it was not, and each whole answer was billed once.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -207,3 +207,10 @@
     When a gateway caller streams a chat
     Then the gateway answer is the whole answer of "kit-v1"
     And the gateway counted a retries for "line_too_long"
+
+  Scenario: the gateway keeps its promises while engines fail at random
+    Given a second gateway VM
+    When 150 gateway requests meet random faults of the engines
+    Then every gateway answer was its own and whole, or said that it was not
+    And the gateway billed every whole answer once and nothing twice
+    And the gateway holds no permit and no money
--- a/features/steps/gateway.ts
+++ b/features/steps/gateway.ts
@@ -9,7 +9,7 @@
 import { brandId, type RequestId, type VmId } from '../../src/core/ids/index.ts'
 import type { CounterName } from '../../src/core/metrics/index.ts'
 import { answerText, startEngine, type EngineFaults, type EngineStandIn } from '../../src/standin/engine/index.ts'
-import { listen } from '../../src/standin/http.ts'
+import { listen, seededRandom } from '../../src/standin/http.ts'
 import { createFakeRegion } from '../support/fakes.ts'
 import { chat, PROMPT, until, type ChatOptions, type ChatResult } from '../support/gateway-client.ts'
 import { addEngine, createSampleView, DATA_CENTRE, startGatewayVm, type GatewayVm } from '../support/gateway-vm.ts'
@@ -30,6 +30,7 @@
   clock: ManualClock
   caller: PassThrough
   book: AnswerBook
+  histories: { prompt: string, result: Promise<ChatResult> }[]
 }
 
 const ANSWER_TOKENS = 8
@@ -398,3 +399,45 @@
   }
   assert.equal(this.answer.characters(), 300)
 })
+
+const SEED = 20261204
+const FAULTS = ['fail', 'dieBeforeFirstToken', 'dieMidStream', 'truncate', 'omitDone', 'cross'] as const
+
+When('{int} gateway requests meet random faults of the engines', { timeout: 60_000 }, async function (this: GatewayWorld, count: number) {
+  console.log(`gateway: seed ${SEED}`)
+  const random = seededRandom(SEED)
+  const choose = <Entry>(entries: readonly Entry[]) => entries[Math.floor(random() * entries.length)]!
+  const vms = [...this.vms.values()]
+  for (const { permits } of vms) permits.pick = choose
+  this.histories = []
+  for (let index = 0; index < count; index++) {
+    if (random() < 0.3) choose([...this.engines.values()]).state.faults[choose(FAULTS)]++
+    const prompt = `request ${index}`
+    const key = random() < 0.3 ? `key-${index}` : undefined
+    const headers = key ? { 'idempotency-key': key } : undefined
+    const sends = key ? [vms[0]!, choose(vms)] : [choose(vms)]
+    this.histories.push(...sends.map(vm => ({ prompt, result: chat(vm.url, { prompt, headers }) })))
+    if (index % 8 === 7) await Promise.allSettled(this.histories.map(history => history.result))
+  }
+  await Promise.allSettled(this.histories.map(history => history.result))
+})
+
+Then('every gateway answer was its own and whole, or said that it was not', async function (this: GatewayWorld) {
+  let whole = 0
+  for (const { prompt, result } of this.histories) {
+    const { text, done, error } = await result
+    const expected = answerText('kit-v1', prompt, ANSWER_TOKENS).join('')
+    assert.ok(expected.startsWith(text), `${prompt}: ${text}`)
+    assert.equal(done, text === expected && error === undefined, `${prompt}: ${JSON.stringify(error)}`)
+    if (done) whole++
+  }
+  assert.ok(whole > this.histories.length / 2, `only ${whole} of ${this.histories.length} answers were whole`)
+})
+
+Then('the gateway billed every whole answer once and nothing twice', async function (this: GatewayWorld) {
+  const records = [...this.vms.values()].flatMap(vm => vm.billing.records)
+  assert.equal(new Set(records.map(record => record.id)).size, records.length)
+  const completed = records.filter(record => record.outcome === 'completed').length
+  const results = await Promise.all(this.histories.map(async ({ prompt, result }) => ({ prompt, done: (await result).done })))
+  assert.equal(completed, new Set(results.filter(({ done }) => done).map(({ prompt }) => prompt)).size)
+})
--- a/features/support/fakes.ts
+++ b/features/support/fakes.ts
@@ -59,16 +59,18 @@
     requests,
     /** Called before each answer; may change the configuration in between. */
     beforeAnswer: (_: PermitRequest): PermitAnswer | void => {},
-    mayStart: (_: Permit) => true
+    mayStart: (_: Permit) => true,
+    /** Chooses among the backend servers that may take the request. */
+    pick: <Entry>(entries: Entry[]): Entry | undefined => entries[0]
   }
   const client: PermitClient = {
     async acquire (dataCentre: DataCentreId, request: PermitRequest): Promise<PermitAnswer> {
       requests.push(request)
       const scripted = fake.beforeAnswer(request)
       if (scripted) return scripted
-      const free = view.list('BackendServer').find(({ name, spec }) =>
+      const free = fake.pick(view.list('BackendServer').filter(({ name, spec }) =>
         spec.dataCentre === dataCentre && spec.state === 'in_service' && !request.exclude.includes(brandId(name)) &&
-        (request.version ? spec.versions.includes(request.version) : spec.service === request.service))
+        (request.version ? spec.versions.includes(request.version) : spec.service === request.service)))
       if (!free) return { granted: false, refusal: { reason: 'no_backend_server', retryAfterMs: 1000, passedOver: [] } }
       const permit: Permit = {
         id: randomId('permit'), dataCentre, epoch: 1, backendServer: brandId(free.name), address: free.spec.address, version: request.version, startWithinMs: 1000
