--- a/features/steps/gateway.ts
+++ b/features/steps/gateway.ts
@@ -1,9 +1,15 @@
 import assert from 'node:assert/strict'
+import type { ServerResponse } from 'node:http'
+import { PassThrough } from 'node:stream'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
 import { createAnswer, type Answer, type AnswerReader } from '../../src/core/gateway/answer.ts'
-import { brandId, type VmId } from '../../src/core/ids/index.ts'
+import { createAnswerBook, type AnswerBook } from '../../src/core/gateway/answer-book.ts'
+import { relayStream } from '../../src/core/gateway/relay.ts'
+import { brandId, type RequestId, type VmId } from '../../src/core/ids/index.ts'
 import type { CounterName } from '../../src/core/metrics/index.ts'
 import { answerText, startEngine, type EngineFaults, type EngineStandIn } from '../../src/standin/engine/index.ts'
+import { listen, seededRandom } from '../../src/standin/http.ts'
 import { createFakeRegion } from '../support/fakes.ts'
 import { chat, PROMPT, until, type ChatOptions, type ChatResult } from '../support/gateway-client.ts'
 import { addEngine, createSampleView, DATA_CENTRE, startGatewayVm, type GatewayVm } from '../support/gateway-vm.ts'
@@ -21,6 +27,10 @@
   answer: Answer
   reader: AnswerReader
   appended: number
+  clock: ManualClock
+  caller: PassThrough
+  book: AnswerBook
+  histories: { prompt: string, result: Promise<ChatResult> }[]
 }
 
 const ANSWER_TOKENS = 8
@@ -90,6 +100,10 @@
   }
 }
 
+Given('the gateway\'s version is withdrawn when an engine crashes', function (this: GatewayWorld) {
+  this.vm.quarantine.quarantine.reportCrash = () => CHANGES['the version is withdrawn']!(this)
+})
+
 Given('the gateway\'s billing waits', function (this: GatewayWorld) {
   const { billing, records } = this.vm.billing
   billing.record = record => new Promise(resolve => {
@@ -122,6 +136,10 @@
   this.result = await chat(this.vm.url, { prompt })
 })
 
+When('a gateway caller streams a chat with a deadline of {int} ms', async function (this: GatewayWorld, ms: number) {
+  this.result = await chat(this.vm.url, { headers: { 'x-deadline-ms': String(ms) } })
+})
+
 When('a gateway caller streams a chat with the model {string}', async function (this: GatewayWorld, model: string) {
   this.result = await chat(this.vm.url, { model })
 })
@@ -197,6 +215,72 @@
   return answerText(version, PROMPT, ANSWER_TOKENS).join('')
 }
 
+When('two gateway callers send the key {string} at once', async function (this: GatewayWorld, key: string) {
+  const callers = [1, 2].map(() => chat(this.vm.url, { headers: { 'idempotency-key': key } }))
+  const results = await Promise.all(callers)
+  assert.deepEqual(results[0]?.error?.run, results[1]?.error?.run)
+  this.result = results[1]!
+})
+
+Given('a gateway caller that takes nothing', async function (this: GatewayWorld) {
+  this.clock = createManualClock()
+  this.answer = createAnswer()
+  this.answer.setMeta({ version: brandId('kit-v1') })
+  await this.answer.append({ text: 'x', tokens: 1 })
+  // A response whose buffer is full and never drains.
+  this.caller = Object.assign(new PassThrough(), { writeHead () {}, write: () => false })
+  const options = { request: brandId<RequestId>('req-1'), includeUsage: false, clock: this.clock, metrics: this.vm.metrics, wasSent: () => true }
+  void relayStream(this.answer, this.answer.open(), this.caller as unknown as ServerResponse, options)
+})
+
+When('{int} ms pass for the gateway caller', async function (this: GatewayWorld, ms: number) {
+  await this.clock.advance(ms - 1)
+  assert.equal(this.caller.destroyed, false)
+  await this.clock.advance(1)
+})
+
+Then('the gateway caller is disconnected', function (this: GatewayWorld) {
+  assert.equal(this.caller.destroyed, true)
+  assert.equal(this.vm.metrics.value('streams', 'caller_stalled'), 1)
+})
+
+Given('a gateway answer book for {int} characters', function (this: GatewayWorld, maxCharacters: number) {
+  this.clock = createManualClock()
+  this.book = createAnswerBook({ clock: this.clock, maxCharacters })
+})
+
+When('the gateway answer book keeps {int} answers of {int} characters', async function (this: GatewayWorld, count: number, characters: number) {
+  for (let id = 1; id <= count; id++) {
+    const answer = createAnswer()
+    this.book.add(String(id), answer, 'same')
+    await answer.append({ text: 'x'.repeat(characters), tokens: 1 })
+    answer.finish({ reason: 'stop', usage: { inputTokens: 1, outputTokens: 1, cachedTokens: 0 } })
+    this.book.settle(String(id), answer)
+  }
+})
+
+When('the gateway answer book waits {int} ms', function (this: GatewayWorld, ms: number) {
+  return this.clock.advance(ms)
+})
+
+Then('the gateway answer book knows {string}', function (this: GatewayWorld, known: string) {
+  assert.equal(['1', '2', '3'].filter(id => this.book.find(id)).join(', '), known)
+})
+
+Given('the gateway\'s engine {string} is replaced by one that sends an endless line', async function (this: GatewayWorld, name: string) {
+  await this.engines.get(name)!.kill()
+  const endless = await listen((request, response) => {
+    request.resume()
+    response.writeHead(200, { 'content-type': 'text/event-stream' })
+    const send = () => { while (response.write('x'.repeat(16_384))); }
+    response.on('drain', send)
+    response.on('error', () => {})
+    send()
+  })
+  this.engines.set(name, Object.assign(this.engines.get(name)!, { kill: endless.kill }))
+  addEngine(this.view, name, endless.address)
+})
+
 Then('the gateway answer is the whole answer of {string}', function (this: GatewayWorld, version: string) {
   assert.equal(this.result.status, 200, JSON.stringify(this.result))
   assert.equal(this.result.text, wholeText(version))
@@ -315,3 +399,45 @@
   }
   assert.equal(this.answer.characters(), 300)
 })
+
+const SEED = 20261204
+const FAULTS = ['fail', 'dieBeforeFirstToken', 'dieMidStream', 'truncate', 'omitDone', 'cross'] as const
+
+When('{int} gateway requests meet random faults of the engines', { timeout: 60_000 }, async function (this: GatewayWorld, count: number) {
+  console.log(`gateway: seed ${SEED}`)
+  const random = seededRandom(SEED)
+  const choose = <Entry>(entries: readonly Entry[]) => entries[Math.floor(random() * entries.length)]!
+  const vms = [...this.vms.values()]
+  for (const { permits } of vms) permits.pick = choose
+  this.histories = []
+  for (let index = 0; index < count; index++) {
+    if (random() < 0.3) choose([...this.engines.values()]).state.faults[choose(FAULTS)]++
+    const prompt = `request ${index}`
+    const key = random() < 0.3 ? `key-${index}` : undefined
+    const headers = key ? { 'idempotency-key': key } : undefined
+    const sends = key ? [vms[0]!, choose(vms)] : [choose(vms)]
+    this.histories.push(...sends.map(vm => ({ prompt, result: chat(vm.url, { prompt, headers }) })))
+    if (index % 8 === 7) await Promise.allSettled(this.histories.map(history => history.result))
+  }
+  await Promise.allSettled(this.histories.map(history => history.result))
+})
+
+Then('every gateway answer was its own and whole, or said that it was not', async function (this: GatewayWorld) {
+  let whole = 0
+  for (const { prompt, result } of this.histories) {
+    const { text, done, error } = await result
+    const expected = answerText('kit-v1', prompt, ANSWER_TOKENS).join('')
+    assert.ok(expected.startsWith(text), `${prompt}: ${text}`)
+    assert.equal(done, text === expected && error === undefined, `${prompt}: ${JSON.stringify(error)}`)
+    if (done) whole++
+  }
+  assert.ok(whole > this.histories.length / 2, `only ${whole} of ${this.histories.length} answers were whole`)
+})
+
+Then('the gateway billed every whole answer once and nothing twice', async function (this: GatewayWorld) {
+  const records = [...this.vms.values()].flatMap(vm => vm.billing.records)
+  assert.equal(new Set(records.map(record => record.id)).size, records.length)
+  const completed = records.filter(record => record.outcome === 'completed').length
+  const results = await Promise.all(this.histories.map(async ({ prompt, result }) => ({ prompt, done: (await result).done })))
+  assert.equal(completed, new Set(results.filter(({ done }) => done).map(({ prompt }) => prompt)).size)
+})
--- a/src/core/gateway/chat-handler.ts
+++ b/src/core/gateway/chat-handler.ts
@@ -3,7 +3,6 @@
  * answer.
  */
 import type { Lifecycle, Request, ResponseToolkit } from '@hapi/hapi'
-import type { Contract } from '../config/types.ts'
 import { GatewayError } from '../errors/index.ts'
 import type { VmId } from '../ids/index.ts'
 import type { Answer, AnswerReader } from './answer.ts'
@@ -11,7 +10,7 @@
 import { CallFailure } from './call-failure.ts'
 import { createChatRun } from './chat.ts'
 import { REJOIN_GRACE_MS } from './constants.ts'
-import { readChat } from './intake.ts'
+import { readChat, type CallerInput } from './intake.ts'
 import type { Joins } from './joins.ts'
 import { answerHeaders, relayStream, wholeBody } from './relay.ts'
 import type { ChatCall, GatewayOptions, Work } from './types.ts'
@@ -22,20 +21,21 @@
   work: Work
 }
 
-type Handle = (request: Request, h: ResponseToolkit, contract: Contract) => Promise<Lifecycle.ReturnValue>
+type Handle = (request: Request, h: ResponseToolkit, input: CallerInput) => Promise<Lifecycle.ReturnValue>
 
 export function createChatHandler (options: ChatHandlerOptions): Handle {
   const { metrics, work } = options
   const produce = createChatRun(options)
 
-  return async (request, h, contract) => {
-    const call = readChat(request, { ...options, contract })
+  return async (request, h, input) => {
+    const call = readChat(request, { ...options, ...input })
     metrics.count('requests', 'chat')
     const answer = joinHere(options, call) ?? start(options, call, () => work.track(run(call)))
     try {
       return await relay(options, { request, h, call, answer })
     } catch (error) {
-      throw new CallFailure(call, error)
+      // A joined answer may have been sent for by another call.
+      throw new CallFailure({ request: call.request, sent: answer.wasSent() }, error)
     }
   }
 
@@ -83,6 +83,7 @@
       const owner = await joins.locate(id, dead)
       if (owner === self || owner === dead) break
       metrics.count('requests', 'joined_remote')
+      answer.noteSent()
       if (await joins.follow(owner, { id, fingerprint, answer, signal: abort.signal })) return true
       dead = owner
     }
@@ -115,7 +116,7 @@
     if (answer.error() !== undefined && answer.parts().length === 0) throw answer.error()
     if (reader.isClosed()) return h.abandon
     const { clock, metrics } = options
-    await relayStream(answer, reader, res, { request: call.request, includeUsage, clock, metrics, wasSent: () => call.sent })
+    await relayStream(answer, reader, res, { request: call.request, includeUsage, clock, metrics, wasSent: answer.wasSent })
     return h.abandon
   } finally {
     reader.close()
--- a/src/core/gateway/run.ts
+++ b/src/core/gateway/run.ts
@@ -8,7 +8,7 @@
 import { GatewayError } from '../errors/index.ts'
 import type { VersionChoice, VersionRouter } from '../routing/types.ts'
 import type { AnswerEnd, AnswerPart } from './answer.ts'
-import { MAX_ATTEMPTS, MAX_CHOICES } from './constants.ts'
+import { MAX_ATTEMPTS, MAX_CHOICES, RESUME_WAIT_MS } from './constants.ts'
 import { chatLine } from './bill.ts'
 import { reserveBudget, type BudgetDependencies } from './budget.ts'
 import { acquirePermit, isInService, VERSION_WITHDRAWN, withoutPermit, type PermitDependencies } from './permits.ts'
@@ -106,28 +106,39 @@
 
 /** Returns a permit that may be used now; otherwise chooses again, at most a few times. */
 async function choosePermit (deps: RunDependencies, call: ChatCall, tier: Tier): Promise<Permit> {
-  const { routing, permits, view, metrics, clock } = deps
+  const { routing, permits, metrics, clock } = deps
   for (let choices = 0; choices < MAX_CHOICES; choices++) {
     if (call.abort.signal.aborted) throw new EngineFailure('cancelled', { sent: false })
     if (clock.now() >= call.deadline) throw new GatewayError('deadline_exceeded')
+    if (!routing.isStillPermitted(call.contract, tier.choice.version)) {
+      metrics.count('retries', 'version_withdrawn')
+      await chooseAgain(deps, call, tier)
+    }
     const permit = await acquirePermit(deps, call, {
       version: tier.choice.version,
       prefixHashes: prefixHashes(call.body.messages),
       estimatedTokens: call.choiceRequest.promptTokens + call.body.maxTokens,
       isRetry: call.attempts > 0
     })
-    const isPermitted = routing.isStillPermitted(call.contract, tier.choice.version)
-    if (permit !== VERSION_WITHDRAWN) {
-      const isCancelled = call.abort.signal.aborted
-      if (isPermitted && !isCancelled && isInService(view, permit) && permits.mayStart(permit)) return permit
-      permits.release(permit, { outcome: 'not_sent' })
+    if (permit === VERSION_WITHDRAWN) {
+      // The leader knows of the withdrawal before this VM does, which will choose again once it has caught up.
+      metrics.count('retries', 'version_withdrawn')
+      await chooseAgain(deps, call, tier)
+      continue
     }
-    metrics.count('retries', isPermitted ? 'permit_outdated' : 'version_withdrawn')
-    if (!isPermitted || permit === VERSION_WITHDRAWN) await chooseAgain(deps, call, tier)
+    if (mayDispatch(deps, call, tier, permit)) return permit
+    permits.release(permit, { outcome: 'not_sent' })
+    metrics.count('retries', 'permit_outdated')
   }
   throw new GatewayError('permit_refused')
 }
 
+/** Checks once more what may have changed while the permit was on its way. */
+function mayDispatch ({ routing, permits, view }: RunDependencies, call: ChatCall, tier: Tier, permit: Permit): boolean {
+  if (call.abort.signal.aborted || !routing.isStillPermitted(call.contract, tier.choice.version)) return false
+  return isInService(view, permit) && permits.mayStart(permit)
+}
+
 async function chooseAgain (deps: RunDependencies, call: ChatCall, tier: Tier): Promise<void> {
   const { routing, explain } = deps
   const choice = await routing.choose(call.choiceRequest)
@@ -178,6 +189,7 @@
 
 function noteSent (call: ChatCall, tier: Tier): void {
   call.sent = true
+  call.answer.noteSent()
   call.unbilledVersion = tier.choice.version
 }
 
@@ -235,13 +247,16 @@
 function mayRetry ({ clock }: RunDependencies, call: ChatCall, tier: Tier, error: unknown): boolean {
   if (!(error instanceof EngineFailure) || error.reason === 'cancelled' || error.reason === 'answer_too_large') return false
   if (error.status !== undefined && WRONG_REQUEST_STATUSES.has(error.status)) return false
-  return call.attempts < MAX_ATTEMPTS && tier.tokens < call.body.maxTokens && clock.now() < call.deadline
+  if (call.attempts >= MAX_ATTEMPTS || tier.tokens >= call.body.maxTokens) return false
+  // The deadline is for the start; a long answer that has begun is worth finishing.
+  return tier.tokens > 0 || clock.now() < call.deadline
 }
 
 function noteRetry (deps: RunDependencies, call: ChatCall, tier: Tier, permit: Permit, failure: EngineFailure): void {
-  const { metrics, explain, quarantine } = deps
+  const { metrics, explain, quarantine, clock } = deps
   call.exclude.push(permit.backendServer)
   const isResume = tier.tokens > 0
+  if (isResume) call.deadline = Math.max(call.deadline, clock.now() + RESUME_WAIT_MS)
   metrics.count(isResume ? 'resumes' : 'retries', failure.reason)
   explain.add(call.request, 'retry', `${permit.backendServer}: ${failure.message}`)
   if (quarantine.isQuarantined(call.fingerprint)) throw new GatewayError('request_quarantined', { cause: failure })
