Compare versions only in periods in which both serve

Ruled out: a third baseline from the last second alone, which has fewer than 10 first tokens of the old version in every other second of the stage with half the sessions. Change: evidence is added per period with at least 10 trials of the old version. Without such a period the new version is only suspect, and the roll-out goes back a stage so that a comparison decides. Exploration of the cascade may also try a dearer first tier.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -24,6 +24,12 @@
       | is as good as the old one                 |
       | fails as often as the old one in an outage |
 
+  Scenario: rollout gives the old version traffic again when a fault comes in the last stage
+    Given rollout of a version that meets a fault of both versions in the last stage
+    When rollout runs for up to 7200 s
+    Then rollout state is "done"
+    And rollout went back a stage
+
   Scenario Outline: rollout continues when its controller dies <moment>
     Given rollout of a version that <behaviour>
     When rollout runs until <moment>
--- a/features/steps/rollout.ts
+++ b/features/steps/rollout.ts
@@ -20,6 +20,7 @@
   'is three times as slow': version => version === 'to' ? { ...GOOD, firstTokenMs: 600 } : GOOD,
   'is rated 0.2 lower': version => version === 'to' ? { ...GOOD, rating: 0.65 } : GOOD,
   'is as good as the old one': () => GOOD,
+  'meets a fault of both versions in the last stage': (_, atMs) => atMs > 270_000 && atMs < 330_000 ? BAD : GOOD,
   'fails as often as the old one in an outage': (_, atMs) => atMs % 200_000 > 150_000 ? { ...BAD, firstTokenMs: 900 } : GOOD
 }
 
@@ -118,6 +119,10 @@
   if (reason) assert.ok(rollout.reason?.includes(reason), rollout.reason)
 })
 
+Then('rollout went back a stage', function (this: RolloutWorld) {
+  assert.ok(this.simulation.metrics.value('rollout_steps', 'went_back') >= 1)
+})
+
 Then(/^rollout weights are (\d) for the old version and (\d) for the (withdrawn new one|new one)$/, function (this: RolloutWorld, from: string, to: string, which: string) {
   const { view } = this.simulation.config
   assert.equal(view.get('Version', 'from')!.weight, Number(from))
--- a/src/core/cascade/index.ts
+++ b/src/core/cascade/index.ts
@@ -70,9 +70,8 @@
       const savingMicros = plan.cost - optimistic.cost
       const isWorthwhile = savingMicros > plan.cost * policy.worthwhileSaving && mayEscalate(question)
       const explores = exploration.spend(question.team, question.explorationShare, isWorthwhile ? savingMicros : 0)
-      if (explores && optimistic.start < plan.start) {
-        return { tier: optimistic.start, explores, why: 'explores a cheaper tier; the answer will be escalated' }
-      }
+      // An answer below the plan's tier is escalated; above it the request is easier than those escalated to the tier.
+      if (explores) return { tier: optimistic.start, explores, why: 'explores a tier that may save cost' }
       const why = `expected quality ${plan.quality.mean.toFixed(3)}, target ${question.qualityTarget}`
       return { tier: plan.start, explores, why }
     },
--- a/src/core/rollout/constants.ts
+++ b/src/core/rollout/constants.ts
@@ -14,8 +14,12 @@
 /** Trials of the old version that the long and the short memory of its rates go back. */
 export const LONG_WINDOW = 2000
 export const SHORT_WINDOW = 100
-/** Trials of the old version in one period that say something about that period. */
+/** Trials of the old version that a period needs to be compared with. */
 export const MIN_CONCURRENT_TRIALS = 10
+/** After so many trials of the new version a period ends also without the old one. */
+export const MAX_UNCONTROLLED_TRIALS = 100
+/** Until the weights of a stage are in force everywhere, the old version may still serve too little; 9 s at worst. */
+export const GO_BACK_AFTER_MS = 10_000
 /** Share of the old version's first tokens that counts as slow. */
 export const SLOW_SHARE = 0.1
 /** Smallest standard deviation assumed for ratings, and the factor by which the observed one is widened. */
--- a/src/core/rollout/index.ts
+++ b/src/core/rollout/index.ts
@@ -51,6 +51,7 @@
     const known = progress.get(name)
     if (known?.key === key) return known
     const judge = known?.pair === pair ? known.judge : createJudge(testPolicy)
+    judge.beginStage()
     const fresh = { key, pair, judge, sinceMs: clock.now(), requestsAtStart: requests }
     progress.set(name, fresh)
     return fresh
--- a/src/core/rollout/judge.ts
+++ b/src/core/rollout/judge.ts
@@ -5,7 +5,7 @@
  * is noticed as fast as one that is bad from the start.
  */
 import {
-  BASELINE_MARGIN, DEFAULT_TEST_POLICY, LATENCY_BUCKETS, LONG_WINDOW, MIN_CONCURRENT_TRIALS, MIN_RATING_DEVIATION, RATING_DEVIATION_FACTOR, SHORT_WINDOW, SLOW_SHARE
+  BASELINE_MARGIN, DEFAULT_TEST_POLICY, LATENCY_BUCKETS, LONG_WINDOW, MAX_UNCONTROLLED_TRIALS, MIN_CONCURRENT_TRIALS, MIN_RATING_DEVIATION, RATING_DEVIATION_FACTOR, SHORT_WINDOW, SLOW_SHARE
 } from './constants.ts'
 import { addTallies, emptyRolloutTally, emptyTally, scaleTally, tallySince } from './tally.ts'
 import type { RolloutTally, Signal, TestPolicy, Verdict, VersionTally } from './types.ts'
@@ -18,57 +18,95 @@
 export interface Judge {
   /** Takes the total counted so far; what was added since the last call is the new evidence. */
   judge(total: RolloutTally): Verdict
+  /** Forgets the evidence of a time without the old version. */
+  beginStage(): void
 }
 
 export function createJudge (policy: TestPolicy = DEFAULT_TEST_POLICY): Judge {
-  const evidence: Record<Signal, number> = { failures: 0, latency: 0, ratings: 0 }
-  const baselines = { failures: createBaseline(compareRates), latency: createBaseline(compareRates), ratings: createBaseline(compareRatings) }
+  const comparisons = {
+    failures: createComparison(compareRates, policy.failureRise),
+    latency: createComparison(compareRates, policy.slowRise),
+    ratings: createComparison(compareRatings, policy.ratingFall)
+  }
   let seen = emptyRolloutTally()
   let history = emptyTally()
 
+  const evidenceOf = (kind: keyof Evidence): Record<Signal, number> => ({
+    failures: comparisons.failures.evidence()[kind],
+    latency: comparisons.latency.evidence()[kind],
+    ratings: comparisons.ratings.evidence()[kind]
+  })
+
   return {
+    beginStage () {
+      for (const signal of SIGNALS) comparisons[signal].forgetRemembered()
+    },
     judge (total) {
       const from = tallySince(seen.from, total.from)
       const to = tallySince(seen.to, total.to)
       seen = total
       history = fade(addTallies(history, from))
       const slowFrom = slowBucket(history)
-      for (const signal of SIGNALS) {
-        baselines[signal].add(shareOf(from, signal, slowFrom))
-        const added = baselines[signal].compare(shareOf(to, signal, slowFrom), riseOf(policy, signal))
-        evidence[signal] = Math.max(0, evidence[signal] + added)
-      }
+      for (const signal of SIGNALS) comparisons[signal].add(shareOf(from, signal, slowFrom), shareOf(to, signal, slowFrom))
+      const evidence = evidenceOf('concurrent')
+      const remembered = evidenceOf('remembered')
       const worse = SIGNALS.find(signal => evidence[signal] >= policy.stopEvidence)
-      const mayAdvance = SIGNALS.every(signal => evidence[signal] <= policy.waitEvidence)
-      return { evidence: { ...evidence }, ...worse && { worse }, mayAdvance }
+      const suspect = SIGNALS.find(signal => remembered[signal] >= policy.stopEvidence)
+      const mayAdvance = SIGNALS.every(signal => Math.max(evidence[signal], remembered[signal]) <= policy.waitEvidence)
+      return { evidence, ...worse && { worse }, ...suspect && { suspect }, mayAdvance }
     }
   }
 }
 
+interface Evidence {
+  /** From periods in which both versions served. */
+  concurrent: number
+  /** From a time in which only the new version served, against what is remembered of the old one. */
+  remembered: number
+}
+
 /** Evidence that the trials are worse than the old version by the rise; `margin` is in standard errors of the old version's rate. */
 type Compare = (trials: Share, old: Share, rise: number, margin: number) => number
 
 const NOTHING: Share = { events: 0, trials: 0, squares: 0 }
 
 /**
- * Old version in a long memory, a short one and the period since the last call. The least evidence counts, so that a
- * fault of both versions is none, from its first period on.
+ * Collects periods in which the old version has enough trials and compares the new one with the old one in that
+ * period, in a short memory and in a long one. The least evidence counts, so that a fault of both versions is none.
  */
-function createBaseline (compare: Compare) {
+function createComparison (compare: Compare, rise: number) {
   let long = NOTHING
   let short = NOTHING
-  let latest = NOTHING
+  let from = NOTHING
+  let to = NOTHING
+  let evidence: Evidence = { concurrent: 0, remembered: 0 }
+
+  function againstMemory (): number {
+    return Math.min(compare(to, long, rise, BASELINE_MARGIN), compare(to, short, rise, BASELINE_MARGIN))
+  }
+
+  function closePeriod (): void {
+    long = remember(long, from, LONG_WINDOW)
+    short = remember(short, from, SHORT_WINDOW)
+    const isConcurrent = from.trials >= MIN_CONCURRENT_TRIALS
+    if (isConcurrent) {
+      const added = Math.min(againstMemory(), compare(to, from, rise, 0))
+      evidence = { concurrent: Math.max(0, evidence.concurrent + added), remembered: 0 }
+    } else {
+      evidence = { ...evidence, remembered: Math.max(0, evidence.remembered + againstMemory()) }
+    }
+    from = NOTHING
+    to = NOTHING
+  }
+
   return {
-    add (share: Share): void {
-      long = remember(long, share, LONG_WINDOW)
-      short = remember(short, share, SHORT_WINDOW)
-      latest = share
+    add (addedFrom: Share, addedTo: Share): void {
+      from = addShares(from, addedFrom)
+      to = addShares(to, addedTo)
+      if (from.trials >= MIN_CONCURRENT_TRIALS || to.trials >= MAX_UNCONTROLLED_TRIALS) closePeriod()
     },
-    compare (trials: Share, rise: number): number {
-      const remembered = Math.min(compare(trials, long, rise, BASELINE_MARGIN), compare(trials, short, rise, BASELINE_MARGIN))
-      if (latest.trials < MIN_CONCURRENT_TRIALS) return remembered
-      return Math.min(remembered, compare(trials, latest, rise, 0))
-    }
+    forgetRemembered () { evidence = { ...evidence, remembered: 0 } },
+    evidence: () => evidence
   }
 }
 
@@ -84,6 +122,10 @@
   return rise / deviation ** 2 * (events - trials * upper - trials * rise / 2)
 }
 
+function addShares (a: Share, b: Share): Share {
+  return { events: a.events + b.events, trials: a.trials + b.trials, squares: (a.squares ?? 0) + (b.squares ?? 0) }
+}
+
 /** Adds the newest trials; older ones fade beyond the window. */
 function remember (old: Share, added: Share, window: number): Share {
   const keep = Math.min(1, Math.max(0, window - added.trials) / Math.max(1, old.trials))
@@ -98,10 +140,6 @@
   return tally.requests <= LONG_WINDOW ? tally : scaleTally(tally, LONG_WINDOW / tally.requests)
 }
 
-function riseOf ({ failureRise, slowRise, ratingFall }: TestPolicy, signal: Signal): number {
-  return { failures: failureRise, latency: slowRise, ratings: ratingFall }[signal]
-}
-
 /** First bucket of which all and higher ones hold at most the slow share of first tokens. */
 function slowBucket ({ firstTokens }: VersionTally): number {
   const limit = SLOW_SHARE * firstTokens.reduce((sum, count) => sum + count, 0)
--- a/src/core/rollout/steps.ts
+++ b/src/core/rollout/steps.ts
@@ -1,6 +1,7 @@
 /** Pure rules of a roll-out: which step follows from the record, the two versions and the evidence. */
 import type { ConfigEntry, Rollout, Version } from '../config/types.ts'
-import type { Verdict } from './types.ts'
+import { GO_BACK_AFTER_MS } from './constants.ts'
+import type { Signal, Verdict } from './types.ts'
 
 type VersionEntry = ConfigEntry<'Version'>
 
@@ -8,7 +9,7 @@
 export type Step =
   | { type: 'none' }
   | {
-    type: 'weights_applied' | 'advanced' | 'finished' | 'stopped' | 'rolled_back' | 'paused'
+    type: 'weights_applied' | 'advanced' | 'went_back' | 'finished' | 'stopped' | 'rolled_back' | 'paused'
     versions: VersionEntry[]
     rollout: Partial<Rollout>
   }
@@ -32,10 +33,11 @@
   if (rollout.state === 'stopped') return rollBack(rollout, from, to)
   if (rollout.state !== 'running') return NONE
   if (to.spec.state === 'withdrawn') return stop('The new version was withdrawn.')
-  const { worse, evidence } = situation.verdict ?? {}
+  const { worse, suspect, evidence } = situation.verdict ?? {}
   if (worse) return stop(`The new version is worse in ${worse}; the logarithm of the likelihood ratio is ${evidence![worse].toFixed(1)}.`)
   if (!hasOwnWeights(rollout, from, to)) return pause('The weights of the versions were changed during the roll-out.')
   if (rollout.appliedStage !== rollout.stage) return applyWeights(rollout, from, to)
+  if (suspect && situation.stageMs >= GO_BACK_AFTER_MS) return goBack(rollout, suspect)
   return mayAdvance(situation) ? advance(rollout) : NONE
 }
 
@@ -49,6 +51,12 @@
   return { type: 'advanced', versions: [], rollout: { stage: stage + 1 } }
 }
 
+/** Gives the old version traffic again, because only a comparison tells a bad version from a fault of both. */
+function goBack (rollout: Rollout, suspect: Signal): Step {
+  if (rollout.stage === 0) return stop(`The new version got worse in ${suspect}, and the old one serves too little to compare with.`)
+  return { type: 'went_back', versions: [], rollout: { stage: rollout.stage - 1 } }
+}
+
 function stop (reason: string): Step {
   return { type: 'stopped', versions: [], rollout: { state: 'stopped', reason } }
 }
--- a/src/core/rollout/types.ts
+++ b/src/core/rollout/types.ts
@@ -61,6 +61,8 @@
   evidence: Record<Signal, number>
   /** Signal that shows that the new version is worse. */
   worse?: Signal
+  /** Signal that got worse while the old version served too little to compare with. */
+  suspect?: Signal
   /** Whether a further stage may begin as far as the evidence goes. */
   mayAdvance: boolean
 }
