--- a/src/bench/cascade-policies.ts
+++ b/src/bench/cascade-policies.ts
@@ -1,5 +1,5 @@
 /** Policies that the cascade benchmark compares, and the optimum that knows the law of the workload. */
-import { createCascade, DEFAULT_POLICY, type CascadePolicy } from '../core/cascade/index.ts'
+import { createCascade, PROVEN_RATINGS, type CascadePolicy } from '../core/cascade/index.ts'
 import type { VersionOutcome } from '../core/routing/types.ts'
 import { createRandom } from './random.ts'
 import { drawAnswers, rate, RATED_SHARE, type Answer, type Request, type RequestClass, type TeamLoad, type Workload } from './cascade-workloads.ts'
@@ -102,7 +102,7 @@
 /** The cascade of this repository, with late, noisy ratings of a sample. */
 export function ours ({ workload, seed, explorationShare = 0.02, policy = {}, vms = 1 }: OursOptions): Policy {
   const random = createRandom(seed)
-  const cascades = Array.from({ length: vms }, () => createCascade({ random, policy: { ...DEFAULT_POLICY, ...policy } }))
+  const cascades = Array.from({ length: vms }, () => createCascade({ random, policy: { provenRatings: PROVEN_RATINGS, ...policy } }))
   const late: { due: number, vm: number, outcome: VersionOutcome }[] = []
 
   return ({ team, qualityTarget }, { requestClass, answers }, index) => {
--- a/src/core/cascade/index.ts
+++ b/src/core/cascade/index.ts
@@ -6,13 +6,14 @@
 import type { VersionOutcome } from '../routing/types.ts'
 import { createLru } from '../session/lru.ts'
 import { DEFAULT_POLICY, MAX_LEARNED_KEYS, PLAN_REFRESH_OBSERVATIONS } from './constants.ts'
+import type { Estimate } from './estimate.ts'
 import { createExploration } from './exploration.ts'
 import { createLearner, type VersionKey } from './learner.ts'
 import { choosePlan, escalates, type Plan, type TierEstimate } from './plan.ts'
 import type { Cascade, CascadePolicy, CascadeQuestion, Tier } from './types.ts'
 
 export type * from './types.ts'
-export { DEFAULT_POLICY } from './constants.ts'
+export { DEFAULT_POLICY, PROVEN_RATINGS } from './constants.ts'
 
 export interface CascadeOptions {
   policy?: Partial<CascadePolicy>
@@ -23,6 +24,8 @@
   plan: Plan
   /** Plan if the estimates are too low; what it would save is worth learning about. */
   optimistic: Plan
+  /** Tiers that need ratings before their answers are kept. */
+  unproven: number[]
   observations: number
 }
 
@@ -33,6 +36,12 @@
   const plans = createLru<CachedPlans>(MAX_LEARNED_KEYS)
   const observations = createLru<number>(MAX_LEARNED_KEYS)
 
+  /** Whether enough answers of the version were rated in the class, in any team. */
+  function isProven ({ team, requestClass }: CascadeQuestion, { version }: Tier): boolean {
+    const rated = (escalated: boolean) => learner.ratings({ team, requestClass, version, escalated })
+    return rated(false) + rated(true) >= policy.provenRatings
+  }
+
   function estimateTier (question: CascadeQuestion, tier: Tier): TierEstimate {
     const { team, requestClass } = question
     const key = (escalated: boolean): VersionKey => ({ team, requestClass, version: tier.version, escalated })
@@ -58,20 +67,29 @@
     const cached = plans.get(cacheKey)
     if (cached && seen - cached.observations < PLAN_REFRESH_OBSERVATIONS) return cached
     const tiers = question.tiers.map(tier => estimateTier(question, tier))
-    const choose = (margin: number) => choosePlan({ tiers, target: qualityTarget, margin, mayEscalate: mayEscalate(question) })
-    const fresh = { plan: choose(policy.margin), optimistic: choose(-policy.optimism), observations: seen }
+    // The last tier is what remains when the others are not good enough, so nothing is gained by doubting it.
+    const unproven = question.tiers.slice(0, -1).flatMap((tier, index) => isProven(question, tier) ? [] : [index])
+    const doubted = tiers.map((tier, index) => unproven.includes(index) ? withoutKnowledge(tier) : tier)
+    const common = { target: qualityTarget, mayEscalate: mayEscalate(question) }
+    const fresh = {
+      plan: choosePlan({ ...common, tiers: doubted, margin: policy.margin }),
+      optimistic: choosePlan({ ...common, tiers, margin: -policy.optimism }),
+      unproven,
+      observations: seen
+    }
     plans.set(cacheKey, fresh)
     return fresh
   }
 
   return {
     decide (question) {
-      const { plan, optimistic } = plansFor(question)
-      const savingMicros = plan.cost - optimistic.cost
-      const isWorthwhile = savingMicros > plan.cost * policy.worthwhileSaving && mayEscalate(question)
-      const explores = exploration.spend(question.team, question.explorationShare, isWorthwhile ? savingMicros : 0)
-      // An answer below the plan's tier is escalated; above it the request is easier than those escalated to the tier.
-      if (explores) return { tier: optimistic.start, explores, why: 'explores a tier that may save cost' }
+      const { plan, optimistic, unproven } = plansFor(question)
+      const promised = plan.cost - optimistic.cost
+      const worthwhile = promised > plan.cost * policy.worthwhileSaving ? promised : 0
+      const savingMicros = unproven.length > 0 && worthwhile > 0 ? Infinity : worthwhile
+      const explores = exploration.spend(question.team, question.explorationShare, mayEscalate(question) ? savingMicros : 0)
+      const explored = unproven[Math.floor(random() * unproven.length)] ?? optimistic.start
+      if (explores) return { tier: explored, explores, why: 'explores a tier that may save cost' }
       const why = `expected quality ${plan.quality.mean.toFixed(3)}, target ${question.qualityTarget}`
       return { tier: plan.start, explores, why }
     },
@@ -93,6 +111,15 @@
   }
 }
 
+/** An estimate that rests on the configured expectation only: no plan keeps such answers for their quality. */
+function withoutKnowledge (tier: TierEstimate): TierEstimate {
+  const unknown = (estimate: Estimate) => ({ ...estimate, variance: Infinity })
+  const side = ({ bands, quality }: TierEstimate['first']) => ({
+    bands: bands.map(({ share, quality: ofBand }) => ({ share, quality: unknown(ofBand) })), quality: unknown(quality)
+  })
+  return { ...tier, first: side(tier.first), escalated: side(tier.escalated) }
+}
+
 function classKey ({ team, requestClass }: { team: string, requestClass: string }): string {
   return JSON.stringify([team, requestClass])
 }
--- a/src/core/cascade/learner.ts
+++ b/src/core/cascade/learner.ts
@@ -3,7 +3,7 @@
  * occurs, and cost. Answers to escalated requests are kept apart, because these requests are harder than the rest.
  */
 import { createLru } from '../session/lru.ts'
-import { ALL_TEAMS, CONFIDENCE_BANDS, FLAT_STRENGTH, MAX_LEARNED_KEYS, NO_CONFIDENCE } from './constants.ts'
+import { ALL_TEAMS, BAND_MEMORY_SHARE, CONFIDENCE_BANDS, FLAT_STRENGTH, MAX_LEARNED_KEYS, NO_CONFIDENCE } from './constants.ts'
 import { addValue, EMPTY_SAMPLE, estimate, type Estimate, type Prior, type Sample } from './estimate.ts'
 import type { CascadePolicy } from './types.ts'
 import type { VersionOutcome } from '../routing/types.ts'
@@ -32,6 +32,8 @@
 
 export interface Learner {
   observe(outcome: VersionOutcome): void
+  /** Effective number of ratings, of all teams. */
+  ratings(key: VersionKey): number
   /** Quality over all answers, given the prior expectation. */
   quality(key: VersionKey, priorQuality: number): Estimate
   /** Bands in rising order of confidence, then the band without a confidence. */
@@ -106,12 +108,14 @@
       return
     }
     entry.quality = addValue(entry.quality, outcome.rating, policy.memory)
-    entry.bands[band] = addValue(entry.bands[band]!, outcome.rating, policy.memory)
+    // A band gets a part of the ratings, so it must forget after fewer of them.
+    entry.bands[band] = addValue(entry.bands[band]!, outcome.rating, policy.memory * BAND_MEMORY_SHARE)
   }
 
   return {
     quality,
     bands,
+    ratings: key => find({ ...key, team: ALL_TEAMS })?.quality.count ?? 0,
     observe (outcome) {
       if (outcome.failed) return
       add(outcome, outcome.team)
--- a/src/core/cascade/plan.ts
+++ b/src/core/cascade/plan.ts
@@ -51,7 +51,8 @@
     return [keepAll, ...keptParts(bands).flatMap(kept => rest.map(next => join(start, tier.cost, kept, next)))]
   }
 
-  const good = plans.filter(plan => safe(plan) >= target)
+  // Without a target every plan will do, whatever is known about it.
+  const good = plans.filter(plan => target <= 0 || safe(plan) >= target)
   // When none is known to reach the target, the best expectation is the honest choice.
   if (good.length === 0) return plans.reduce((best, plan) => plan.quality.mean > best.quality.mean ? plan : best)
   return good.reduce((best, plan) => plan.cost < best.cost ? plan : best)
--- a/src/core/cascade/types.ts
+++ b/src/core/cascade/types.ts
@@ -17,6 +17,11 @@
   bandStrength: number
   /** Standard errors by which the estimated quality must exceed the target. */
   margin: number
+  /**
+   * Ratings a tier needs in the class before its answers are kept in place of a dearer tier's. 0 trusts the configured
+   * expectation, which is right only without a rating service.
+   */
+  provenRatings: number
   /** Standard errors by which an estimate may be too low in the optimistic view that guides exploration. */
   optimism: number
   /** Share of a plan's cost that the optimistic view must save to be explored. */
--- a/src/core/rollout/constants.ts
+++ b/src/core/rollout/constants.ts
@@ -29,12 +29,13 @@
 export const BASELINE_MARGIN = 2
 
 /**
- * Each restart of the evidence at 0 ends in a false stop with a probability of at most exp(-10), about 1 in 22,000;
+ * Each restart of the evidence at 0 ends in a false stop with a probability of at most exp(-14), about 1 in a million,
+ * as far as the assumptions of the test hold;
  * the benchmark shows the rate per roll-out.
  */
 export const DEFAULT_TEST_POLICY: TestPolicy = {
-  stopEvidence: 10,
-  waitEvidence: 4,
+  stopEvidence: 14,
+  waitEvidence: 5,
   failureRise: 0.05,
   slowRise: 0.1,
   ratingFall: 0.1
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -27,6 +27,8 @@
 /** One model that may answer, with its permitted versions. */
 interface PermittedTier { model: ModelEntry, versions: VersionEntry[] }
 
+interface ChosenTier { index: number, explores: boolean, why: string }
+
 export function createVersionRouter (options: VersionRouterOptions): VersionRouter {
   const { view, sessions, cascade, onOutcome = () => {}, clock, metrics } = options
 
@@ -72,19 +74,20 @@
     return tiers.findLastIndex(({ model }) => triedModels.has(model.name as ModelId))
   }
 
-  function chooseTier (request: VersionChoiceRequest, tiers: PermittedTier[]): { index: number, why: string } {
+  function chooseTier (request: VersionChoiceRequest, tiers: PermittedTier[]): ChosenTier {
     const last = triedTier(tiers, request.tried)
     if (last >= tiers.length - 1) refuse('no_permitted_version', 'No dearer tier is left.')
-    if (last >= 0) return { index: cascade.next(question(request, tiers), last), why: `escalated from ${request.tried.at(-1)}` }
-    if (tiers.length === 1) return { index: 0, why: 'only tier' }
-    const { tier, why } = cascade.decide(question(request, tiers))
-    return { index: tier, why }
+    if (last >= 0) return { index: cascade.next(question(request, tiers), last), explores: false, why: `escalated from ${request.tried.at(-1)}` }
+    if (tiers.length === 1) return { index: 0, explores: false, why: 'only tier' }
+    const { tier, explores, why } = cascade.decide(question(request, tiers))
+    return { index: tier, explores, why }
   }
 
   async function choose (request: VersionChoiceRequest): Promise<VersionChoice> {
     const startMs = clock.now()
     const tiers = permittedTiers(request)
-    const { index, why } = chooseTier(request, tiers)
+    const tier = chooseTier(request, tiers)
+    const { index } = tier
     const { model, versions } = tiers[index]!
     const modelId = model.name as ModelId
     const chosen = await sessions.resolve({
@@ -96,12 +99,12 @@
     })
     metrics.latency('version_choice', clock.now() - startMs)
     if (request.tried.length > 0) metrics.count('escalations', 'chosen')
-    return describe(chosen, modelId, index < tiers.length - 1, why)
+    return describe(chosen, modelId, index < tiers.length - 1, tier)
   }
 
-  function describe (chosen: SessionVersion, model: ModelId, canEscalate: boolean, why: string): VersionChoice {
+  function describe (chosen: SessionVersion, model: ModelId, canEscalate: boolean, { explores, why }: ChosenTier): VersionChoice {
     const { version, token, movedFrom, source } = chosen
-    return { version, model, sessionToken: token, movedFrom, canEscalate, why: `${why}; version from ${source}` }
+    return { version, model, sessionToken: token, movedFrom, canEscalate, explores, why: `${why}; version from ${source}` }
   }
 
   return {
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -22,6 +22,8 @@
   movedFrom?: VersionId
   /** Whether a dearer tier remains to escalate to. */
   canEscalate: boolean
+  /** The request is spent on learning, so its answers should be rated. */
+  explores?: boolean
   why: string
 }
 
