--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -42,12 +42,30 @@
       | dieMidStream        | 200    | request_quarantined | may_have_run | partial | 4      |
       | truncate            | 200    | answer_truncated    | may_have_run | partial | 4      |
 
+  Scenario: a gateway answer that has begun is resumed although its deadline for the start has passed
+    Given the gateway's engine "e1" has the fault "freezeMidStream"
+    When a gateway caller streams a chat with a deadline of 150 ms
+    Then the gateway answer is the whole answer of "kit-v1"
+
+  Scenario: a gateway request that waits for a frozen engine beyond its deadline is not sent again
+    Given the gateway's engine "e1" has the fault "frozen"
+    When a gateway caller streams a chat with a deadline of 150 ms
+    Then the gateway answer is 502 with the error "backend_failed" and run "may_have_run"
+
   Scenario: a gateway request that crashed two engines is refused without reaching a third
     When a gateway caller streams a chat with the prompt "[crash]"
     And a gateway caller streams a chat with the prompt "[crash]"
     Then the gateway answer is 422 with the error "request_quarantined" and run "not_run"
     And the gateway's engines received 2 requests
 
+  Scenario: a gateway resend that joins a failing request is not told that it did not run
+    Given the gateway's engines take 20 ms for a token
+    And the gateway's engine "e1" has the fault "dieBeforeFirstToken"
+    And the gateway's engine "e2" has the fault "dieBeforeFirstToken"
+    When two gateway callers send the key "k" at once
+    Then the gateway answer is 422 with the error "request_quarantined" and run "may_have_run"
+    And the gateway's engines received 2 requests
+
   Scenario: the gateway cancels the run of a caller that goes away and bills what was delivered
     Given the gateway's engines take 20 ms for a token
     When a gateway caller goes away after 2 tokens
@@ -118,6 +136,12 @@
       | the backend server is leaving  | kit-v1  |
       | the permit has expired         | kit-v1  |
 
+  Scenario: a gateway retry whose version was withdrawn meanwhile uses the current version
+    Given the gateway's engine "e1" has the fault "dieBeforeFirstToken"
+    And the gateway's version is withdrawn when an engine crashes
+    When a gateway caller streams a chat
+    Then the gateway answer is the whole answer of "kit-v2"
+
   Scenario: the gateway holds the last chunk until the bill is safe
     Given the gateway's billing waits
     When a gateway caller streams a chat and has all text
@@ -161,3 +185,32 @@
     When a gateway answer with a window of 100 characters gets 300 characters
     Then the gateway answer accepted 101 characters
     And the gateway answer accepts the rest once its reader has taken them
+
+  Scenario: the gateway disconnects a caller that takes nothing
+    Given a gateway caller that takes nothing
+    When 30000 ms pass for the gateway caller
+    Then the gateway caller is disconnected
+
+  Scenario Outline: the gateway forgets finished answers when <case>
+    Given a gateway answer book for 100 characters
+    When the gateway answer book keeps 3 answers of 40 characters
+    And the gateway answer book waits <ms> ms
+    Then the gateway answer book knows "<known>"
+
+    Examples:
+      | case            | ms     | known |
+      | memory is short | 0      | 2, 3  |
+      | they are old    | 900000 |       |
+
+  Scenario: a gateway engine that sends an endless line is cut off
+    Given the gateway's engine "e1" is replaced by one that sends an endless line
+    When a gateway caller streams a chat
+    Then the gateway answer is the whole answer of "kit-v1"
+    And the gateway counted a retries for "line_too_long"
+
+  Scenario: the gateway keeps its promises while engines fail at random
+    Given a second gateway VM
+    When 150 gateway requests meet random faults of the engines
+    Then every gateway answer was its own and whole, or said that it was not
+    And the gateway billed every whole answer once and nothing twice
+    And the gateway holds no permit and no money
