--- /dev/null
+++ b/features/steps/engine.ts
@@ -0,0 +1,132 @@
+import assert from 'node:assert/strict'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { systemClock } from '../../src/core/clock/index.ts'
+import { createEngineClient, prefixHashes, type CompletionRequest } from '../../src/core/engine/index.ts'
+import { brandId, randomId, type RequestId, type VersionId } from '../../src/core/ids/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import { answerText, startEngine, type EngineOptions, type EngineStandIn } from '../../src/standin/engine/index.ts'
+import { startRating, type Rating, type RatingStandIn } from '../../src/standin/rating/index.ts'
+
+interface EngineWorld {
+  engine: EngineStandIn
+  instance: string
+  answers: string[]
+  rating: RatingStandIn
+}
+
+const client = createEngineClient({ clock: systemClock, metrics: createMetrics() })
+const TOKENS = 8
+const PROMPT = 'long '.repeat(200)
+
+After({ tags: '@engine' }, async function (this: Partial<EngineWorld>) {
+  await this.engine?.kill()
+  await this.rating?.kill()
+})
+
+async function start (world: EngineWorld, options: Partial<EngineOptions>): Promise<void> {
+  world.engine = await startEngine({ versions: ['kit-v1'], answerTokens: TOKENS, ...options })
+  world.instance = world.engine.state.instance
+}
+
+async function complete (world: EngineWorld, request: Partial<CompletionRequest> = {}): Promise<string> {
+  const events = client.complete(world.engine.address, {
+    request: randomId<RequestId>('req'),
+    version: brandId<VersionId>('kit-v1'),
+    messages: [{ role: 'user', content: PROMPT }],
+    maxTokens: 100,
+    priority: 'normal',
+    epoch: 1,
+    ...request
+  }, new AbortController().signal)
+  let text = ''
+  for await (const event of events) if (event.type === 'delta') text += event.text
+  return text
+}
+
+Given('an engine stand-in in cold start with an allowance of {int}', async function (this: EngineWorld, coldAllowance: number) {
+  await start(this, { startCold: true, coldAllowance, coldRequests: 2, firstTokenMs: 30 })
+})
+
+Given(/^an engine stand-in that (checks|ignores) fencing$/, async function (this: EngineWorld, kind: string) {
+  await start(this, { checksFencing: kind === 'checks' })
+})
+
+Given('an engine stand-in whose cache events come {int} ms late', async function (this: EngineWorld, cacheEventLagMs: number) {
+  await start(this, { cacheEventLagMs })
+})
+
+When('the engine client sends {int} requests at once', async function (this: EngineWorld, count: number) {
+  const results = await Promise.allSettled(Array.from({ length: count }, () => complete(this)))
+  this.answers = results.flatMap(result => result.status === 'fulfilled' ? [result.value] : [])
+})
+
+When('the engine stand-in turns cold unannounced', function (this: EngineWorld) {
+  this.engine.state.turnCold()
+})
+
+When(/^the engine client orders to (load|unload) "(.*)" with epoch (\d+)$/, async function (this: EngineWorld, type: 'load' | 'unload', version: string, epoch: string) {
+  // An order that is refused is part of what the scenarios look at.
+  await client.order(this.engine.address, { type, version: brandId<VersionId>(version) }, Number(epoch)).catch(() => {})
+})
+
+When('the engine client sends a request with a long prompt', async function (this: EngineWorld) {
+  await complete(this)
+})
+
+When('the engine client resumes an answer after {int} of {int} tokens', async function (this: EngineWorld, delivered: number, all: number) {
+  const text = answerText('kit-v1', PROMPT, all).slice(0, delivered).join('')
+  this.answers = [await complete(this, { resumeFrom: { text, tokens: delivered } })]
+})
+
+Then('the engine client has {int} whole answers', function (this: EngineWorld, count: number) {
+  assert.deepEqual(this.answers, Array.from({ length: count }, () => answerText('kit-v1', PROMPT, TOKENS).join('')))
+})
+
+Then('the engine client has the other {int} tokens', function (this: EngineWorld, count: number) {
+  assert.deepEqual(this.answers, [answerText('kit-v1', PROMPT, TOKENS).slice(-count).join('')])
+})
+
+Then('the engine stand-in counted {int} overloads and its instance is {string}', function (this: EngineWorld, overloads: number, instance: string) {
+  assert.equal(this.engine.state.stats.overloads, overloads)
+  assert.equal(this.engine.state.instance === this.instance, instance === 'the same')
+})
+
+Then('the engine client sees the state {string} with an allowance of {int}', async function (this: EngineWorld, state: string, allowance: number) {
+  let report = await client.health(this.engine.address, 1000)
+  for (let tries = 0; report.state !== state && tries < 100; tries++) report = await client.health(this.engine.address, 1000)
+  assert.deepEqual([report.state, report.allowance], [state, allowance])
+})
+
+Then('the engine stand-in holds {string}', function (this: EngineWorld, versions: string) {
+  assert.deepEqual([...this.engine.state.versions].join(', '), versions)
+})
+
+async function cacheHashes (world: EngineWorld): Promise<string[]> {
+  const response = await fetch(`http://${world.engine.address}/admin/cache-events?after=0`)
+  const { events } = await response.json() as { events: { hash: string }[] }
+  return events.map(event => event.hash)
+}
+
+Then('the engine stand-in publishes the hashes of the prompt', async function (this: EngineWorld) {
+  let hashes: string[] = []
+  for (let tries = 0; hashes.length === 0 && tries < 1000; tries++) hashes = await cacheHashes(this)
+  assert.deepEqual(hashes, prefixHashes([{ role: 'user', content: PROMPT }]))
+})
+
+Given('a rating stand-in with quality {float}, noise {float} and a share of {float}', async function (this: EngineWorld, quality: number, noise: number, sampleShare: number) {
+  this.rating = await startRating({ quality: { 'kit-v1': quality }, noise, sampleShare, lagMs: 0, seed: 7 })
+})
+
+When('the rating stand-in gets {int} answers', async function (this: EngineWorld, count: number) {
+  for (let index = 0; index < count; index++) {
+    const body = JSON.stringify({ request: `req-${index}`, version: 'kit-v1', prompt: '', answer: '' })
+    await fetch(`http://${this.rating.address}/ratings`, { method: 'POST', body })
+  }
+})
+
+Then('the rating stand-in published between {int} and {int} ratings between {float} and {float}', async function (this: EngineWorld, least: number, most: number, low: number, high: number) {
+  const response = await fetch(`http://${this.rating.address}/ratings?after=0`)
+  const { ratings } = await response.json() as { ratings: Rating[] }
+  assert.ok(ratings.length >= least && ratings.length <= most, String(ratings.length))
+  assert.ok(ratings.every(({ rating }) => rating >= low && rating <= high))
+})
