Spread less on joining and settle which run of a VM is the current one

Change: a list received while joining is not gossiped; joined means that a list with the own VM was received, and a VM exchanges lists until then; announcements are 100 ms apart at least. Removing the exchange until joined, the joined mark or the digest exchange each fails a scenario now. Conclusion: the rule for replaced runs also holds for the first VM of a region.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -85,16 +85,21 @@
       | after  | boot-z |
       | before | a-boot |
 
-  Scenario: a paused process that was replaced by a new run of its VM takes no more work
-    Given a membership group of 4 VMs
-    When member vm-2 is paused
+  Scenario Outline: a paused process of <vm> that was replaced by a new run takes no more work
+    Given a membership group of <size> VMs
+    When member <vm> is paused
     And the membership group runs for 9000 ms
-    And member vm-2 starts again as boot boot-z
+    And member <vm> starts again as boot boot-z
     And the membership group runs for 2000 ms
-    And the earlier process of vm-2 resumes
+    And the earlier process of <vm> resumes
     And the membership group runs for 2000 ms
-    Then the earlier process of vm-2 is isolated
-    And the membership boot of vm-2 is boot-z on all others
+    Then the earlier process of <vm> is isolated
+    And the membership boot of <vm> is boot-z on all others
+
+    Examples:
+      | vm   | size |
+      | vm-2 | 4    |
+      | vm-1 | 2    |
 
   Scenario: a leaving member stays leaving while it is suspected and refutes
     Given a membership group of 5 VMs
--- a/src/core/membership/constants.ts
+++ b/src/core/membership/constants.ts
@@ -19,6 +19,8 @@
 /** Shortest time between two exchanges of the full list that one VM starts. */
 export const EXCHANGE_PERIOD_MS = 5000
 export const EXCHANGE_TIMEOUT_MS = 1000
+/** Shortest time between two announcements, so that two runs of one VM cannot outbid each other without a pause. */
+export const ANNOUNCE_PERIOD_MS = 100
 export const VM_LIST_PERIOD_MS = 2000
 /** A tick that is later than this many periods means that the process was paused. */
 export const PAUSE_PERIODS = 2
--- a/src/core/membership/gossip.ts
+++ b/src/core/membership/gossip.ts
@@ -61,6 +61,7 @@
     }
     table.hear(gossip.sender)
     for (const record of gossip.updates) table.hear(record, { fromList: gossip.isFullList })
+    if (gossip.isFullList && gossip.updates.some(({ vm }) => vm === table.self().vm)) table.setJoined()
     if (gossip.payload !== undefined) receivePayload(gossip.payload, from)
     return gossip
   }
@@ -77,7 +78,6 @@
   async function send (vm: VmId, isFullList: boolean, timeoutMs: number): Promise<void> {
     const answer = await peers.request(vm, 'membership.ping', compose(vm, isFullList), { timeoutMs })
     const { digest } = absorb(answer, vm)
-    if (isFullList) table.setJoined()
     options.onAnswer(vm, digest)
   }
 
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -10,14 +10,14 @@
 import type { PeerLinks } from '../peer/index.ts'
 import type { VmIdentity } from '../settings/index.ts'
 import {
-  CONTACT_PERIOD_MS, EXCHANGE_PERIOD_MS, ISOLATION_TIMEOUT_MS, JOIN_FANOUT, LEAVE_FANOUT, PING_PERIOD_MS, PING_TIMEOUT_MS,
+  ANNOUNCE_PERIOD_MS, CONTACT_PERIOD_MS, EXCHANGE_PERIOD_MS, ISOLATION_TIMEOUT_MS, JOIN_FANOUT, LEAVE_FANOUT, PING_PERIOD_MS, PING_TIMEOUT_MS,
   SUSPECT_TIMEOUT_MS, VM_LIST_PERIOD_MS
 } from './constants.ts'
 import { createDetector, shuffle } from './detector.ts'
 import { createGossip } from './gossip.ts'
 import { DEAD, LIVE, memberState, toMember, type MemberRecord } from './merge.ts'
 import { createPlatformView, type PlatformVm } from './platform.ts'
-import { createMemberTable } from './table.ts'
+import { createMemberTable, type HearOptions } from './table.ts'
 import type { Member, Membership, MemberState } from './types.ts'
 import { createUpdateQueue } from './update-queue.ts'
 
@@ -66,6 +66,7 @@
   const createdMs = clock.now()
   let lastPeerContactMs = createdMs
   let lastExchangeMs = -Infinity
+  let lastAnnounceMs = -Infinity
   let wasIsolated = false
   let running = false
   let cachedMembers: Member[] | undefined
@@ -96,9 +97,10 @@
   const detector = createDetector({ table, messages, clock, metrics, log, random, pingPeriodMs, onTick: noteIsolation })
   peers.onDisconnect(vm => { if (running) void detector.probe(vm) })
 
-  function onUpdate (record: MemberRecord, previous: MemberRecord | undefined): void {
+  function onUpdate (record: MemberRecord, previous: MemberRecord | undefined, { fromList = false }: HearOptions): void {
     cachedMembers = undefined
-    queue.push(record.vm)
+    // A list that a joining VM receives is known to the others.
+    if (table.hasJoined() || !fromList) queue.push(record.vm)
     if (record.vm !== identity.vm && record.health !== DEAD) peers.setAddress(record.vm, record.peerAddress)
     if (record.vm === identity.vm && record.health === LIVE && running) announceSelf()
     notifyListeners(record, previous?.boot !== record.boot)
@@ -106,6 +108,8 @@
 
   /** Spreads a new incarnation of this VM without waiting for the next period. */
   function announceSelf (): void {
+    if (clock.now() - lastAnnounceMs < ANNOUNCE_PERIOD_MS) return
+    lastAnnounceMs = clock.now()
     for (const { vm } of shuffle(table.others(), random).slice(0, 2)) messages.announce(vm)
   }
 
@@ -138,7 +142,8 @@
     lastPeerContactMs = clock.now()
     noteIsolation()
     const isDue = clock.now() - lastExchangeMs >= EXCHANGE_PERIOD_MS
-    if (digest !== table.digest() && queue.isEmpty() && isDue) void exchange(from)
+    const differs = digest !== table.digest() && queue.isEmpty()
+    if (isDue && (differs || !table.hasJoined())) void exchange(from)
   }
 
   async function exchange (vm: VmId): Promise<boolean> {
--- a/src/core/membership/table.ts
+++ b/src/core/membership/table.ts
@@ -16,7 +16,7 @@
   log: Log
   suspectTimeoutMs: number
   /** Called after each change, also of an incarnation; `previous` is undefined for a new member. */
-  onUpdate(record: MemberRecord, previous: MemberRecord | undefined): void
+  onUpdate(record: MemberRecord, previous: MemberRecord | undefined, source: HearOptions): void
   onForget(vm: VmId): void
 }
 
@@ -42,8 +42,12 @@
   leave(): void
   /** Marks this VM as stopped. */
   die(): void
-  /** Whether a full list was received; until then records of earlier runs of this VM are superseded. */
+  /**
+   * Notes that a full list with an entry of this VM was received; until then records of earlier runs of this VM are
+   * superseded.
+   */
   setJoined(): void
+  hasJoined(): boolean
   /** Whether another process runs under the id of this VM. */
   isReplaced(): boolean
   /** Moves all time limits, because this process did not run for `ms`. */
@@ -66,7 +70,7 @@
   let replacedBy: BootId | undefined
   let digest: number | undefined
 
-  function store (record: MemberRecord): void {
+  function store (record: MemberRecord, source: HearOptions = {}): void {
     const now = clock.now()
     const entry = entries.get(record.vm)
     const previous = entry?.record
@@ -79,7 +83,7 @@
     }
     digest = undefined
     report(record, previous)
-    onUpdate(record, previous)
+    onUpdate(record, previous, source)
   }
 
   function report (record: MemberRecord, previous: MemberRecord | undefined): void {
@@ -93,17 +97,17 @@
     if (heard.region !== self.region) return metrics.count('bad_input', 'membership_region')
     if (heard.vm === self.vm) return defend(heard)
     const known = entries.get(heard.vm)?.record
-    if (!known) return hearNew(heard, fromList)
+    if (!known) return hearNew(heard, { fromList })
     const softened = fromList && heard.health === DEAD && known.health < DEAD ? { ...heard, health: SUSPECT } as const : heard
     const merged = mergeRecords(known, softened)
-    if (merged !== known) store(merged)
+    if (merged !== known) store(merged, { fromList })
   }
 
   /** Dead members in a list are not taken over, because they would go round between the VMs for ever. */
-  function hearNew (heard: MemberRecord, fromList: boolean): void {
-    if (fromList && heard.health === DEAD) return
+  function hearNew (heard: MemberRecord, source: HearOptions): void {
+    if (source.fromList && heard.health === DEAD) return
     if (entries.size >= MAX_MEMBERS) return metrics.count('bad_input', 'membership_full')
-    store(heard)
+    store(heard, source)
   }
 
   /** Answers what others say about this VM with a higher incarnation where it is wrong. */
@@ -183,6 +187,7 @@
     setJoined () {
       joined = true
     },
+    hasJoined: () => joined,
     isReplaced: () => replacedBy !== undefined,
     postpone (ms) {
       for (const entry of entries.values()) entry.sinceMs += ms
