Bound the notification handlers of one peer

Cause: requests of a peer were bounded while they ran, notifications were not, so a flood with slow handlers could hold memory. Ruled out: a separate bound, because the memory is the same. Conclusion: every message of a peer is bounded.

--- a/features/steps/fault-proxy.ts
+++ b/features/steps/fault-proxy.ts
@@ -6,6 +6,7 @@
 import { createVmListReader } from '../../src/core/membership/index.ts'
 import { startFaultProxy, type FaultProxy } from '../../src/standin/fault-proxy/index.ts'
 import { startVmList, type VmList } from '../../src/standin/vm-list/index.ts'
+import { until } from './membership-network.ts'
 
 interface ProxyWorld {
   target: Server
@@ -18,10 +19,6 @@
   listClock: ManualClock
 }
 
-async function until (condition: () => boolean): Promise<void> {
-  while (!condition()) await new Promise(resolve => setTimeout(resolve, 1))
-}
-
 After(async function (this: Partial<ProxyWorld>) {
   this.client?.destroy()
   await this.faultProxy?.close()
--- a/features/steps/membership-network.ts
+++ b/features/steps/membership-network.ts
@@ -117,3 +117,8 @@
     heal: () => { cuts.clear() }
   }
 }
+
+/** Waits for a condition on real sockets or processes. */
+export async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 1))
+}
--- a/features/steps/membership-process.ts
+++ b/features/steps/membership-process.ts
@@ -4,6 +4,7 @@
 import type { VmId } from '../../src/core/ids/index.ts'
 import type { Member } from '../../src/core/membership/index.ts'
 import { runMember, type RunningMember } from '../processes/member.ts'
+import { until } from './membership-network.ts'
 
 const CHILD = 'vm-child' as VmId
 
@@ -17,10 +18,6 @@
   return here.map(({ membership }) => membership.get(CHILD)?.state)
 }
 
-async function until (condition: () => boolean): Promise<void> {
-  while (!condition()) await new Promise(resolve => setTimeout(resolve, 10))
-}
-
 After(async function (this: Partial<ProcessWorld>) {
   this.child?.kill('SIGKILL')
   for (const { membership, links } of this.here ?? []) {
--- a/features/steps/peer.ts
+++ b/features/steps/peer.ts
@@ -13,6 +13,7 @@
 import { startHandshake } from '../../src/core/peer/handshake.ts'
 import type { VmIdentity } from '../../src/core/settings/index.ts'
 import { startFaultProxy, type FaultProxy } from '../../src/standin/fault-proxy/index.ts'
+import { until } from './membership-network.ts'
 
 const VM_1 = 'vm-1' as VmId
 const VM_2 = 'vm-2' as VmId
@@ -78,10 +79,6 @@
   return new Promise(resolve => setTimeout(resolve, 1))
 }
 
-async function until (condition: () => boolean): Promise<void> {
-  while (!condition()) await turn()
-}
-
 /** Moves the clock until the promise settles; resolves with its error, if any. */
 async function settleByTime (world: PeerWorld, promise: Promise<unknown>): Promise<unknown> {
   const state = { settled: false, error: undefined as unknown }
--- a/src/core/peer/connection.ts
+++ b/src/core/peer/connection.ts
@@ -127,6 +127,18 @@
     }
   }
 
+  async function take (type: string, body: unknown): Promise<void> {
+    if (running >= MAX_RUNNING_HANDLERS) return metrics.count('peer_failures', 'too_many_running')
+    running++
+    try {
+      await options.dispatch(type, body, peer.vm)
+    } catch {
+      metrics.count('peer_failures', 'notification_failed')
+    } finally {
+      running--
+    }
+  }
+
   function fail (id: number, error: unknown): void {
     const unsent = error instanceof PeerError && error.kind === 'peer_unreachable'
     if (unsent || !open) return
@@ -156,7 +168,7 @@
         }
         break
       case 'notification':
-        options.dispatch(frame.type, frame.body, peer.vm).catch(() => metrics.count('peer_failures', 'notification_failed'))
+        void take(frame.type, frame.body)
         break
       case 'answer':
         settle(frame.id, request => request.resolve(frame.body))
