--- a/features/membership.feature
+++ b/features/membership.feature
@@ -195,6 +195,7 @@
   Scenario: the membership decoders survive any input
     Then the membership decoders accept only what they would send, with seed 20261204
 
+  @membership-process
   Scenario: a real process that is stopped by a signal declares nobody dead when it continues
     Given a separate member process beside 3 members here
     When the member process is stopped by a signal until all members here declare it dead
--- a/features/steps/fault-proxy.ts
+++ b/features/steps/fault-proxy.ts
@@ -19,7 +19,7 @@
   listClock: ManualClock
 }
 
-After(async function (this: Partial<ProxyWorld>) {
+After({ tags: '@fault-proxy' }, async function (this: Partial<ProxyWorld>) {
   this.client?.destroy()
   await this.faultProxy?.close()
   this.target?.close()
--- a/features/steps/membership-process.ts
+++ b/features/steps/membership-process.ts
@@ -18,7 +18,7 @@
   return here.map(({ membership }) => membership.get(CHILD)?.state)
 }
 
-After(async function (this: Partial<ProcessWorld>) {
+After({ tags: '@membership-process' }, async function (this: Partial<ProcessWorld>) {
   this.child?.kill('SIGKILL')
   for (const { membership, links } of this.here ?? []) {
     await membership.stop()
--- /dev/null
+++ b/src/core/config/messages.ts
@@ -0,0 +1,40 @@
+/** Bodies of the messages `config.push` and `config.pull`. */
+import type { ConfigKind } from '../object-api/types.ts'
+import type { ConfigDigest, ConfigSnapshot } from './replica.ts'
+import type { ConfigRecord } from './types.ts'
+
+export interface PushMessage {
+  records: ConfigRecord[]
+}
+
+export interface ObjectVersion {
+  kind: ConfigKind
+  name: string
+  resourceVersion: number
+}
+
+/**
+ * Asks whether everything up to a revision is in force. Hash and completeness of the asker show what its list of
+ * objects leaves out.
+ */
+export interface ProbeMessage {
+  ask: 'probe'
+  revision: number
+  hash: number
+  completeTo: number
+  /** Versions of the asker after its `completeTo`, up to the revision. */
+  objects: ObjectVersion[]
+}
+
+/** `repair` asks for the content that differs from a digest. */
+export type PullMessage = { ask: 'repair', digest: ConfigDigest } | ProbeMessage
+
+export interface RepairAnswer {
+  /** False while the answering VM has not loaded its configuration itself. */
+  synced: boolean
+  snapshot: ConfigSnapshot
+}
+
+export interface ProbeAnswer {
+  inForce: boolean
+}
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -22,6 +22,8 @@
   movedFrom?: VersionId
   /** Whether a dearer tier remains to escalate to. */
   canEscalate: boolean
+  /** The request is spent on learning, so its answers should be rated. */
+  explores?: boolean
   why: string
 }
 
@@ -38,6 +40,10 @@
   shouldEscalate(request: VersionChoiceRequest, choice: VersionChoice, confidence: number | undefined, remainingMs: number): boolean
 }
 
+/**
+ * Observed once without a rating when the answer ends, and again with a rating when the rating service has judged
+ * it. The second observation only adds the rating.
+ */
 export interface VersionOutcome {
   team: string
   requestClass: string
@@ -46,6 +52,8 @@
   firstTokenMs?: number
   costMicros: number
   confidence?: number
+  /** The request had been escalated to this version from a cheaper tier. */
+  escalated?: boolean
   /** From the rating service; arrives later than the rest, for a sample only. */
   rating?: number
 }
