--- a/src/core/cascade/constants.ts
+++ b/src/core/cascade/constants.ts
@@ -22,7 +22,7 @@
 export const MAX_SAVED_EXPLORATIONS = 20
 
 /** `provenRatings` of a VM that has a rating service. */
-export const PROVEN_RATINGS = 8
+export const PROVEN_RATINGS = 4
 
 export const DEFAULT_POLICY: CascadePolicy = {
   priorStrength: 4,
--- a/src/core/rollout/constants.ts
+++ b/src/core/rollout/constants.ts
@@ -15,7 +15,7 @@
 export const LONG_WINDOW = 2000
 export const SHORT_WINDOW = 100
 /** Trials of the old version that a period needs to be compared with. */
-export const MIN_CONCURRENT_TRIALS = 10
+export const MIN_CONCURRENT_TRIALS = 20
 /** After so many trials of the new version a period ends also without the old one. */
 export const MAX_UNCONTROLLED_TRIALS = 100
 /** Until the weights of a stage are in force everywhere, the old version may still serve too little; 9 s at worst. */
@@ -29,12 +29,11 @@
 export const BASELINE_MARGIN = 2
 
 /**
- * Each restart of the evidence at 0 ends in a false stop with a probability of at most exp(-14), about 1 in a million,
- * as far as the assumptions of the test hold;
- * the benchmark shows the rate per roll-out.
+ * Each restart of the evidence at 0 ends in a false stop with a probability of at most exp(-12), about 1 in 160,000,
+ * as far as requests fail independently; the benchmark shows the rate per roll-out.
  */
 export const DEFAULT_TEST_POLICY: TestPolicy = {
-  stopEvidence: 14,
+  stopEvidence: 12,
   waitEvidence: 5,
   failureRise: 0.05,
   slowRise: 0.1,
