Guard against stopping a roll-out when both versions fail at once

Ruled out: relying on the short memory, which takes about 100 requests to follow a fault of both versions. Change: a step in which both versions begin to fail nine in ten requests. Conclusion: the mechanism is held by a test again.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -69,3 +69,4 @@
   Scenario: rollout evidence follows the behaviour of a version
     Then rollout evidence stays below the limit without a difference and rises with any larger one
     And rollout evidence stops within 250 requests a version that turned bad after 20000 good ones
+    And rollout evidence stays below the limit when both versions begin to fail nine in ten requests
