Measure the cost per VM of fleets of real processes

Capacity at 340 VMs had no figures from real processes: the peer traffic was counted in PeerLinks but not exposed, and the benchmarks run many members in one process.

--- /dev/null
+++ b/scripts/capacity.ts
@@ -0,0 +1,255 @@
+/**
+ * Measures what one VM costs in fleets of growing size, and what a request and a token cost under load. Every VM is a
+ * real `serve` process; the figures of docs/CAPACITY.md are worked out from the slopes that this script prints.
+ */
+import { readFileSync } from 'node:fs'
+import { loadavg } from 'node:os'
+import { isWhole, sendChat } from '../features/support/fleet-calls.ts'
+import { startFleet, type Fleet } from '../features/support/fleet.ts'
+
+const DATA_CENTRES = ['bag-a', 'bag-b', 'bag-c', 'bag-d']
+const SIZES = (process.env['CAPACITY_SIZES'] ?? '4,8,16,32,64').split(',').map(Number)
+const LOAD_VMS = 8
+const LOAD_REQUESTS_PER_S = 100
+/** Two lengths of answers separate the cost of a request from that of a token. */
+const LOAD_TOKENS = [4, 32]
+const SETTLE_MS = 10_000
+const MEASURE_MS = 15_000
+/** The product's default; tests use a shorter one. */
+const LEASE_TTL_MS = 6000
+/** Clock ticks a second of /proc/PID/stat; Linux fixes it at 100 for user space. */
+const TICKS_PER_S = 100
+const WATCHERS_PER_DATA_CENTRE = 2
+
+interface Sample {
+  atMs: number
+  cpuS: Map<string, number>
+  objectApiCpuS: number
+  objectApi: Record<string, number>
+  metrics: Map<string, Map<string, number>>
+}
+
+/** Means of one VM, per second where the name says so. */
+interface VmCost { cpuPercent: number, memoryMb: number, sentBytesPerS: number, receivedBytesPerS: number }
+
+interface FleetCost {
+  all: VmCost
+  byRole: Map<string, VmCost>
+  seconds: number
+  objectApi: { readsPerS: number, writesPerS: number, waitingWatches: number, cpuPercent: number }
+  /** Counters of all VMs together that changed, a second. */
+  countersPerS: Map<string, number>
+}
+
+function readCpuS (pid: number): number {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8')
+  // The name in parentheses may hold spaces; user and system time are the 12th and 13th field after it.
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
+  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_S
+}
+
+function readMemoryMb (pid: number): number {
+  return Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))![1]) / 1024
+}
+
+async function readMetrics (url: string): Promise<Map<string, number>> {
+  const text = await (await fetch(`${url}/metrics`)).text()
+  const lines = text.split('\n').filter(line => line.startsWith('lacewingstage_') && !line.includes('latency'))
+  return new Map(lines.map(line => {
+    const space = line.lastIndexOf(' ')
+    return [line.slice('lacewingstage_'.length, space), Number(line.slice(space + 1))]
+  }))
+}
+
+async function readObjectApi (fleet: Fleet): Promise<Record<string, number>> {
+  return await (await fetch(`${fleet.objectApi.url}/control/counters`)).json() as Record<string, number>
+}
+
+/** Metrics are read outside the interval of the processor time, because answering costs some. */
+async function takeSample (fleet: Fleet, isFirst: boolean): Promise<Sample> {
+  const read = async () => new Map(await Promise.all(fleet.vms.map(async vm => [vm.id, await readMetrics(vm.url)] as const)))
+  const early = isFirst ? await read() : undefined
+  const atMs = performance.now()
+  const cpuS = new Map(fleet.vms.map(vm => [vm.id, readCpuS(vm.process.child.pid!)]))
+  const objectApiCpuS = readCpuS(fleet.objectApi.process.child.pid!)
+  const objectApi = await readObjectApi(fleet)
+  return { atMs, cpuS, objectApiCpuS, objectApi, metrics: early ?? await read() }
+}
+
+async function measure (fleet: Fleet): Promise<FleetCost> {
+  const roles = await readRoles(fleet)
+  const before = await takeSample(fleet, true)
+  await sleep(MEASURE_MS)
+  const after = await takeSample(fleet, false)
+  const seconds = (after.atMs - before.atMs) / 1000
+  const costs = fleet.vms.map(vm => ({ role: roles.get(vm.id)!, cost: costOf(vm.id, vm.process.child.pid!) }))
+
+  function costOf (id: string, pid: number): VmCost {
+    const rate = (name: string) => ((after.metrics.get(id)!.get(name) ?? 0) - (before.metrics.get(id)!.get(name) ?? 0)) / seconds
+    return {
+      cpuPercent: 100 * (after.cpuS.get(id)! - before.cpuS.get(id)!) / seconds,
+      memoryMb: readMemoryMb(pid),
+      sentBytesPerS: rate('peer_sent_bytes'),
+      receivedBytesPerS: rate('peer_received_bytes')
+    }
+  }
+
+  const perS = (name: string) => (after.objectApi[name]! - before.objectApi[name]!) / seconds
+  return {
+    all: mean(costs.map(({ cost }) => cost)),
+    byRole: new Map([...new Set(roles.values())].sort().map(role => [role, mean(costs.filter(each => each.role === role).map(({ cost }) => cost))])),
+    seconds,
+    objectApi: {
+      readsPerS: perS('reads'),
+      writesPerS: perS('writes'),
+      waitingWatches: after.objectApi['waitingWatches']!,
+      cpuPercent: 100 * (after.objectApiCpuS - before.objectApiCpuS) / seconds
+    },
+    countersPerS: changedCounters(before, after, seconds)
+  }
+}
+
+function changedCounters (before: Sample, after: Sample, seconds: number): Map<string, number> {
+  const sums = new Map<string, number>()
+  for (const [vm, values] of after.metrics) {
+    for (const [name, value] of values) {
+      const change = value - (before.metrics.get(vm)!.get(name) ?? 0)
+      if (name.includes('_total') && change !== 0) sums.set(name, (sums.get(name) ?? 0) + change / seconds)
+    }
+  }
+  return sums
+}
+
+/** A leader that also watches counts as leader. */
+async function readRoles (fleet: Fleet): Promise<Map<string, string>> {
+  const answer = await (await fetch(`${fleet.objectApi.url}/apis/lacewingstage.dev/v1/Lease`)).json() as { items: { spec: { holder: string } }[] }
+  const leaders = new Set(answer.items.map(({ spec }) => spec.holder))
+  const watchers = new Set(fleet.dataCentres.flatMap(dataCentre =>
+    fleet.vms.filter(vm => vm.dataCentre === dataCentre).map(vm => vm.id).sort().slice(0, WATCHERS_PER_DATA_CENTRE)))
+  return new Map(fleet.vms.map(({ id }) => [id, leaders.has(id) ? 'leader' : watchers.has(id) ? 'watching' : 'plain']))
+}
+
+function mean (costs: VmCost[]): VmCost {
+  const of = (value: (cost: VmCost) => number) => costs.reduce((sum, cost) => sum + value(cost), 0) / costs.length
+  return {
+    cpuPercent: of(cost => cost.cpuPercent),
+    memoryMb: of(cost => cost.memoryMb),
+    sentBytesPerS: of(cost => cost.sentBytesPerS),
+    receivedBytesPerS: of(cost => cost.receivedBytesPerS)
+  }
+}
+
+/** Intercept and slope of the least-squares line. */
+function fit (xs: readonly number[], ys: readonly number[]): { base: number, slope: number } {
+  const average = (values: readonly number[]) => values.reduce((sum, value) => sum + value, 0) / values.length
+  const meanX = average(xs)
+  const meanY = average(ys)
+  const slope = xs.reduce((sum, x, index) => sum + (x - meanX) * (ys[index]! - meanY), 0) / xs.reduce((sum, x) => sum + (x - meanX) ** 2, 0)
+  return { base: meanY - slope * meanX, slope }
+}
+
+function sleep (ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms))
+}
+
+async function measureIdle (vms: number): Promise<FleetCost> {
+  const fleet = await startFleet({ vms, dataCentres: DATA_CENTRES, engines: 4, applications: 0, leaseTtlMs: LEASE_TTL_MS })
+  try {
+    await sleep(SETTLE_MS)
+    return await measure(fleet)
+  } finally {
+    await fleet.stop()
+  }
+}
+
+interface LoadCost { cost: FleetCost, sent: number, whole: number, statuses: Map<number, number> }
+
+/** Sends at a fixed rate, whatever the answers do, to the VMs in turn. */
+async function measureLoad (fleet: Fleet, maxTokens: number): Promise<LoadCost> {
+  let sent = 0
+  let whole = 0
+  const statuses = new Map<number, number>()
+  const running = new Set<Promise<void>>()
+  const startedMs = performance.now()
+  const timer = setInterval(() => {
+    const due = (performance.now() - startedMs) * LOAD_REQUESTS_PER_S / 1000
+    while (sent < due) {
+      const vm = fleet.vms[sent % fleet.vms.length]!
+      const call = sendChat(vm, { prompt: `question ${sent += 1}`, stream: true, maxTokens }).then(answer => {
+        if (isWhole(answer)) whole += 1
+        statuses.set(answer.status, (statuses.get(answer.status) ?? 0) + 1)
+      }).finally(() => running.delete(call))
+      running.add(call)
+    }
+  }, 10)
+  await sleep(SETTLE_MS / 2)
+  const cost = await measure(fleet)
+  clearInterval(timer)
+  await Promise.all(running)
+  return { cost, sent, whole, statuses }
+}
+
+function print (cells: (string | number)[]): void {
+  console.log(`| ${cells.map(cell => typeof cell === 'number' ? String(Number(cell.toPrecision(3))) : cell).join(' | ')} |`)
+}
+
+const cells = ({ cpuPercent, memoryMb, sentBytesPerS, receivedBytesPerS }: VmCost) => [cpuPercent, memoryMb, sentBytesPerS, receivedBytesPerS]
+
+async function runIdle (): Promise<void> {
+  const costs: FleetCost[] = []
+  print(['VMs', 'role', 'CPU % of a core', 'resident MB', 'sent B/s', 'received B/s', 'reads/s', 'writes/s', 'waiting watches', 'object API CPU %', 'load average'])
+  for (const vms of SIZES) {
+    const cost = await measureIdle(vms)
+    costs.push(cost)
+    const { readsPerS, writesPerS, waitingWatches, cpuPercent } = cost.objectApi
+    print([vms, 'all', ...cells(cost.all), readsPerS, writesPerS, waitingWatches, cpuPercent, loadavg()[0]!])
+    for (const [role, each] of cost.byRole) print([vms, role, ...cells(each)])
+  }
+  if (SIZES.length < 2) return
+  printSlope('all', SIZES, costs.map(cost => cost.all))
+  for (const role of ['leader', 'watching', 'plain']) {
+    const known = costs.map((cost, index) => ({ vms: SIZES[index]!, cost: cost.byRole.get(role) })).filter(({ cost }) => cost !== undefined)
+    if (known.length > 1) printSlope(role, known.map(({ vms }) => vms), known.map(({ cost }) => cost!))
+  }
+  printFit('object API reads/s', SIZES, costs.map(cost => cost.objectApi.readsPerS))
+  printFit('object API writes/s', SIZES, costs.map(cost => cost.objectApi.writesPerS))
+}
+
+function printSlope (role: string, xs: number[], costs: VmCost[]): void {
+  printFit(`${role}: CPU % of a core`, xs, costs.map(cost => cost.cpuPercent))
+  printFit(`${role}: resident MB`, xs, costs.map(cost => cost.memoryMb))
+  printFit(`${role}: sent B/s`, xs, costs.map(cost => cost.sentBytesPerS))
+  printFit(`${role}: received B/s`, xs, costs.map(cost => cost.receivedBytesPerS))
+}
+
+function printFit (name: string, xs: number[], ys: number[]): void {
+  const { base, slope } = fit(xs, ys)
+  console.log(`${name}: ${base.toPrecision(3)} + ${slope.toPrecision(3)} per VM`)
+}
+
+async function runLoad (): Promise<void> {
+  const fleet = await startFleet({ vms: LOAD_VMS, dataCentres: DATA_CENTRES, engines: 8, applications: 0, leaseTtlMs: LEASE_TTL_MS, engineOptions: { slots: 8 } })
+  try {
+    await sleep(SETTLE_MS)
+    const idle = await measure(fleet)
+    const loads: { tokens: number, cpuMsPerRequest: number }[] = []
+    for (const tokens of LOAD_TOKENS) {
+      const { cost, sent, whole, statuses } = await measureLoad(fleet, tokens)
+      const cpuMsPerRequest = 10 * LOAD_VMS * (cost.all.cpuPercent - idle.all.cpuPercent) / LOAD_REQUESTS_PER_S
+      loads.push({ tokens, cpuMsPerRequest })
+      console.log(`${tokens} tokens: ${sent} sent, ${whole} whole, statuses ${JSON.stringify([...statuses])}, load average ${loadavg()[0]!.toFixed(1)}`)
+      console.log(`  per request: ${cpuMsPerRequest.toFixed(2)} ms CPU, ${(cost.objectApi.writesPerS / LOAD_REQUESTS_PER_S).toFixed(3)} writes, ${(cost.objectApi.readsPerS / LOAD_REQUESTS_PER_S).toFixed(3)} reads, ${(LOAD_VMS * (cost.all.sentBytesPerS - idle.all.sentBytesPerS) / LOAD_REQUESTS_PER_S).toFixed(0)} peer bytes sent`)
+      print(['all', ...cells(cost.all)])
+      for (const [role, each] of cost.byRole) print([role, ...cells(each)])
+      console.log(`  ${[...cost.countersPerS].map(([name, perS]) => `${name} ${perS.toFixed(2)}/s`).join(', ')}`)
+    }
+    const { base, slope } = fit(loads.map(({ tokens }) => tokens), loads.map(({ cpuMsPerRequest }) => cpuMsPerRequest))
+    console.log(`CPU of all VMs: ${base.toFixed(2)} ms per request + ${slope.toFixed(3)} ms per token of the limit`)
+  } finally {
+    await fleet.stop()
+  }
+}
+
+console.log(`${new Date().toISOString()}, load average ${loadavg().map(value => value.toFixed(1)).join(' ')}, ${MEASURE_MS / 1000} s each`)
+if (SIZES.length > 0 && SIZES[0]! > 0) await runIdle()
+await runLoad()
--- a/src/core/vm/parts.ts
+++ b/src/core/vm/parts.ts
@@ -82,9 +82,15 @@
 function registerCoordination (parts: Parts): void {
   const { vm, object_api: api, peer, platform, membership: timing } = parts.resolve(TOKENS.settings)
   provide(parts, TOKENS.objectApi, () => createObjectApi({ url: api.url, timeoutMs: api.timeout_ms, ...common(parts) }))
-  provide(parts, TOKENS.peers, () => createPeerLinks({
-    ...common(parts), address: vm.peer_address, sharedKeys: peer.shared_keys, tls: readPeerTls(peer)
-  }))
+  provide(parts, TOKENS.peers, () => {
+    const { metrics } = common(parts)
+    const links = createPeerLinks({
+      ...common(parts), address: vm.peer_address, sharedKeys: peer.shared_keys, tls: readPeerTls(peer)
+    })
+    metrics.gauge('peer_sent_bytes', 'Payload bytes sent to other VMs since the start', () => links.traffic().sentBytes)
+    metrics.gauge('peer_received_bytes', 'Payload bytes received from other VMs since the start', () => links.traffic().receivedBytes)
+    return links
+  })
   provide(parts, TOKENS.view, () => createConfigReplica())
   provide(parts, TOKENS.membership, () => createMembership({
     ...common(parts),
