Measure fleets of 64 VMs on ports outside the ephemeral range

A fleet of 32 VMs failed to start with EADDRINUSE: the ports that the system had assigned and freed were taken by outgoing connections of the fleet itself. startFleet takes findPorts, by default as before; the capacity script takes free ports below the ephemeral range.

--- a/scripts/capacity.ts
+++ b/scripts/capacity.ts
@@ -3,20 +3,27 @@
  * real `serve` process; the figures of docs/CAPACITY.md are worked out from the slopes that this script prints.
  */
 import { readFileSync } from 'node:fs'
+import { createServer } from 'node:net'
 import { loadavg } from 'node:os'
 import { isWhole, sendChat } from '../features/support/fleet-calls.ts'
 import { startFleet, type Fleet } from '../features/support/fleet.ts'
 
 const DATA_CENTRES = ['bag-a', 'bag-b', 'bag-c', 'bag-d']
 const SIZES = (process.env['CAPACITY_SIZES'] ?? '4,8,16,32,64').split(',').map(Number)
+const ENGINES = [4, 64]
 const LOAD_VMS = 8
+const FIRST_PORT = 20_000 + process.pid % 8000
 const LOAD_REQUESTS_PER_S = 100
 /** Two lengths of answers separate the cost of a request from that of a token. */
-const LOAD_TOKENS = [4, 32]
+const LOAD_TOKENS = [4, 128]
+/** The first requests run before the code is compiled and would count as the cost of the first length. */
+const WARM_UP_MS = 15_000
 const SETTLE_MS = 10_000
 const MEASURE_MS = 15_000
 /** The product's default; tests use a shorter one. */
 const LEASE_TTL_MS = 6000
+/** Parts of the measurement that run. */
+const PARTS = (process.env['CAPACITY_PARTS'] ?? 'vms,backend-servers,load').split(',')
 /** Clock ticks a second of /proc/PID/stat; Linux fixes it at 100 for user space. */
 const TICKS_PER_S = 100
 const WATCHERS_PER_DATA_CENTRE = 2
@@ -148,12 +155,26 @@
   return { base: meanY - slope * meanX, slope }
 }
 
+/** Free ports below those that the system assigns to outgoing connections. */
+async function findPorts (count: number): Promise<number[]> {
+  const ports: number[] = []
+  for (let port = FIRST_PORT; ports.length < count; port++) if (await isFree(port)) ports.push(port)
+  return ports
+}
+
+function isFree (port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const server = createServer().once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  })
+}
+
 function sleep (ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms))
 }
 
-async function measureIdle (vms: number): Promise<FleetCost> {
-  const fleet = await startFleet({ vms, dataCentres: DATA_CENTRES, engines: 4, applications: 0, leaseTtlMs: LEASE_TTL_MS })
+async function measureIdle (vms: number, engines = DATA_CENTRES.length): Promise<FleetCost> {
+  const fleet = await startFleet({ vms, dataCentres: DATA_CENTRES, engines, applications: 0, leaseTtlMs: LEASE_TTL_MS, findPorts })
   try {
     await sleep(SETTLE_MS)
     return await measure(fleet)
@@ -165,7 +186,7 @@
 interface LoadCost { cost: FleetCost, sent: number, whole: number, statuses: Map<number, number> }
 
 /** Sends at a fixed rate, whatever the answers do, to the VMs in turn. */
-async function measureLoad (fleet: Fleet, maxTokens: number): Promise<LoadCost> {
+async function measureLoad (fleet: Fleet, maxTokens: number, warmUpMs: number): Promise<LoadCost> {
   let sent = 0
   let whole = 0
   const statuses = new Map<number, number>()
@@ -182,7 +203,7 @@
       running.add(call)
     }
   }, 10)
-  await sleep(SETTLE_MS / 2)
+  await sleep(warmUpMs)
   const cost = await measure(fleet)
   clearInterval(timer)
   await Promise.all(running)
@@ -224,17 +245,28 @@
 
 function printFit (name: string, xs: number[], ys: number[]): void {
   const { base, slope } = fit(xs, ys)
-  console.log(`${name}: ${base.toPrecision(3)} + ${slope.toPrecision(3)} per VM`)
+  console.log(`${name}: ${base.toPrecision(3)} + ${slope.toPrecision(3)} x`)
+}
+
+/** One VM in each data centre, so that every VM is a leader that probes its share of the backend servers. */
+async function runBackendServers (): Promise<void> {
+  const leaders: VmCost[] = []
+  for (const engines of ENGINES) {
+    const { all } = await measureIdle(DATA_CENTRES.length, engines)
+    leaders.push(all)
+    print([`leader of ${engines / DATA_CENTRES.length} backend servers`, ...cells(all), loadavg()[0]!])
+  }
+  printSlope('leader, per backend server', ENGINES.map(engines => engines / DATA_CENTRES.length), leaders)
 }
 
 async function runLoad (): Promise<void> {
-  const fleet = await startFleet({ vms: LOAD_VMS, dataCentres: DATA_CENTRES, engines: 8, applications: 0, leaseTtlMs: LEASE_TTL_MS, engineOptions: { slots: 8 } })
+  const fleet = await startFleet({ vms: LOAD_VMS, dataCentres: DATA_CENTRES, engines: 8, applications: 0, leaseTtlMs: LEASE_TTL_MS, findPorts, engineOptions: { answerTokens: Math.max(...LOAD_TOKENS) } })
   try {
     await sleep(SETTLE_MS)
     const idle = await measure(fleet)
     const loads: { tokens: number, cpuMsPerRequest: number }[] = []
     for (const tokens of LOAD_TOKENS) {
-      const { cost, sent, whole, statuses } = await measureLoad(fleet, tokens)
+      const { cost, sent, whole, statuses } = await measureLoad(fleet, tokens, loads.length === 0 ? WARM_UP_MS : WARM_UP_MS / 3)
       const cpuMsPerRequest = 10 * LOAD_VMS * (cost.all.cpuPercent - idle.all.cpuPercent) / LOAD_REQUESTS_PER_S
       loads.push({ tokens, cpuMsPerRequest })
       console.log(`${tokens} tokens: ${sent} sent, ${whole} whole, statuses ${JSON.stringify([...statuses])}, load average ${loadavg()[0]!.toFixed(1)}`)
@@ -244,12 +276,17 @@
       console.log(`  ${[...cost.countersPerS].map(([name, perS]) => `${name} ${perS.toFixed(2)}/s`).join(', ')}`)
     }
     const { base, slope } = fit(loads.map(({ tokens }) => tokens), loads.map(({ cpuMsPerRequest }) => cpuMsPerRequest))
-    console.log(`CPU of all VMs: ${base.toFixed(2)} ms per request + ${slope.toFixed(3)} ms per token of the limit`)
+    console.log(`CPU of all VMs: ${base.toFixed(2)} ms per request + ${slope.toFixed(3)} ms per token`)
   } finally {
     await fleet.stop()
   }
 }
 
+// Without these handlers an interrupted run would leave its processes behind.
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1))
 console.log(`${new Date().toISOString()}, load average ${loadavg().map(value => value.toFixed(1)).join(' ')}, ${MEASURE_MS / 1000} s each`)
-if (SIZES.length > 0 && SIZES[0]! > 0) await runIdle()
-await runLoad()
+if (PARTS.includes('vms')) await runIdle()
+if (PARTS.includes('backend-servers')) await runBackendServers()
+if (PARTS.includes('load')) await runLoad()
+// Sockets were seen to stay open after the fleet had stopped and to keep this process alive.
+process.exit(0)
