--- a/features/fleet-faults.feature
+++ b/features/fleet-faults.feature
@@ -65,6 +65,7 @@
     Given a fleet of 3 VMs, 4 engines and 1 application
     When the fleet has the fault: <fault>
     Then every live fleet VM answers chat again
+    When the fleet VMs reach the object API again
     And the fleet has billed each answered request once
 
     Examples:
--- a/features/steps/fleet-faults.ts
+++ b/features/steps/fleet-faults.ts
@@ -105,10 +105,18 @@
 })
 
 Then('no fleet VM answers {string} with {string}', async function (this: FaultWorld, model: string, version: string) {
-  const answers = await Promise.all(this.fleet.vms.flatMap(vm => Array.from({ length: 4 }, () => sendChat(vm, { model }))))
-  const answered = answers.filter(({ status }) => status === 200)
-  assert.ok(answered.length > 0, JSON.stringify(answers[0]))
-  for (const answer of answered) assert.notEqual(answer.version, version, answer.vm)
+  const refused = new Set<string>()
+  const sendRound = async () => {
+    const answers = await Promise.all(this.fleet.vms.flatMap(vm => Array.from({ length: 4 }, () => sendChat(vm, { model }))))
+    for (const answer of answers) {
+      assert.notEqual(answer.version, version, answer.vm)
+      if (answer.status !== 200) refused.add(`${answer.vm} ${answer.errorType}`)
+    }
+    return answers.some(({ status }) => status === 200)
+  }
+  // Between the end of the leaders' leases and the start of local admission, requests are refused as not run.
+  await waitUntil(sendRound, `an answer is given; refusals: ${[...refused].join(', ')}`)
+  await sendRound()
 })
 
 When('the fleet object API goes down and VM 3 is killed and started again', async function (this: FaultWorld) {
@@ -201,6 +209,10 @@
   }
 })
 
+When('the fleet VMs reach the object API again', function (this: FaultWorld) {
+  for (const { objectApiLink } of this.fleet.vms) objectApiLink.clear()
+})
+
 Then('every live fleet VM answers chat again', async function (this: FaultWorld) {
   for (const vm of this.fleet.vms) {
     await waitUntil(async () => {
--- a/src/bench/relay-parts.ts
+++ b/src/bench/relay-parts.ts
@@ -40,7 +40,6 @@
     billing: { canAccept: () => true, record: async () => {}, pending: () => 0, start () {}, drain: async () => 0 },
     budget: {
       reserve: async () => ({ settle () {} }),
-      start () {},
       returnChunks: async () => {}
     },
     quarantine: { isQuarantined: () => false, isSuspect: () => false, reportCrash () {}, remainingMs: () => 0, lift: async () => {}, start: async () => {}, stop () {} },
--- a/src/core/gateway/chat.ts
+++ b/src/core/gateway/chat.ts
@@ -142,9 +142,8 @@
 function finishedAnswer (call: ChatCall): FinishedAnswer {
   return {
     request: call.request,
-    team: call.team,
-    requestClass: call.choiceRequest.requestClass,
-    version: call.choice!.version,
+    outcome: call.outcome!,
+    explores: call.choice!.explores ?? false,
     prompt: call.body.messages.map(message => message.content).join('\n'),
     text: call.answer.parts().map(part => part.text).join('')
   }
--- a/src/core/gateway/run.ts
+++ b/src/core/gateway/run.ts
@@ -6,7 +6,7 @@
 import { EngineFailure, prefixHashes } from '../engine/index.ts'
 import type { CompletionEvent, CompletionRequest, CompletionUsage, EngineClient } from '../engine/types.ts'
 import { GatewayError } from '../errors/index.ts'
-import type { VersionChoice, VersionRouter } from '../routing/types.ts'
+import type { VersionChoice, VersionRouter, VersionOutcome } from '../routing/types.ts'
 import type { AnswerEnd, AnswerPart } from './answer.ts'
 import { MAX_ATTEMPTS, MAX_CHOICES, RESUME_WAIT_MS } from './constants.ts'
 import { chatLine } from './bill.ts'
@@ -292,14 +292,16 @@
 }
 
 function observe (deps: RunDependencies, call: ChatCall, tier: Tier, failed: boolean): void {
-  const { routing } = deps
-  routing.observe({
+  const outcome: VersionOutcome = {
     team: call.team,
     requestClass: call.choiceRequest.requestClass,
     version: tier.choice.version,
     failed,
     firstTokenMs: tier.firstTokenMs,
     costMicros: failed ? 0 : tierLine(deps, tier).costMicros,
-    confidence: tier.finished?.confidence
-  })
+    confidence: tier.finished?.confidence,
+    escalated: call.choiceRequest.tried.length > 0
+  }
+  if (!failed) call.outcome = outcome
+  deps.routing.observe(outcome)
 }
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -14,7 +14,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { PeerLinks } from '../peer/types.ts'
 import type { Quarantine } from '../quarantine/types.ts'
-import type { DataCentreCandidate, VersionChoice, VersionChoiceRequest, VersionRouter } from '../routing/types.ts'
+import type { DataCentreCandidate, VersionChoice, VersionChoiceRequest, VersionOutcome, VersionRouter } from '../routing/types.ts'
 import type { Settings, VmIdentity } from '../settings/index.ts'
 import type { Answer, AnswerPart } from './answer.ts'
 
@@ -33,9 +33,10 @@
 /** A finished answer, for a sampler that sends answers to the rating service. */
 export interface FinishedAnswer {
   request: RequestId
-  team: TeamId
-  requestClass: string
-  version: VersionId
+  /** What was observed when the answer ended. */
+  outcome: VersionOutcome
+  /** The request was spent on learning, so its answer is worth a rating. */
+  explores: boolean
   prompt: string
   text: string
 }
@@ -124,6 +125,8 @@
   /** Version whose unfinished answer an engine works on. */
   unbilledVersion?: VersionId
   answer: Answer
+  /** Observed when a tier's answer ended; the last one belongs to the delivered answer. */
+  outcome?: VersionOutcome
   /** Part of the answer that was received from another VM before it died. */
   resume?: { version: VersionId, parts: AnswerPart[] }
 }
--- a/src/core/vm/index.ts
+++ b/src/core/vm/index.ts
@@ -88,6 +88,9 @@
     peers: parts.resolve(TOKENS.peers),
     membership,
     isTakingWork: lifecycle.isTakingWork,
+    onAnswer ({ request, outcome, explores, prompt, text }) {
+      parts.resolve(TOKENS.rating).offer({ request, outcome, explores, prompt, answer: text })
+    },
     limits: settings.limits,
     clock,
     metrics,
@@ -100,6 +103,7 @@
   await parts.resolve(TOKENS.quarantine).start()
   parts.resolve(TOKENS.lease).start()
   parts.resolve(TOKENS.billing).start()
+  for (const token of BACKGROUND_PARTS) parts.resolve<BackgroundPart>(token).start()
   parts.resolve(TOKENS.lifecycle).enter('serving')
 }
 
@@ -112,6 +116,7 @@
   // Another VM takes the leases over while this one still answers callers that hold its address.
   await parts.resolve(TOKENS.lease).release()
   parts.resolve(TOKENS.leaders).stop()
+  for (const token of BACKGROUND_PARTS) parts.resolve<BackgroundPart>(token).stop()
   await clock.sleep(settings.shutdown.announce_ms)
   if (!await endsBefore(gateway.drain(), deadline, clock)) log.warn('drain timeout passed with requests running', { running: gateway.running() })
   await handOver(parts, log, deadline - clock.now())
@@ -151,5 +156,9 @@
   parts.resolve(TOKENS.log).info('keys reloaded')
 }
 
+interface BackgroundPart { start(): void, stop(): void }
+
+/** Parts that only observe and control; they stop when the VM begins to leave. */
+const BACKGROUND_PARTS = [TOKENS.outcomes, TOKENS.rollouts, TOKENS.rating]
 const MINIMUM_DRAIN_MS = 1000
 const SERVER_STOP_TIMEOUT_MS = 5000
--- a/src/core/vm/parts.ts
+++ b/src/core/vm/parts.ts
@@ -3,7 +3,7 @@
 import { createPermitClient } from '../admission/index.ts'
 import { createBilling } from '../billing/index.ts'
 import { createBudget } from '../budget/index.ts'
-import { createCascade } from '../cascade/index.ts'
+import { createCascade, PROVEN_RATINGS } from '../cascade/index.ts'
 import { createClaims } from '../claims/index.ts'
 import { systemClock } from '../clock/index.ts'
 import { createConfigController, createConfigReplica } from '../config/index.ts'
@@ -19,6 +19,8 @@
 import { createObjectApi } from '../object-api/index.ts'
 import { createPeerLinks, readPeerTls } from '../peer/index.ts'
 import { createQuarantine } from '../quarantine/index.ts'
+import { createRatingClient } from '../rating/index.ts'
+import { createOutcomeReports, createRolloutController } from '../rollout/index.ts'
 import { createVersionRouter } from '../routing/index.ts'
 import { createSessions } from '../session/index.ts'
 import type { Settings } from '../settings/index.ts'
@@ -38,6 +40,7 @@
   registerAdmission(parts)
   registerOutcomes(parts)
   registerDecisions(parts)
+  registerRollouts(parts)
   return parts
 }
 
@@ -201,7 +204,7 @@
 }
 
 function registerDecisions (parts: Parts): void {
-  const { sessions } = parts.resolve(TOKENS.settings)
+  const { sessions, rating } = parts.resolve(TOKENS.settings)
   provide(parts, TOKENS.engine, () => createEngineClient(common(parts)))
   provide(parts, TOKENS.services, () => createServiceClient(common(parts)))
   provide(parts, TOKENS.sessions, () => createSessions({
@@ -214,7 +217,45 @@
     ...common(parts),
     view: parts.resolve(TOKENS.view),
     sessions: parts.resolve(TOKENS.sessions),
-    cascade: createCascade()
+    // Without a rating service nothing is ever proved, so the priors of the versions are trusted.
+    cascade: createCascade({ policy: { provenRatings: rating.url === '' ? 0 : PROVEN_RATINGS } }),
+    onOutcome: outcome => parts.resolve(TOKENS.outcomes).observe(outcome)
+  }))
+  provide(parts, TOKENS.rating, () => createRatingClient({
+    ...common(parts),
+    url: rating.url,
+    observe: outcome => parts.resolve(TOKENS.routing).observe(outcome)
+  }))
+}
+
+/** The leader of the first data centre of the whole configuration also controls the roll-outs, so there is one. */
+function rolloutDataCentre (parts: Parts): DataCentreId | undefined {
+  const [first] = parts.resolve(TOKENS.view).list('DataCentre').map(({ name }) => name).sort()
+  return first === undefined ? undefined : brandId<DataCentreId>(first)
+}
+
+function registerRollouts (parts: Parts): void {
+  provide(parts, TOKENS.outcomes, () => createOutcomeReports({
+    ...common(parts),
+    view: parts.resolve(TOKENS.view),
+    peers: parts.resolve(TOKENS.peers),
+    membership: parts.resolve(TOKENS.membership),
+    controller () {
+      const dataCentre = rolloutDataCentre(parts)
+      return dataCentre && parts.resolve(TOKENS.lease).leader(dataCentre)?.holder
+    }
+  }))
+  provide(parts, TOKENS.rollouts, () => createRolloutController({
+    ...common(parts),
+    config: {
+      view: parts.resolve(TOKENS.view),
+      change: async change => (await parts.resolve(TOKENS.config).change([change]))[0]!
+    },
+    isController () {
+      const dataCentre = rolloutDataCentre(parts)
+      return dataCentre !== undefined && parts.resolve(TOKENS.lease).isHeld(dataCentre)
+    },
+    outcomes: parts.resolve(TOKENS.outcomes)
   }))
 }
 
--- a/src/core/vm/tokens.ts
+++ b/src/core/vm/tokens.ts
@@ -17,6 +17,8 @@
 import type { ObjectApiClient } from '../object-api/index.ts'
 import type { PeerLinks } from '../peer/index.ts'
 import type { Quarantine } from '../quarantine/index.ts'
+import type { RatingClient } from '../rating/index.ts'
+import type { OutcomeReports, RolloutController } from '../rollout/index.ts'
 import type { VersionRouter } from '../routing/index.ts'
 import type { Sessions } from '../session/index.ts'
 import type { Settings, VmIdentity } from '../settings/index.ts'
@@ -52,5 +54,8 @@
   engine: token<EngineClient>('engine'),
   services: token<ServiceClient>('services'),
   explain: token<Explain>('explain'),
+  outcomes: token<OutcomeReports>('roll-out outcomes'),
+  rollouts: token<RolloutController>('roll-out controller'),
+  rating: token<RatingClient>('rating'),
   entryPoints: token<EntryPoints>('entry points')
 }
