--- /dev/null
+++ b/scripts/bench-fleet.ts
@@ -0,0 +1,175 @@
+/**
+ * Measures a fleet of real processes at today's size: 8 VMs in 4 data centres, 13 engines and 4 applications. Prints
+ * the latency that the router adds to the first token beside direct calls of the same run, the tokens that one VM
+ * relays, and how long configuration changes and drains take to be in force on all VMs.
+ */
+import { formatTable } from '../src/cli/shared/table.ts'
+import { engineStats, operate, sendChat } from '../features/support/fleet-calls.ts'
+import { SAMPLE_TEAM_KEY, startFleet, type Fleet, type FleetVm } from '../features/support/fleet.ts'
+
+const DATA_CENTRES = ['bag-a', 'bag-b', 'bag-c', 'bag-d']
+const ROUNDS = 600
+const IN_PARALLEL = 4
+const RELAY_STREAMS = 16
+const RELAY_TOKENS = 2000
+const CONFIG_CHANGES = 60
+const DRAINS = 12
+const POLL_MS = 5
+/** Time without new work after which a drain counts as in force, milliseconds. */
+const QUIET_MS = 3000
+
+interface Stream { firstTokenMs: number, tokens: number }
+
+const now = (): number => performance.now()
+const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms))
+
+function percentile (values: number[], share: number): number {
+  const sorted = [...values].sort((a, b) => a - b)
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? NaN
+}
+
+async function readStream (url: string, headers: Record<string, string>, model: string, prompt: string): Promise<Stream> {
+  const startedAt = now()
+  const response = await fetch(`${url}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json', ...headers },
+    body: JSON.stringify({ model, stream: true, max_tokens: RELAY_TOKENS, messages: [{ role: 'user', content: prompt }] })
+  })
+  if (!response.ok || !response.body) throw new Error(`status ${response.status}: ${await response.text()}`)
+  let firstTokenMs = NaN
+  let tokens = 0
+  const decoder = new TextDecoder()
+  for await (const chunk of response.body) {
+    const found = decoder.decode(chunk, { stream: true }).split('"content":"').length - 1
+    if (found > 0 && tokens === 0) firstTokenMs = now() - startedAt
+    tokens += found
+  }
+  return { firstTokenMs, tokens }
+}
+
+const callerHeaders = { authorization: `Bearer ${SAMPLE_TEAM_KEY}` }
+
+async function measureFirstToken (fleet: Fleet): Promise<{ direct: number[], routed: number[] }> {
+  const direct: number[] = []
+  const routed: number[] = []
+  const worker = async (offset: number) => {
+    for (let round = offset; round < ROUNDS; round += IN_PARALLEL) {
+      const engine = fleet.engines[round % fleet.engines.length]!
+      const vm = fleet.vms[round % fleet.vms.length]!
+      const prompt = `round ${round} [tokens=8]`
+      direct.push((await readStream(`http://${engine.address}`, { 'x-request-id': `direct-${round}` }, 'kit-small-v1', prompt)).firstTokenMs)
+      routed.push((await readStream(vm.url, callerHeaders, 'kit-small', prompt)).firstTokenMs)
+    }
+  }
+  await Promise.all(Array.from({ length: IN_PARALLEL }, (_, offset) => worker(offset)))
+  return { direct, routed }
+}
+
+/** Tokens a second through one VM, with this process as the only caller. */
+async function measureRelay (fleet: Fleet): Promise<number> {
+  const vm = fleet.vms[0]!
+  const startedAt = now()
+  const streams = await Promise.all(Array.from({ length: RELAY_STREAMS }, (_, index) =>
+    readStream(vm.url, callerHeaders, 'kit-small', `relay ${index} [tokens=${RELAY_TOKENS}]`)))
+  const tokens = streams.reduce((sum, stream) => sum + stream.tokens, 0)
+  return tokens / ((now() - startedAt) / 1000)
+}
+
+async function revisionOf (vm: FleetVm): Promise<number> {
+  return Number((await operate(vm, 'GET', '/kinds')).body['revision'])
+}
+
+/** From the answer that accepted the change until the last VM shows its revision. */
+async function measureConfigChange (fleet: Fleet, index: number): Promise<number> {
+  const vm = fleet.vms[index % fleet.vms.length]!
+  const path = '/objects/Contract/field-agents'
+  const { body } = await operate(vm, 'GET', path)
+  const spec = { ...body['spec'] as object, maxConcurrent: 10 + index }
+  const accepted = await operate(vm, 'PUT', path, spec, { 'if-match': String(body['resourceVersion']) })
+  const acceptedAt = now()
+  const revision = Number(accepted.body['resourceVersion'])
+  await Promise.all(fleet.vms.map(async other => {
+    while (await revisionOf(other) < revision) await sleep(POLL_MS)
+  }))
+  return now() - acceptedAt
+}
+
+async function receivedIn (fleet: Fleet, dataCentre: string): Promise<number> {
+  const engines = fleet.engines.filter(engine => engine.dataCentre === dataCentre)
+  const stats = await Promise.all(engines.map(engineStats))
+  return stats.reduce((sum, { received }) => sum + received.length, 0)
+}
+
+/** From the answer to the drain until the last request that an engine of the data centre received, under load. */
+async function measureDrain (fleet: Fleet, index: number): Promise<number> {
+  const name = DATA_CENTRES[index % DATA_CENTRES.length]!
+  const load = startLoad(fleet)
+  await sleep(500)
+  await operate(fleet.vms[0]!, 'POST', '/drain', { kind: 'DataCentre', name })
+  const acceptedAt = now()
+  let lastCount = -1
+  let lastWorkAt = acceptedAt
+  while (now() - lastWorkAt < QUIET_MS) {
+    const count = await receivedIn(fleet, name)
+    if (count !== lastCount && lastCount !== -1) lastWorkAt = now()
+    lastCount = count
+    await sleep(POLL_MS)
+  }
+  await operate(fleet.vms[0]!, 'POST', '/restore', { kind: 'DataCentre', name })
+  await load.stop()
+  return lastWorkAt - acceptedAt
+}
+
+function startLoad (fleet: Fleet): { stop(): Promise<void> } {
+  let running = true
+  const callers = fleet.vms.map(async vm => {
+    while (running) {
+      await sendChat(vm, { prompt: 'load [tokens=4]' })
+      await sleep(10)
+    }
+  })
+  return {
+    async stop () {
+      running = false
+      await Promise.all(callers)
+    }
+  }
+}
+
+async function main (): Promise<void> {
+  const fleet = await startFleet({
+    vms: 8, dataCentres: DATA_CENTRES, engines: 13, applications: 4, engineOptions: { firstTokenMs: 20, tokenDelayMs: 0, slots: 16 }
+  })
+  try {
+    const { direct, routed } = await measureFirstToken(fleet)
+    const relayed = await measureRelay(fleet)
+    const changes: number[] = []
+    for (let index = 0; index < CONFIG_CHANGES; index++) changes.push(await measureConfigChange(fleet, index))
+    const drains: number[] = []
+    for (let index = 0; index < DRAINS; index++) drains.push(await measureDrain(fleet, index))
+    printTable({ direct, routed, relayed, changes, drains })
+  } finally {
+    await fleet.stop()
+  }
+}
+
+interface Figures { direct: number[], routed: number[], relayed: number, changes: number[], drains: number[] }
+
+function printTable ({ direct, routed, relayed, changes, drains }: Figures): void {
+  const ms = (value: number) => `${value.toFixed(2)} ms`
+  const added = (share: number) => percentile(routed, share) - percentile(direct, share)
+  process.stdout.write(formatTable(['measure', 'figure', 'bound'], [
+    ['first token, direct, p50 / p99', `${ms(percentile(direct, 0.5))} / ${ms(percentile(direct, 0.99))}`, ''],
+    ['first token, routed, p50 / p99', `${ms(percentile(routed, 0.5))} / ${ms(percentile(routed, 0.99))}`, ''],
+    ['added to the first token, p50', ms(added(0.5)), '5 ms'],
+    ['added to the first token, p99', ms(added(0.99)), '20 ms'],
+    ['tokens relayed by one VM', `${Math.round(relayed)} a second`, '10000 a second'],
+    ['configuration in force, p50', ms(percentile(changes, 0.5)), ''],
+    ['configuration in force, p99 / worst', `${ms(percentile(changes, 0.99))} / ${ms(Math.max(...changes))}`, '3000 ms / 9000 ms'],
+    ['last work after a drain, p50', ms(percentile(drains, 0.5)), ''],
+    ['last work after a drain, p99 / worst', `${ms(percentile(drains, 0.99))} / ${ms(Math.max(...drains))}`, '3000 ms / 9000 ms']
+  ]) + '\n')
+}
+
+await main()
+process.exit()
