Share the seeded generator and the outcome of failed attempts

Change: src/standin/random.ts and gateway/permits.ts hold them. Ruled out: keeping the linear congruential generator of the membership tests, whose low bits repeat quickly. Conclusion: no behaviour of the product changes.

--- a/features/steps/gateway.ts
+++ b/features/steps/gateway.ts
@@ -10,7 +10,8 @@
 import { brandId, type RequestId, type VmId } from '../../src/core/ids/index.ts'
 import type { CounterName } from '../../src/core/metrics/index.ts'
 import { answerText, startEngine, type EngineFaults, type EngineStandIn } from '../../src/standin/engine/index.ts'
-import { listen, seededRandom } from '../../src/standin/http.ts'
+import { listen } from '../../src/standin/http.ts'
+import { createRandom } from '../../src/standin/random.ts'
 import { createFakeRegion } from '../support/fakes.ts'
 import { chat, PROMPT, until, type ChatOptions, type ChatResult } from '../support/gateway-client.ts'
 import { addEngine, createSampleView, DATA_CENTRE, startGatewayVm, type GatewayVm } from '../support/gateway-vm.ts'
@@ -416,7 +417,7 @@
 
 When('{int} gateway requests meet random faults of the engines', { timeout: 60_000 }, async function (this: GatewayWorld, count: number) {
   console.log(`gateway: seed ${SEED}`)
-  const random = seededRandom(SEED)
+  const random = createRandom(SEED)
   const choose = <Entry>(entries: readonly Entry[]) => entries[Math.floor(random() * entries.length)]!
   const vms = [...this.vms.values()]
   for (const { permits } of vms) permits.pick = choose
--- a/features/steps/membership.ts
+++ b/features/steps/membership.ts
@@ -8,6 +8,7 @@
 import { decodeGossip, decodePingRequest, encodeGossip } from '../../src/core/membership/messages.ts'
 import { createMetrics, type Metrics } from '../../src/core/metrics/index.ts'
 import { createTestNetwork, type TestNetwork, type TestProcess } from './membership-network.ts'
+import { createRandom } from '../../src/standin/random.ts'
 
 const SEED = 20_261_204
 const REGION = 'region-1' as RegionId
@@ -27,15 +28,6 @@
   error?: unknown
 }
 
-/** Numbers in [0, 1) that are the same in each run. */
-export function seededRandom (seed: number): () => number {
-  let state = seed
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
-    return state / 0x1_0000_0000
-  }
-}
-
 export async function startMember (world: MembershipWorld, vm: string, seeds: Seed[], boot = `boot-${vm}`): Promise<TestMember> {
   const process = world.network.start(vm)
   const metrics = createMetrics()
@@ -52,7 +44,7 @@
     clock: process.clock,
     metrics,
     log: silentLog,
-    random: seededRandom(SEED + world.members.size)
+    random: createRandom(SEED + world.members.size)
   })
   member.membership.onChange(change => { member.changes.push(change) })
   world.members.set(vm, member)
@@ -156,7 +148,7 @@
 })
 
 When('{int} random membership faults happen with seed {int}', { timeout: 120_000 }, async function (this: MembershipWorld, count: number, seed: number) {
-  const random = seededRandom(seed)
+  const random = createRandom(seed)
   const pick = <Item>(items: readonly Item[]) => items[Math.floor(random() * items.length)]!
   const paused = new Set<string>()
   const resume = (vm: string) => {
--- a/scripts/bench-fleet.ts
+++ b/scripts/bench-fleet.ts
@@ -121,16 +121,16 @@
 }
 
 function startLoad (fleet: Fleet): { stop(): Promise<void> } {
-  let running = true
+  const stopping = new AbortController()
   const callers = fleet.vms.map(async vm => {
-    while (running) {
+    while (!stopping.signal.aborted) {
       await sendChat(vm, { prompt: 'load [tokens=4]' })
       await sleep(10)
     }
   })
   return {
     async stop () {
-      running = false
+      stopping.abort()
       await Promise.all(callers)
     }
   }
--- a/src/bench/membership.ts
+++ b/src/bench/membership.ts
@@ -12,6 +12,7 @@
 import { createMetrics } from '../core/metrics/index.ts'
 import { createPeerLinks, type PeerLinks } from '../core/peer/index.ts'
 import type { Benchmark } from './types.ts'
+import { createRandom } from './random.ts'
 
 const SIZES = [4, 8, 16, 32, 64]
 const QUICK_SIZES = [4, 8]
@@ -73,7 +74,7 @@
 }
 
 async function startGroup (size: number, seed: number): Promise<Group> {
-  const group: Group = { nodes: [], random: seededRandom(seed) }
+  const group: Group = { nodes: [], random: createRandom(seed) }
   for (let i = 0; i < size; i++) group.nodes.push(await startNode(group, brandId<VmId>(`vm-${String(i + 1).padStart(3, '0')}`)))
   await waitUntil(() => group.nodes.every(({ membership }) => membership.members().length === size))
   for (const [i, node] of group.nodes.entries()) {
@@ -202,12 +203,3 @@
   const covariance = xs.reduce((sum, x, i) => sum + (x - meanX) * (ys[i]! - meanY), 0)
   return covariance / xs.reduce((sum, x) => sum + (x - meanX) ** 2, 0)
 }
-
-/** Numbers in [0, 1) that are the same in each run. */
-function seededRandom (seed: number): () => number {
-  let state = seed
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
-    return state / 0x1_0000_0000
-  }
-}
--- a/src/bench/relay.ts
+++ b/src/bench/relay.ts
@@ -8,7 +8,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { build, type Histogram } from 'hdr-histogram-js'
 import { startEngine } from '../standin/engine/index.ts'
-import { seededRandom } from '../standin/http.ts'
+import { createRandom } from '../standin/random.ts'
 import { BENCH_KEY, BENCH_VERSION, startBenchGateway } from './relay-parts.ts'
 import type { Benchmark, BenchmarkOptions, BenchmarkTable } from './types.ts'
 
@@ -72,7 +72,7 @@
   const targets: Target[] = [{ url: `http://${engine.address}`, histogram: direct }, { url: gateway.url, histogram: relayed }]
   for (const { url } of targets) await Promise.all(callers(url, 'warm up', STREAMS))
   for (const seed of seeds) {
-    const random = seededRandom(seed)
+    const random = createRandom(seed)
     await Promise.all(Array.from({ length: CALLERS }, () => callInTurn(targets, rounds, random)))
   }
   await gateway.close()
--- a/src/core/gateway/permits.ts
+++ b/src/core/gateway/permits.ts
@@ -1,10 +1,10 @@
 /** Asks the data centres for a permit, best first, and turns their refusals into one error for the caller. */
 import type {
-  PassedOver, Permit, PermitAnswer, PermitClient, PermitRefusal, PermitRefusalReason, PermitRequest
+  PassedOver, Permit, PermitAnswer, PermitClient, PermitOutcome, PermitRefusal, PermitRefusalReason, PermitRequest
 } from '../admission/types.ts'
 import type { Clock } from '../clock/index.ts'
 import type { ConfigView } from '../config/types.ts'
-import type { EngineFailure } from '../engine/index.ts'
+import { EngineFailure } from '../engine/index.ts'
 import { AdmissionError, GatewayError, type ErrorName } from '../errors/index.ts'
 import type { Explain } from '../explain/types.ts'
 import type { DataCentreId, ServiceId, VersionId } from '../ids/index.ts'
@@ -85,6 +85,13 @@
   return isRefusal && failure ? failure : refusal
 }
 
+/** What the leader is told about an attempt that failed. */
+export function outcomeOf (error: unknown): PermitOutcome {
+  if (!(error instanceof EngineFailure)) return 'failed'
+  if (error.reason === 'cancelled') return error.sent ? 'cancelled' : 'not_sent'
+  return error.connectionLost || !error.sent ? 'crashed' : 'failed'
+}
+
 async function ask ({ permits, metrics }: PermitDependencies, dataCentre: DataCentreId, request: PermitRequest): Promise<PermitAnswer> {
   try {
     return await permits.acquire(dataCentre, request)
--- a/src/core/gateway/run.ts
+++ b/src/core/gateway/run.ts
@@ -11,7 +11,7 @@
 import { MAX_ATTEMPTS, MAX_CHOICES, RESUME_WAIT_MS } from './constants.ts'
 import { chatLine } from './bill.ts'
 import { reserveBudget, type BudgetDependencies } from './budget.ts'
-import { acquirePermit, isInService, VERSION_WITHDRAWN, withoutPermit, type PermitDependencies } from './permits.ts'
+import { acquirePermit, isInService, outcomeOf, VERSION_WITHDRAWN, withoutPermit, type PermitDependencies } from './permits.ts'
 import type { ChatCall, Limits } from './types.ts'
 
 export interface RunDependencies extends PermitDependencies, BudgetDependencies {
@@ -262,12 +262,6 @@
   if (quarantine.isQuarantined(call.fingerprint)) throw new GatewayError('request_quarantined', { cause: failure })
 }
 
-function outcomeOf (error: unknown): PermitOutcome {
-  if (!(error instanceof EngineFailure)) return 'failed'
-  if (error.reason === 'cancelled') return error.sent ? 'cancelled' : 'not_sent'
-  return error.connectionLost || !error.sent ? 'crashed' : 'failed'
-}
-
 /** Errors and broken answers speak against the version; crashes and refused connections against the backend server. */
 function isVersionFault (error: unknown): boolean {
   return error instanceof EngineFailure && ['error_status', 'truncated', 'malformed'].includes(error.reason)
--- a/src/core/gateway/service-run.ts
+++ b/src/core/gateway/service-run.ts
@@ -12,7 +12,7 @@
 import { explain, refuseQuarantined, requireBilling } from './chat.ts'
 import { compose } from './compose.ts'
 import { MAX_ATTEMPTS, MAX_CHOICES } from './constants.ts'
-import { acquirePermit, isInService, VERSION_WITHDRAWN, withoutPermit, type PermitDependencies } from './permits.ts'
+import { acquirePermit, isInService, outcomeOf, VERSION_WITHDRAWN, withoutPermit, type PermitDependencies } from './permits.ts'
 import type { Filter, ServiceRequest } from './types.ts'
 
 export interface ServiceDependencies extends PermitDependencies, BillDependencies, BudgetDependencies {
@@ -247,9 +247,3 @@
   explain.add(call.request, 'retry', `${permit.backendServer}: ${failure.message}`)
   if (quarantine.isQuarantined(call.fingerprint)) throw new GatewayError('request_quarantined', { cause: failure })
 }
-
-function outcomeOf (error: unknown): PermitOutcome {
-  if (!(error instanceof EngineFailure)) return 'failed'
-  if (error.reason === 'cancelled') return error.sent ? 'cancelled' : 'not_sent'
-  return error.connectionLost || !error.sent ? 'crashed' : 'failed'
-}
--- a/src/standin/engine/index.ts
+++ b/src/standin/engine/index.ts
@@ -5,7 +5,8 @@
 import { randomBytes } from 'node:crypto'
 import { performance } from 'node:perf_hooks'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { listen, readJson, seededRandom, sendJson } from '../http.ts'
+import { listen, readJson, sendJson } from '../http.ts'
+import { createRandom } from '../random.ts'
 import { handleAdmin, type AdminContext } from './admin.ts'
 import { createPrefixCache } from './cache.ts'
 import { createCompletions } from './completions.ts'
@@ -42,7 +43,7 @@
 /** Starts a model engine on a TCP port. */
 export async function startEngine (options: EngineOptions): Promise<EngineStandIn> {
   const resolved: ResolvedEngineOptions = { ...DEFAULTS, ...options }
-  const random = seededRandom(resolved.seed)
+  const random = createRandom(resolved.seed)
   const cache = createPrefixCache({
     blocks: resolved.cacheBlocks,
     eventLagMs: resolved.cacheEventLagMs,
--- a/src/standin/http.ts
+++ b/src/standin/http.ts
@@ -70,14 +70,3 @@
   const text = await readText(request)
   return JSON.parse(text || '{}') as Body
 }
-
-/** Pseudo-random numbers in [0, 1) that a seed determines (mulberry32). */
-export function seededRandom (seed: number): () => number {
-  let state = seed >>> 0
-  return () => {
-    state = (state + 0x6D2B79F5) >>> 0
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1)
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296
-  }
-}
--- a/src/standin/rating/index.ts
+++ b/src/standin/rating/index.ts
@@ -5,7 +5,8 @@
  */
 import { performance } from 'node:perf_hooks'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { listen, readJson, seededRandom, sendJson } from '../http.ts'
+import { listen, readJson, sendJson } from '../http.ts'
+import { createRandom } from '../random.ts'
 
 export interface RatingOptions {
   host?: string
@@ -51,7 +52,7 @@
 export async function startRating (options: RatingOptions = {}): Promise<RatingStandIn> {
   const { host, port, noise = 0.1, sampleShare = 0.2, lagMs = 100, seed = 1 } = options
   const quality = { ...options.quality }
-  const random = seededRandom(seed)
+  const random = createRandom(seed)
   let ratings: (Rating & { dueMs: number })[] = []
   let received = 0
 
