--- a/scripts/bench-fleet.ts
+++ b/scripts/bench-fleet.ts
@@ -21,6 +21,7 @@
 interface Stream { firstTokenMs: number, tokens: number }
 
 const now = (): number => performance.now()
+const ms = (value: number): string => `${value.toFixed(2)} ms`
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms))
 
 function percentile (values: number[], share: number): number {
@@ -49,7 +50,9 @@
 
 const callerHeaders = { authorization: `Bearer ${SAMPLE_TEAM_KEY}` }
 
-async function measureFirstToken (fleet: Fleet): Promise<{ direct: number[], routed: number[] }> {
+interface FirstTokens { direct: number[], routed: number[] }
+
+async function measureFirstToken (fleet: Fleet): Promise<FirstTokens> {
   const direct: number[] = []
   const routed: number[] = []
   const worker = async (offset: number) => {
@@ -141,28 +144,35 @@
     vms: 8, dataCentres: DATA_CENTRES, engines: 13, applications: 4, engineOptions: { firstTokenMs: 20, tokenDelayMs: 0, slots: 16 }
   })
   try {
-    const { direct, routed } = await measureFirstToken(fleet)
+    const starting = await measureFirstToken(fleet)
+    const steady = await measureFirstToken(fleet)
     const relayed = await measureRelay(fleet)
     const changes: number[] = []
     for (let index = 0; index < CONFIG_CHANGES; index++) changes.push(await measureConfigChange(fleet, index))
     const drains: number[] = []
     for (let index = 0; index < DRAINS; index++) drains.push(await measureDrain(fleet, index))
-    printTable({ direct, routed, relayed, changes, drains })
+    printTable({ starting, steady, relayed, changes, drains })
   } finally {
     await fleet.stop()
   }
 }
 
-interface Figures { direct: number[], routed: number[], relayed: number, changes: number[], drains: number[] }
+interface Figures { starting: FirstTokens, steady: FirstTokens, relayed: number, changes: number[], drains: number[] }
+
+function firstTokenRows (phase: string, { direct, routed }: FirstTokens): string[][] {
+  const pair = (values: number[]) => `${ms(percentile(values, 0.5))} / ${ms(percentile(values, 0.99))}`
+  const added = (share: number) => ms(percentile(routed, share) - percentile(direct, share))
+  return [
+    [`first token, direct, ${phase}, p50 / p99`, pair(direct), ''],
+    [`first token, routed, ${phase}, p50 / p99`, pair(routed), ''],
+    [`added to the first token, ${phase}, p50 / p99`, `${added(0.5)} / ${added(0.99)}`, '5 ms / 20 ms']
+  ]
+}
 
-function printTable ({ direct, routed, relayed, changes, drains }: Figures): void {
-  const ms = (value: number) => `${value.toFixed(2)} ms`
-  const added = (share: number) => percentile(routed, share) - percentile(direct, share)
+function printTable ({ starting, steady, relayed, changes, drains }: Figures): void {
   process.stdout.write(formatTable(['measure', 'figure', 'bound'], [
-    ['first token, direct, p50 / p99', `${ms(percentile(direct, 0.5))} / ${ms(percentile(direct, 0.99))}`, ''],
-    ['first token, routed, p50 / p99', `${ms(percentile(routed, 0.5))} / ${ms(percentile(routed, 0.99))}`, ''],
-    ['added to the first token, p50', ms(added(0.5)), '5 ms'],
-    ['added to the first token, p99', ms(added(0.99)), '20 ms'],
+    ...firstTokenRows(`first ${ROUNDS} after the start`, starting),
+    ...firstTokenRows(`next ${ROUNDS}`, steady),
     ['tokens relayed by one VM', `${Math.round(relayed)} a second`, '10000 a second'],
     ['configuration in force, p50', ms(percentile(changes, 0.5)), ''],
     ['configuration in force, p99 / worst', `${ms(percentile(changes, 0.99))} / ${ms(Math.max(...changes))}`, '3000 ms / 9000 ms'],
