Let operators drain a VM that has no object yet

Cause: drain vm NAME answered config_not_found on every fleet, because VirtualMachine objects are only written by operators. Change: the drain and restore of a VM that the membership knows creates the object.

--- a/features/steps/operator.ts
+++ b/features/steps/operator.ts
@@ -53,6 +53,7 @@
     view: world.replica,
     authenticate: createOperatorAuthenticator({ view: world.replica, clock }),
     status: () => ({ ok: true }),
+    dataCentreOfVm: vm => vm === identity.vm ? brandId<DataCentreId>('dc') : undefined,
     explain: { find: async () => undefined },
     clock,
     metrics,
--- a/src/core/operator/intents.ts
+++ b/src/core/operator/intents.ts
@@ -5,6 +5,7 @@
 import { ConfigConflictError, INTENT_TRIES, type ConfigController } from '../config/index.ts'
 import type { AcceptedChange, ConfigChange, ConfigSpecs, ConfigView } from '../config/types.ts'
 import { ConfigError } from '../errors/index.ts'
+import { brandId, type DataCentreId, type VmId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { ConfigKind } from '../object-api/types.ts'
 
@@ -14,6 +15,8 @@
   config: ConfigController
   view: ConfigView
   metrics: Metrics
+  /** Data centre of a VM of the region. A VM needs no object until an operator changes its state. */
+  dataCentreOfVm: (vm: VmId) => DataCentreId | undefined
 }
 
 export interface IntentResult extends AcceptedChange {
@@ -46,13 +49,20 @@
   }
 }
 
-async function trySetState ({ config, view }: IntentContext, kind: ConfigKind, name: string, state: string): Promise<IntentResult> {
-  const entry = view.entry(kind, name)
+async function trySetState (context: IntentContext, kind: ConfigKind, name: string, state: string): Promise<IntentResult> {
+  const { config, view } = context
+  const entry = view.entry(kind, name) ?? impliedEntry(context, kind, name)
   if (!entry) throw new ConfigError('config_not_found', { detail: `${kind}/${name} does not exist` })
   const { resourceVersion } = entry
   const spec = entry.spec as { state: string }
-  if (spec.state === state) return { kind, name, resourceVersion, changed: false }
+  if (spec.state === state) return { kind, name, resourceVersion: resourceVersion ?? 0, changed: false }
   const change = { kind, name, spec: { ...spec, state } as unknown as ConfigSpecs[ConfigKind], resourceVersion } as ConfigChange
   const [accepted] = await config.change([change])
   return { ...accepted!, changed: true }
 }
+
+/** Object that stands for a VM of which no object is stored; the change creates it. */
+function impliedEntry ({ dataCentreOfVm }: IntentContext, kind: ConfigKind, name: string): { spec: object, resourceVersion: undefined } | undefined {
+  const dataCentre = kind === 'VirtualMachine' ? dataCentreOfVm(brandId<VmId>(name)) : undefined
+  return dataCentre && { spec: { dataCentre, state: 'in_service' }, resourceVersion: undefined }
+}
--- a/src/core/operator/types.ts
+++ b/src/core/operator/types.ts
@@ -4,6 +4,7 @@
 import type { ConfigController } from '../config/index.ts'
 import type { ConfigView } from '../config/types.ts'
 import type { Explain } from '../explain/types.ts'
+import type { DataCentreId, VmId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 
 /** Caller of the API; `bootstrap` may only create the first Operator object. */
@@ -27,6 +28,8 @@
   authenticate: AuthenticateOperator
   /** Content of GET /status. */
   status: () => unknown
+  /** Data centre of a VM of the region; undefined for an unknown VM. */
+  dataCentreOfVm: (vm: VmId) => DataCentreId | undefined
   explain: Pick<Explain, 'find'>
   clock: Clock
   metrics: Metrics
--- a/src/core/vm/index.ts
+++ b/src/core/vm/index.ts
@@ -65,6 +65,7 @@
     view,
     authenticate: createOperatorAuthenticator({ view, clock }),
     status: () => readStatus({ identity, lifecycle, membership, view, summaries: permits.summaries }),
+    dataCentreOfVm: vm => membership.get(vm)?.dataCentre,
     explain,
     clock,
     metrics,
