--- a/features/cascade.feature
+++ b/features/cascade.feature
@@ -1,8 +1,8 @@
 Feature: Cascade
 
   Scenario Outline: cascade starts at tier <tier> when the cheap tier's quality is <quality>
-    Given cascade of a cheap and a dear tier with target 0.8
-    When cascade has rated 300 answers at <quality> for the cheap and 0.95 for the dear tier
+    Given cascade of a cheap and an expensive tier with target 0.8
+    When cascade has rated 300 answers at <quality> for the cheap and 0.95 for the expensive tier
     Then cascade starts most requests at tier <tier>
 
     Examples:
@@ -11,33 +11,33 @@
       | 0.5     | 1    |
 
   Scenario: cascade escalates the answers of low confidence when confidence tells good from bad
-    Given cascade of a cheap and a dear tier with target 0.8
+    Given cascade of a cheap and an expensive tier with target 0.8
     When cascade has rated 1000 answers of the cheap tier whose quality equals their confidence
     Then cascade starts most requests at tier 0
     And cascade escalates an answer of confidence 0.1 and keeps one of 0.95
 
   Scenario: cascade without any rating starts at the tier that is expected to reach the target
-    Given cascade of a cheap and a dear tier with target 0.8
+    Given cascade of a cheap and an expensive tier with target 0.8
     Then cascade starts most requests at tier 1
 
   Scenario: cascade explores at most the contract's share and escalates what it explored
-    Given cascade of a cheap and a dear tier with target 0.8
+    Given cascade of a cheap and an expensive tier with target 0.8
     Then cascade starts at most 2 in 100 requests at tier 0 and escalates all of them
 
   Scenario Outline: cascade does not escalate with <condition>
-    Given cascade of a cheap and a dear tier with target 0.8
+    Given cascade of a cheap and an expensive tier with target 0.8
     When cascade has rated 1000 answers of the cheap tier whose quality equals their confidence
     Then cascade keeps an answer of confidence 0.1 with <condition>
 
     Examples:
       | condition          |
       | no time left       |
-      | no dearer tier     |
+      | no more expensive tier     |
 
   Scenario: cascade notices a version that got worse
-    Given cascade of a cheap and a dear tier with target 0.8
-    When cascade has rated 2000 answers at 0.9 for the cheap and 0.95 for the dear tier
-    And cascade has rated 3000 answers at 0.5 for the cheap and 0.95 for the dear tier
+    Given cascade of a cheap and an expensive tier with target 0.8
+    When cascade has rated 2000 answers at 0.9 for the cheap and 0.95 for the expensive tier
+    And cascade has rated 3000 answers at 0.5 for the cheap and 0.95 for the expensive tier
     Then cascade starts most requests at tier 1
 
   Scenario: cascade plans keep the target for any estimates
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -163,8 +163,8 @@
       | is kept but seems lost     | 200    | billing_lost        | ran     | 1        |
       | is over the spending limit | 402    | budget_exhausted    | not_run | 0        |
 
-  Scenario Outline: the gateway escalates an uncertain answer when the dearer tier <case>
-    Given the gateway's cheap tier is uncertain and the dearer tier <case>
+  Scenario Outline: the gateway escalates an uncertain answer when the more expensive tier <case>
+    Given the gateway's cheap tier is uncertain and the more expensive tier <case>
     When a gateway caller streams a chat with the model "desk"
     Then the gateway answer is the whole answer of "<version>"
     And the gateway billed the versions "<billed>"
--- a/features/steps/cascade.ts
+++ b/features/steps/cascade.ts
@@ -29,7 +29,7 @@
   return tiers
 }
 
-Given('cascade of a cheap and a dear tier with target {float}', function (this: CascadeWorld, qualityTarget: number) {
+Given('cascade of a cheap and an expensive tier with target {float}', function (this: CascadeWorld, qualityTarget: number) {
   console.log(`cascade seed ${SEED}`)
   this.random = createRandom(SEED)
   this.cascade = createCascade({ random: this.random, policy: { provenRatings: PROVEN_RATINGS } })
@@ -46,10 +46,10 @@
   }
 })
 
-When('cascade has rated {int} answers at {float} for the cheap and {float} for the dear tier', function (this: CascadeWorld, count: number, cheap: number, dear: number) {
+When('cascade has rated {int} answers at {float} for the cheap and {float} for the expensive tier', function (this: CascadeWorld, count: number, cheap: number, expensive: number) {
   for (let index = 0; index < count; index++) {
     observe(this, 0, this.random(), cheap)
-    observe(this, 1, this.random(), dear)
+    observe(this, 1, this.random(), expensive)
   }
 })
 
@@ -79,8 +79,8 @@
   assert.equal(this.cascade.shouldEscalate({ ...this.question, tier: 0, remainingMs: 30_000, confidence: 1 }), true)
 })
 
-Then(/^cascade keeps an answer of confidence ([\d.]+) with (no time left|no dearer tier)$/, function (this: CascadeWorld, confidence: string, condition: string) {
-  const tier = condition === 'no dearer tier' ? 1 : 0
+Then(/^cascade keeps an answer of confidence ([\d.]+) with (no time left|no more expensive tier)$/, function (this: CascadeWorld, confidence: string, condition: string) {
+  const tier = condition === 'no more expensive tier' ? 1 : 0
   const remainingMs = condition === 'no time left' ? 500 : 30_000
   assert.equal(this.cascade.shouldEscalate({ ...this.question, tier, remainingMs, confidence: Number(confidence) }), false)
 })
--- a/features/steps/gateway.ts
+++ b/features/steps/gateway.ts
@@ -128,7 +128,7 @@
   } else this.vm.budget.exhausted = true
 })
 
-Given(/^the gateway's cheap tier is uncertain and the dearer tier (answers|fails)$/, function (this: GatewayWorld, state: string) {
+Given(/^the gateway's cheap tier is uncertain and the more expensive tier (answers|fails)$/, function (this: GatewayWorld, state: string) {
   this.vm.routing.escalateBelow = 0.95
   if (state === 'answers') return
   this.vm.permits.beforeAnswer = request => request.version === 'kit-large-v1'
--- a/features/steps/version-choice.ts
+++ b/features/steps/version-choice.ts
@@ -59,11 +59,11 @@
     'a model whose versions are withdrawn': { model: brandId('idle') },
     'a model with no version in the contract': { model: brandId('other') },
     'a prompt larger than every context window': { model: brandId('kit'), promptTokens: 9000 },
-    'a tier above the dearest': { model: brandId('kit'), tried: [brandId('small-1'), brandId('large-1')] },
+    'a tier above the most expensive': { model: brandId('kit'), tried: [brandId('small-1'), brandId('large-1')] },
     'the alias': { model: brandId('kit') },
     "a prompt larger than the cheap tier's window": { model: brandId('kit'), promptTokens: 2000 },
     'the alias after the cheap tier was tried': { model: brandId('kit'), tried: [brandId('small-1')] },
-    'the dear model by name': { model: brandId('kit-large') },
+    'the expensive model by name': { model: brandId('kit-large') },
     'the alias when the cheap version is withdrawn': { model: brandId('kit') }
   }
   if (text.includes('withdrawn')) this.config.set('Version', 'small-1', { model: 'kit-small', state: 'withdrawn', ...PRICES })
--- a/src/core/cascade/types.ts
+++ b/src/core/cascade/types.ts
@@ -1,4 +1,4 @@
-/** Types of the cascade: which tier answers first and when its answer is escalated to a dearer one. */
+/** Types of the cascade: which tier answers first and when its answer is escalated to a more expensive one. */
 import type { Version } from '../config/types.ts'
 import type { TeamId, VersionId } from '../ids/index.ts'
 import type { VersionOutcome } from '../routing/types.ts'
@@ -18,7 +18,7 @@
   /** Standard errors by which the estimated quality must exceed the target. */
   margin: number
   /**
-   * Ratings a tier needs in the class before its answers are kept in place of a dearer tier's. 0 trusts the configured
+   * Ratings a tier needs in the class before its answers are kept in place of a more expensive tier's. 0 trusts the configured
    * expectation, which is right only without a rating service.
    */
   provenRatings: number
--- a/src/core/gateway/run.ts
+++ b/src/core/gateway/run.ts
@@ -57,7 +57,7 @@
   return tier
 }
 
-/** Runs a dearer tier when the finished answer is not good enough; without capacity for it the cheaper answer stands. */
+/** Runs a more expensive tier when the finished answer is not good enough; without capacity for it the cheaper answer stands. */
 async function escalate (deps: RunDependencies, call: ChatCall, tier: Tier): Promise<Tier | undefined> {
   const { routing, metrics, explain, clock } = deps
   observe(deps, call, tier, false)
--- a/src/core/routing/index.ts
+++ b/src/core/routing/index.ts
@@ -76,7 +76,7 @@
 
   function chooseTier (request: VersionChoiceRequest, tiers: PermittedTier[]): ChosenTier {
     const last = triedTier(tiers, request.tried)
-    if (last >= tiers.length - 1) refuse('no_permitted_version', 'No dearer tier is left.')
+    if (last >= tiers.length - 1) refuse('no_permitted_version', 'No more expensive tier is left.')
     if (last >= 0) return { index: cascade.next(question(request, tiers), last), explores: false, why: `escalated from ${request.tried.at(-1)}` }
     if (tiers.length === 1) return { index: 0, explores: false, why: 'only tier' }
     const { tier, explores, why } = cascade.decide(question(request, tiers))
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -20,7 +20,7 @@
   model: ModelId
   sessionToken?: string
   movedFrom?: VersionId
-  /** Whether a dearer tier remains to escalate to. */
+  /** Whether a more expensive tier remains to escalate to. */
   canEscalate: boolean
   /** The request is spent on learning, so its answers should be rated. */
   explores?: boolean
@@ -36,7 +36,7 @@
   permittedModels(contract: Contract): string[]
   /** Feeds the learner and the roll-out judge. */
   observe(outcome: VersionOutcome): void
-  /** Whether a finished answer should be escalated to a dearer tier. */
+  /** Whether a finished answer should be escalated to a more expensive tier. */
   shouldEscalate(request: VersionChoiceRequest, choice: VersionChoice, confidence: number | undefined, remainingMs: number): boolean
 }
 
