--- a/features/fleet-faults.feature
+++ b/features/fleet-faults.feature
@@ -114,3 +114,17 @@
       | VM 1 is killed after the answers  |
       | the object API loses answers      |
       | the object API is down for a time |
+
+  # Guards against new work on a backend server that operators take out, and against cutting what it runs.
+  Scenario: fleet backend server leaves under streams
+    Given a fleet of 3 VMs, 3 engines and 1 application
+    When fleet streams are running and engine 1 is drained
+    Then every fleet stream is whole and answers its own prompt
+    And fleet engine 1 receives no more work
+
+  # Guards against an answer that is lost or billed twice when the VM that relays it dies.
+  Scenario: fleet caller resends a keyed request after its VM died in the stream
+    Given a fleet of 3 VMs, 2 engines and 1 application
+    When fleet VM 1 is killed in a keyed stream and the caller resends to VM 2
+    Then every fleet stream is whole and answers its own prompt
+    And the fleet has one bill for the keyed request
--- a/features/steps/fleet-faults.ts
+++ b/features/steps/fleet-faults.ts
@@ -324,3 +324,43 @@
   const { duplicates } = await billedRecords(this.fleet)
   assert.equal(duplicates, 0)
 })
+
+When('fleet streams are running and engine 1 is drained', async function (this: FaultWorld) {
+  const running = runStreams(this.fleet, 9, LONG_STREAM_TOKENS)
+  await sleep(150)
+  const vm = this.fleet.vms[1]!
+  const { status } = await operate(vm, 'POST', '/drain', { kind: 'BackendServer', name: 'engine-1' })
+  assert.equal(status, 200)
+  await waitInForce(vm)
+  Object.assign(this, await running)
+})
+
+Then('fleet engine 1 receives no more work', async function (this: FaultWorld) {
+  const before = (await engineStats(this.fleet.engines[0]!)).received.length
+  assert.ok(before > 0, 'the engine had no work before')
+  const answers = await burst(this.fleet, 18)
+  for (const answer of answers) assert.equal(answer.status, 200, answer.body)
+  assert.equal((await engineStats(this.fleet.engines[0]!)).received.length, before)
+})
+
+When('fleet VM 1 is killed in a keyed stream and the caller resends to VM 2', async function (this: FaultWorld) {
+  const [first, second] = this.fleet.vms as [FleetVm, FleetVm]
+  const prompt = streamPrompt(0, LONG_STREAM_TOKENS)
+  const request = { prompt, stream: true, maxTokens: LONG_STREAM_TOKENS, headers: { 'idempotency-key': 'tender-1' } }
+  const broken = sendChat(first, request)
+  await sleep(150)
+  await first.process.kill()
+  this.fleet.vms = this.fleet.vms.slice(1)
+  assert.equal(isWhole(await broken), false)
+  this.prompts = [prompt]
+  await waitUntil(async () => {
+    this.answers = [await sendChat(second, request)]
+    return isWhole(this.answers[0]!)
+  }, 'the resent request is answered')
+})
+
+Then('the fleet has one bill for the keyed request', async function (this: FaultWorld) {
+  await waitUntil(async () => (await billedRecords(this.fleet)).records.length > 0, 'the bill is in the object API')
+  const { records, duplicates } = await billedRecords(this.fleet)
+  assert.deepEqual([records.length, duplicates], [1, 0])
+})
--- a/features/support/fleet.ts
+++ b/features/support/fleet.ts
@@ -22,8 +22,6 @@
   engineOptions?: Record<string, unknown>
   applicationOptions?: Record<string, unknown>
   leaseTtlMs?: number
-  /** Finds the ports of the VMs. Ports that the system assigned can be taken by connections of a large fleet. */
-  findPorts?: (count: number) => Promise<number[]>
 }
 
 export interface FleetVm {
@@ -62,7 +60,7 @@
 const TOKEN_KEY = 'token-key-for-tests-0123456789'
 
 export async function startFleet (options: FleetOptions = {}): Promise<Fleet> {
-  const { vms = 3, dataCentres = ['bag-a', 'bag-b'], engines = 4, applications = 2, leaseTtlMs = 2000, findPorts = freePorts } = options
+  const { vms = 3, dataCentres = ['bag-a', 'bag-b'], engines = 4, applications = 2, leaseTtlMs = 2000 } = options
   const folder = mkdtempSync(join(tmpdir(), 'lacewingstage-'))
   const objectApiProcess = await startStandIn('object-api', {})
   const objectApi = { url: String(objectApiProcess.details['url']), process: objectApiProcess }
@@ -72,7 +70,7 @@
   })
   const applicationServers = await startBackendServers('application', applications, dataCentres, { ...options.applicationOptions })
 
-  const ports = await findPorts(2 * (vms + 2))
+  const ports = await freePorts(2 * (vms + 2))
   const addresses = Array.from({ length: vms + 2 }, (_, index) => ({
     id: `vm-${index + 1}`,
     dataCentre: dataCentres[index % dataCentres.length]!,
--- a/scripts/capacity.ts
+++ b/scripts/capacity.ts
@@ -3,7 +3,6 @@
  * real `serve` process; the figures of docs/CAPACITY.md are worked out from the slopes that this script prints.
  */
 import { readFileSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { loadavg } from 'node:os'
 import { isWhole, sendChat } from '../features/support/fleet-calls.ts'
 import { startFleet, type Fleet } from '../features/support/fleet.ts'
@@ -12,7 +11,6 @@
 const SIZES = (process.env['CAPACITY_SIZES'] ?? '4,8,16,32,64').split(',').map(Number)
 const ENGINES = [4, 64]
 const LOAD_VMS = 8
-const FIRST_PORT = 20_000 + process.pid % 8000
 /** Half of what the engine stand-ins served of the longer answers; a refused request would distort the figures. */
 const LOAD_REQUESTS_PER_S = 25
 /** Two lengths of answers separate the cost of a request from that of a token. */
@@ -156,26 +154,12 @@
   return { base: meanY - slope * meanX, slope }
 }
 
-/** Free ports below those that the system assigns to outgoing connections. */
-async function findPorts (count: number): Promise<number[]> {
-  const ports: number[] = []
-  for (let port = FIRST_PORT; ports.length < count; port++) if (await isFree(port)) ports.push(port)
-  return ports
-}
-
-function isFree (port: number): Promise<boolean> {
-  return new Promise(resolve => {
-    const server = createServer().once('error', () => resolve(false))
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
-  })
-}
-
 function sleep (ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms))
 }
 
 async function measureIdle (vms: number, engines = DATA_CENTRES.length): Promise<FleetCost> {
-  const fleet = await startFleet({ vms, dataCentres: DATA_CENTRES, engines, applications: 0, leaseTtlMs: LEASE_TTL_MS, findPorts })
+  const fleet = await startFleet({ vms, dataCentres: DATA_CENTRES, engines, applications: 0, leaseTtlMs: LEASE_TTL_MS })
   try {
     await sleep(SETTLE_MS)
     return await measure(fleet)
@@ -261,7 +245,7 @@
 }
 
 async function runLoad (): Promise<void> {
-  const fleet = await startFleet({ vms: LOAD_VMS, dataCentres: DATA_CENTRES, engines: 8, applications: 0, leaseTtlMs: LEASE_TTL_MS, findPorts, engineOptions: { answerTokens: Math.max(...LOAD_TOKENS) } })
+  const fleet = await startFleet({ vms: LOAD_VMS, dataCentres: DATA_CENTRES, engines: 8, applications: 0, leaseTtlMs: LEASE_TTL_MS, engineOptions: { answerTokens: Math.max(...LOAD_TOKENS) } })
   try {
     await sleep(SETTLE_MS)
     const idle = await measure(fleet)
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -4,7 +4,7 @@
  * Arguments are passed on to cucumber.
  */
 import { spawnSync } from 'node:child_process'
-import { existsSync, mkdirSync, readFileSync } from 'node:fs'
+import { existsSync, mkdirSync, readFileSync, rmSync } from 'node:fs'
 
 const REPORT = 'dist/cucumber.ndjson'
 const CUCUMBER = 'node_modules/@cucumber/cucumber/bin/cucumber.js'
@@ -21,6 +21,7 @@
   const scenarioOfCase = new Map()
   const scenarioOfAttempt = new Map()
   const failed = new Map()
+  if (!existsSync(REPORT)) return []
   const lines = readFileSync(REPORT, 'utf8').split('\n').filter(Boolean)
   for (const line of lines) {
     const { pickle, testCase, testCaseStarted, testStepFinished } = JSON.parse(line)
@@ -38,6 +39,8 @@
 }
 
 mkdirSync('dist', { recursive: true })
+// The report of an earlier run must not stand for one that crashed.
+rmSync(REPORT, { force: true })
 const args = [
   // --exit: a handle that a failed scenario left open must not keep the run from ending.
   CUCUMBER, '--exit', '--import', 'features/**/*.ts', '--format', 'progress', '--format', `message:${REPORT}`,
--- a/src/core/vm/index.ts
+++ b/src/core/vm/index.ts
@@ -13,6 +13,13 @@
 
 export { TOKENS } from './tokens.ts'
 
+interface BackgroundPart { start(): void, stop(): void }
+
+/** Parts that only observe and control; they stop when the VM begins to leave. */
+const BACKGROUND_PARTS = [TOKENS.outcomes, TOKENS.rollouts, TOKENS.rating]
+const MINIMUM_DRAIN_MS = 1000
+const SERVER_STOP_TIMEOUT_MS = 5000
+
 export interface RunningVm {
   identity: VmIdentity
   callerUrl: string
@@ -156,10 +163,3 @@
   settings.sessions.token_keys = fresh.sessions.token_keys
   parts.resolve(TOKENS.log).info('keys reloaded')
 }
-
-interface BackgroundPart { start(): void, stop(): void }
-
-/** Parts that only observe and control; they stop when the VM begins to leave. */
-const BACKGROUND_PARTS = [TOKENS.outcomes, TOKENS.rollouts, TOKENS.rating]
-const MINIMUM_DRAIN_MS = 1000
-const SERVER_STOP_TIMEOUT_MS = 5000
