Record the version choice once, and drop latencies that are never recorded

Cause: both the gateway and the router recorded version_choice for each request, so its quantiles mixed two measures; added_latency and config_propagation were exposed and always 0. Ruled out: recording config_propagation in the replica, which does not know when a change was accepted elsewhere. Change: one record, two names fewer, and the options of the permit client extend those of the summary exchange that they repeated. Conclusion: no decision changes.

--- a/src/core/admission/permit-client.ts
+++ b/src/core/admission/permit-client.ts
@@ -3,16 +3,11 @@
  * leader before asking it for more, reports first bytes and releases, and admits locally while the object API is down
  * and nobody holds the lease.
  */
-import type { Clock, TimerCancel } from '../clock/index.ts'
-import type { ConfigView } from '../config/types.ts'
+import type { TimerCancel } from '../clock/index.ts'
 import { LacewingError } from '../errors/index.ts'
 import { randomId, type DataCentreId } from '../ids/index.ts'
-import type { LeaderLease } from '../lease/types.ts'
 import type { Log } from '../logging/index.ts'
-import type { Membership } from '../membership/types.ts'
 import type { Metrics } from '../metrics/index.ts'
-import type { PeerLinks } from '../peer/types.ts'
-import type { VmIdentity } from '../settings/index.ts'
 import { ANSWER_SLACK_MS, DEFAULT_RETRY_AFTER_MS, LATE_ANSWER_MS, RELEASE_RESEND_MS, SUMMARY_PERIOD_MS } from './constants.ts'
 import { createHeldPermits } from './held-permits.ts'
 import { findLeaderLink, handlePermitMessages, notLeader, type LeaderLink } from './leader-link.ts'
@@ -20,18 +15,10 @@
 import { createOutageCheck } from './outage-check.ts'
 import { createPermitReports } from './permit-reports.ts'
 import { createRegistration } from './registration.ts'
-import { createSummaryExchange } from './summary-exchange.ts'
-import type { Permit, PermitAnswer, PermitClient, PermitRequest, Scheduler } from './types.ts'
+import { createSummaryExchange, type SummaryExchangeOptions } from './summary-exchange.ts'
+import type { Permit, PermitAnswer, PermitClient, PermitRequest } from './types.ts'
 
-export interface PermitClientOptions {
-  identity: VmIdentity
-  peers: PeerLinks
-  lease: LeaderLease
-  membership: Membership
-  view: ConfigView
-  /** Schedulers of the leases that this VM holds. */
-  schedulers: (dataCentre: DataCentreId) => Scheduler | undefined
-  clock: Clock
+export interface PermitClientOptions extends Omit<SummaryExchangeOptions, 'onLeader'> {
   metrics: Metrics
   log: Log
   /** Whether the object API answers; local admission starts only while it does not. */
--- a/src/core/admission/summary-exchange.ts
+++ b/src/core/admission/summary-exchange.ts
@@ -34,6 +34,7 @@
   lease: LeaderLease
   membership: Membership
   view: ConfigView
+  /** Schedulers of the leases that this VM holds. */
   schedulers: (dataCentre: DataCentreId) => Scheduler | undefined
   clock: Clock
   /** Called when a leader of a new epoch is heard of. */
--- a/src/core/gateway/chat.ts
+++ b/src/core/gateway/chat.ts
@@ -52,11 +52,9 @@
 }
 
 function chooseVersion (deps: ChatDependencies): Filter<ChatCall> {
-  const { routing, explain, clock, metrics } = deps
+  const { routing, explain } = deps
   return async (call, next) => {
-    const startedAt = clock.now()
     const choice = continued(deps, call, await routing.choose(call.choiceRequest))
-    metrics.latency('version_choice', clock.now() - startedAt)
     call.choice = choice
     explain.add(call.request, 'version', `${choice.version}: ${choice.why}`)
     await next()
--- a/src/core/metrics/index.ts
+++ b/src/core/metrics/index.ts
@@ -15,7 +15,7 @@
 export type CounterName = typeof COUNTER_NAMES[number]
 
 /** Histogram names; values are in microseconds. */
-export const LATENCY_NAMES = ['first_token', 'added_latency', 'permit_wait', 'config_propagation', 'object_api', 'version_choice', 'claim'] as const
+export const LATENCY_NAMES = ['first_token', 'permit_wait', 'object_api', 'version_choice', 'claim'] as const
 export type LatencyName = typeof LATENCY_NAMES[number]
 
 const QUANTILES = [50, 95, 99, 99.9]
