Serve callers on the users' platform: the whole path, thin

Ruled out: the chat gateway in front (it parses bodies, needs leaders and permits, and is bound to OpenAI-style paths); hapi for the pass-through, which rewrites what must stay byte for byte; kept connections to backend servers, whose late and crossed bytes cost a rule. Change: platform/ (settings, headers, store client, readiness, directory), the feeds of the store, route table, proof of recent keys, pool of backend servers, placement, forwarding with resumed streams, and the design note. Conclusion: the path serves every kind of request; roll-outs and sessions come next.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist', 'node_modules'] }),
+  ...neostandard({ ts: true, ignores: ['dist', 'target', 'node_modules'] }),
   {
     rules: {
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,16 +1,18 @@
 /**
  * Bundles src/main.ts into dist/lacewingstage.cjs. With --executable it also packs the bundle and a copy of the
- * running Node.js into the single file dist/lacewingstage.
+ * running Node.js into the single file dist/lacewingstage. --out FILE writes the bundle elsewhere.
  */
 import { execFileSync } from 'node:child_process'
 import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from 'node:fs'
+import { dirname } from 'node:path'
 import { build } from 'esbuild'
 
-const BUNDLE = 'dist/lacewingstage.cjs'
+const outAt = process.argv.indexOf('--out')
+const BUNDLE = outAt === -1 ? 'dist/lacewingstage.cjs' : process.argv[outAt + 1]
 const EXECUTABLE = 'dist/lacewingstage'
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
 
-mkdirSync('dist', { recursive: true })
+mkdirSync(dirname(BUNDLE), { recursive: true })
 await build({
   entryPoints: ['src/main.ts'],
   outfile: BUNDLE,
--- /dev/null
+++ b/src/core/forwarding/forward.ts
@@ -0,0 +1,261 @@
+/**
+ * The path of one request: attempts at backend servers until an answer is complete, the request must not be repeated,
+ * or nothing more can be done in time. What was sent decides how it ends: "not run" is said only when no backend
+ * server can have run the request.
+ */
+import type { Backend } from '../backend-pool/types.ts'
+import type { Clock } from '../clock/index.ts'
+import { GatewayError, type ErrorName } from '../errors/index.ts'
+import type { ModelId, ServiceId, VersionId } from '../ids/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { DecisionLog } from '../logging/decision-log.ts'
+import { ANSWER_FACTOR, DEFAULT_WAIT_MS, ESCALATION_CONFIDENCE, FIRST_EVENT_FACTOR, MAX_CONNECT_TRIES, MIN_ATTEMPT_MS, RETRY_AFTER_S, RETRY_AFTER_SPREAD_S } from './constants.ts'
+import { startExchange, type Codec, type Exchange } from './exchange.ts'
+import { readAnswer, relayEvents } from './relay.ts'
+import type { RetryAllowance } from './retry-allowance.ts'
+import { mayRepeat, urgencyOf } from './route-table.ts'
+import type { CallerConnection } from './caller-connection.ts'
+import type { BackendHead, CallerRequest, Route, Team } from './types.ts'
+
+export interface ForwardedRequest {
+  request: CallerRequest
+  route: Route
+  service: ServiceId
+  team: Team | undefined
+  body: Buffer | undefined
+  /** Monotonic time at which the request was received. */
+  receivedMs: number
+  caller: CallerConnection
+}
+
+export interface Assignment { backend: Backend, version: VersionId }
+
+export interface ForwarderOptions {
+  codec: Codec
+  /** Chooses a backend server with room for the request; `undefined` when there is none. */
+  assign(forwarded: ForwardedRequest, tried: ReadonlySet<Backend>): Assignment | undefined
+  /** The retries that this VM may still send to a service. */
+  retries(service: ServiceId): RetryAllowance
+  /** Last check before a request is sent; a reason keeps it from being sent. */
+  mayStillRun(forwarded: ForwardedRequest): ErrorName | undefined
+  noteSend(backend: Backend): void
+  noteConnectFailure(backend: Backend): void
+  noteResult(backend: Backend, forwarded: ForwardedRequest, result: { failed: boolean, firstEventMs: number | undefined }): void
+  /** Called when a backend server has room again. */
+  noteRoom(service: ServiceId): void
+  clock: Clock
+  metrics: Metrics
+  log: DecisionLog
+  random: () => number
+}
+
+/** How one attempt ended; `next` asks for another one. */
+type AttemptEnd =
+  | { kind: 'done' }
+  | { kind: 'next', reason: string }
+  | { kind: 'failed', error: ErrorName, reason: string }
+
+interface Progress {
+  /** Backend servers that the request was sent to. */
+  attempts: number
+  connectTries: number
+  /** Whether a backend server may have run the request. */
+  mayHaveRun: boolean
+  lastEventId: number | undefined
+  model: ModelId | undefined
+  tried: Set<Backend>
+  current: Exchange | undefined
+  ended: boolean
+}
+
+export function createForwarder (options: ForwarderOptions) {
+  const { codec, assign, retries, mayStillRun, clock, metrics, log, random } = options
+
+  /** Forwards the request and answers the caller; never rejects. */
+  async function forward (forwarded: ForwardedRequest): Promise<void> {
+    const { request, route, service, caller, receivedMs } = forwarded
+    const deadlineMs = receivedMs + Math.min(request.waitMs ?? DEFAULT_WAIT_MS, route.timeoutMs)
+    const progress: Progress = {
+      attempts: 0,
+      connectTries: 0,
+      mayHaveRun: false,
+      lastEventId: request.lastEventId,
+      model: request.model ?? route.models[0],
+      tried: new Set(),
+      current: undefined,
+      ended: false
+    }
+    const cancelDeadline = clock.after(Math.max(0, deadlineMs - clock.now()), () => {
+      if (progress.ended) return
+      finish(progress.mayHaveRun || progress.current ? 'backend_timeout' : 'overloaded', 'deadline')
+    })
+    caller.onGone(() => {
+      if (progress.ended) return
+      progress.ended = true
+      progress.current?.abort('the caller has gone')
+      metrics.count('requests', 'caller_gone')
+    })
+    retries(service).noteRequest()
+
+    function finish (error: ErrorName, reason: string): void {
+      if (progress.ended) return
+      progress.ended = true
+      progress.current?.abort(reason)
+      log.request('failed', { id: request.id, route: route.name, error, reason, attempts: progress.attempts, afterMs: Math.round(clock.now() - receivedMs) })
+      caller.fail(new GatewayError(error, { retryAfterMs: (RETRY_AFTER_S + random() * RETRY_AFTER_SPREAD_S) * 1000 }))
+    }
+
+    try {
+      while (!progress.ended) {
+        const end = await attempt(forwarded, progress, deadlineMs)
+        if (progress.ended) break
+        if (end.kind === 'done') progress.ended = true
+        if (end.kind === 'failed') finish(end.error, end.reason)
+        if (end.kind === 'next') log.request('attempt_repeated', { id: request.id, reason: end.reason, attempts: progress.attempts })
+      }
+    } finally {
+      cancelDeadline()
+    }
+  }
+
+  async function attempt (forwarded: ForwardedRequest, progress: Progress, deadlineMs: number): Promise<AttemptEnd> {
+    const { request, route, service, team, body } = forwarded
+    const notRunError = progress.mayHaveRun ? 'backend_failed' : 'permit_refused'
+    const remainingMs = deadlineMs - clock.now()
+    if (remainingMs < MIN_ATTEMPT_MS) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_timeout' : 'overloaded', reason: 'no time left' }
+    if (progress.attempts >= route.maxAttempts) return { kind: 'failed', error: notRunError, reason: 'attempts used up' }
+    if (progress.connectTries >= MAX_CONNECT_TRIES) return { kind: 'failed', error: notRunError, reason: 'no connection' }
+    const forbidden = mayStillRun(forwarded)
+    if (forbidden) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : forbidden, reason: 'may not run any more' }
+    const assignment = assign(forwarded, progress.tried)
+    if (!assignment) return { kind: 'failed', error: notRunError, reason: 'no backend server has room' }
+    if (progress.attempts > 0 && !retries(service).take()) {
+      metrics.count('retries', 'budget_exhausted')
+      return { kind: 'failed', error: notRunError, reason: 'retry budget' }
+    }
+
+    const { backend } = assignment
+    const call = {
+      backendServer: backend.entry.id, team: team?.id, remainingMs, urgency: urgencyOf(route, team), model: progress.model, lastEventId: progress.lastEventId
+    }
+    const startedMs = clock.now()
+    const exchange = startExchange({ backend, request, call, body, codec })
+    progress.current = exchange
+    progress.tried.add(backend)
+    options.noteSend(backend)
+    backend.inFlight++
+    backend.promptTokensAhead += request.promptTokens
+    let prefilling = true
+    const endPrefill = () => {
+      if (prefilling) backend.promptTokensAhead -= request.promptTokens
+      prefilling = false
+    }
+    const cancelWait = mayRepeat(route) ? clock.after(firstWaitMs(route), () => exchange.abort('no answer in time')) : () => {}
+    try {
+      const result = await exchange.result
+      if (result.kind !== 'head') {
+        cancelWait()
+        if (result.kind === 'not_sent') {
+          progress.connectTries++
+          options.noteConnectFailure(backend)
+          return { kind: 'next', reason: result.reason }
+        }
+        progress.attempts++
+        progress.mayHaveRun = true
+        options.noteResult(backend, forwarded, { failed: true, firstEventMs: undefined })
+        return repeatOr(route, result.reason)
+      }
+      progress.attempts++
+      backend.lastHeardMs = clock.now()
+      return await useHead(forwarded, progress, { backend, exchange, head: result.head, body: result.body, startedMs, endPrefill, cancelWait })
+    } finally {
+      cancelWait()
+      endPrefill()
+      backend.inFlight--
+      progress.current = undefined
+      options.noteRoom(service)
+    }
+  }
+
+  interface Answer {
+    backend: Backend
+    exchange: Exchange
+    head: BackendHead
+    body: Parameters<typeof readAnswer>[0]
+    startedMs: number
+    endPrefill(): void
+    cancelWait(): void
+  }
+
+  async function useHead (forwarded: ForwardedRequest, progress: Progress, answer: Answer): Promise<AttemptEnd> {
+    const { request, route, caller } = forwarded
+    const { backend, exchange, head, startedMs } = answer
+    const { noteResult } = options
+    if (head.notRun) {
+      exchange.abort('not run')
+      metrics.count('retries', head.misdirected ? 'misdirected' : 'backend_full')
+      return { kind: 'next', reason: `not run, status ${head.status}` }
+    }
+    progress.mayHaveRun = true
+    if (!head.authentic) {
+      exchange.abort('foreign answer')
+      noteResult(backend, forwarded, { failed: true, firstEventMs: undefined })
+      return repeatOr(route, 'foreign answer')
+    }
+    const failed = head.status >= 500
+    if (failed && mayRepeat(route) && progress.attempts < route.maxAttempts && !caller.hasBegun()) {
+      exchange.abort('failed')
+      noteResult(backend, forwarded, { failed: true, firstEventMs: undefined })
+      return { kind: 'next', reason: `status ${head.status}` }
+    }
+    if (route.kind === 'streaming' && head.status < 300) {
+      if (shouldEscalate(forwarded, progress, head)) {
+        const { models } = route
+        exchange.abort('low confidence')
+        noteResult(backend, forwarded, { failed: false, firstEventMs: clock.now() - startedMs })
+        metrics.count('escalations', 'low_confidence')
+        progress.model = models[models.length - 1]
+        return { kind: 'next', reason: `confidence ${head.confidence}` }
+      }
+      const end = await relayEvents({ ...answer, caller, route, lastEventId: progress.lastEventId, clock })
+      progress.lastEventId = end.lastEventId
+      noteResult(backend, forwarded, { failed: end.kind === 'broken', firstEventMs: end.firstEventMs === undefined ? undefined : end.firstEventMs - startedMs })
+      if (end.kind === 'complete') {
+        metrics.count('requests', 'answered')
+        return { kind: 'done' }
+      }
+      return repeatOr(route, end.reason)
+    }
+    const bytes = await readAnswer(answer.body)
+    if (!bytes) {
+      noteResult(backend, forwarded, { failed: true, firstEventMs: undefined })
+      return repeatOr(route, 'answer cut off')
+    }
+    noteResult(backend, forwarded, { failed, firstEventMs: clock.now() - startedMs })
+    if (caller.hasBegun()) return { kind: 'failed', error: 'answer_truncated', reason: `status ${head.status} after a part of the answer` }
+    caller.answer(head.status, head.headers, bytes)
+    metrics.count('requests', failed ? 'backend_failure' : 'answered')
+    log.request('answered', { id: request.id, route: route.name, backendServer: backend.entry.id, status: head.status, attempts: progress.attempts })
+    return { kind: 'done' }
+  }
+
+  /** Drops the answer of a small model that doubts it, while the caller has received nothing and an attempt is left. */
+  function shouldEscalate ({ route, request, caller }: ForwardedRequest, progress: Progress, head: BackendHead): boolean {
+    const { models } = route
+    if (request.model !== undefined || models.length < 2 || progress.model === models[models.length - 1]) return false
+    if (caller.hasBegun() || progress.attempts >= route.maxAttempts || head.confidence === undefined) return false
+    return head.confidence < ESCALATION_CONFIDENCE
+  }
+
+  function repeatOr (route: Route, reason: string): AttemptEnd {
+    return mayRepeat(route) ? { kind: 'next', reason } : { kind: 'failed', error: 'backend_failed', reason }
+  }
+
+  return { forward }
+}
+
+export type Forwarder = ReturnType<typeof createForwarder>
+
+function firstWaitMs ({ kind, targetLatencyMs }: Route): number {
+  return targetLatencyMs * (kind === 'streaming' ? FIRST_EVENT_FACTOR : ANSWER_FACTOR)
+}
--- /dev/null
+++ b/src/core/node/types.ts
@@ -0,0 +1,43 @@
+/** Settings of a VM that forwards callers' requests, as its platform gives them. */
+import type { DataCentreId, RegionId, VmId } from '../ids/index.ts'
+
+export interface NodeSettings {
+  vm: VmId
+  dataCentre: DataCentreId
+  region: RegionId
+  /** Addresses are `IP:PORT`. */
+  callerAddress: string
+  readinessAddress: string
+  directoryAddress: string
+  peerAddress: string
+  metricsAddress: string
+  storeAddress: string
+  /** How far the store's history of changes goes back. */
+  storeHistoryMs: number
+  /** Period in which backend servers renew their entries. */
+  backendHeartbeatMs: number
+  /** Time without a fault after which bounds hold for a VM. */
+  contactMs: number
+  /** Time after which a leaving backend server must get no more work. */
+  backendDrainMs: number
+  /** Time between SIGTERM and SIGKILL. */
+  stopGraceMs: number
+  /** Time after which a withdrawn key must no longer work. */
+  keyWithdrawalMs: number
+  /** Whether a withdrawn key must be refused also while the store cannot be reached. */
+  strictKeyWithdrawal: boolean
+  /** Retries that all VMs together may send to a service, as a share of its requests in the window. */
+  retryShare: number
+  retryWindowMs: number
+  /** Retries in a window beyond the share. */
+  retrySlack: number
+  /** Largest share of a service's requests for a version on trial, and the requests beyond the share. */
+  trialShare: number
+  trialSlack: number
+  /** Factor and addend of the requests a second that a cold backend server may get at most. */
+  coldOvershoot: number
+  coldSlack: number
+  /** Longest pause between two requests of one session. */
+  sessionMs: number
+  longestAddressTtlMs: number
+}
--- /dev/null
+++ b/src/core/object-feed/index.ts
@@ -0,0 +1,121 @@
+/**
+ * Follows one kind of objects in the store: a list first, then changes by long polls. An empty poll does not move the
+ * position, because a poll may miss changes shortly before the store drops its history; the next poll then reports the
+ * dropped history and the feed lists again. A list also replaces the position before the history has passed it.
+ */
+import type { Clock } from '../clock/index.ts'
+import { errorMessage } from '../errors/index.ts'
+import type { Log } from '../logging/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import { FIRST_RETRY_MS, LONGEST_RETRY_MS, LOST_AFTER_MS } from './constants.ts'
+import type { Change, ObjectSource, StoredObject } from './types.ts'
+
+export type * from './types.ts'
+
+export interface ObjectFeedOptions {
+  kind: string
+  source: ObjectSource
+  /** Longest wait of one poll, in milliseconds. */
+  waitMs: number
+  /** Longest time between two lists, in milliseconds; under the history that the store keeps. */
+  relistMs: number
+  onSnapshot(objects: StoredObject[], context: FeedContext): void
+  onChange(change: Change, context: FeedContext): void
+  /** Called after each answer with the times at which the call was sent. */
+  onAnswer?: (sent: { monotonicMs: number, wallMs: number }) => void
+  clock: Clock
+  log: Log
+  metrics: Metrics
+  random: () => number
+}
+
+export interface FeedContext {
+  /** Time without an answer before this one, in milliseconds. */
+  silentMs: number
+}
+
+export interface ObjectFeed {
+  start(): void
+  stop(): void
+  /** Whether the first list has been read. */
+  isLoaded(): boolean
+  /** Monotonic time at which the call of the last answer was sent. */
+  lastAnswerMs(): number
+}
+
+export function createObjectFeed (options: ObjectFeedOptions): ObjectFeed {
+  const { kind, source, waitMs, relistMs, onSnapshot, onChange, onAnswer, clock, log, metrics, random } = options
+  let running = false
+  let position: number | undefined
+  let listedMs = -Infinity
+  let answeredMs = clock.now()
+  let lost = false
+  let failures = 0
+  let loaded = false
+
+  async function run (): Promise<void> {
+    while (running) {
+      try {
+        await step()
+        failures = 0
+      } catch (error) {
+        await noteFailure(error)
+      }
+    }
+  }
+
+  async function step (): Promise<void> {
+    const sentMs = clock.now()
+    const sent = { monotonicMs: sentMs, wallMs: clock.wallMs() }
+    if (position === undefined || sentMs - listedMs >= relistMs) {
+      const snapshot = await source.list(kind)
+      const context = noteAnswer(sent)
+      if (position !== undefined && snapshot.revision < position) return
+      position = snapshot.revision
+      listedMs = sentMs
+      onSnapshot(snapshot.objects, context)
+      loaded = true
+    } else {
+      const batch = await source.watch(kind, position, waitMs)
+      const context = noteAnswer(sent)
+      if (!batch) {
+        metrics.count('retries', 'history_dropped')
+        position = undefined
+        return
+      }
+      if (batch.changes.length === 0) return
+      position = batch.revision
+      for (const change of batch.changes) onChange(change, context)
+    }
+  }
+
+  function noteAnswer (sent: { monotonicMs: number, wallMs: number }): FeedContext {
+    const silentMs = clock.now() - answeredMs
+    answeredMs = clock.now()
+    if (lost) log.info('the store answers again', { kind, silentMs: Math.round(silentMs) })
+    lost = false
+    onAnswer?.(sent)
+    return { silentMs: silentMs > waitMs + LOST_AFTER_MS ? silentMs : 0 }
+  }
+
+  async function noteFailure (error: unknown): Promise<void> {
+    metrics.count('object_api_failures', kind)
+    if (!lost) log.warn('the store does not answer', { kind, error: errorMessage(error) })
+    lost = true
+    const pause = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** failures++)
+    // A cut connection says nothing about the changes since the last answer, so the next call lists.
+    listedMs = -Infinity
+    await clock.sleep(pause * (0.5 + random()))
+  }
+
+  return {
+    start () {
+      if (running) return
+      running = true
+      void run()
+    },
+    stop () { running = false },
+    isLoaded: () => loaded,
+    lastAnswerMs: () => answeredMs
+  }
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,5 +1,21 @@
-/** Entry point of the command line program. */
+/**
+ * Entry point of the command line program. A VM on the users' platform starts without the other commands and their
+ * libraries, because each restart is charged with the time that loading them takes.
+ */
 import 'reflect-metadata'
-import { run } from './cli/index.ts'
 
-void run(process.argv)
+const PLATFORM_COMMAND = 'platform'
+
+async function main (): Promise<void> {
+  if (process.argv[2] === PLATFORM_COMMAND && process.argv.length === 3) {
+    const { runOnPlatform } = await import('../platform/index.ts')
+    return await runOnPlatform()
+  }
+  const { run } = await import('./cli/index.ts')
+  await run(process.argv)
+}
+
+main().catch((error: unknown) => {
+  process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`)
+  process.exitCode = 1
+})
