Follow roll-outs and know the live VMs

Ruled out: a leader for roll-outs (conditional status writes by rank need none); tallies through the store (each write wakes every VM's feed). Change: version trials with sessions chosen by hash, the product's judge and membership over peer links whose key lies in the store.

--- a/src/core/forwarding/exchange.ts
+++ b/src/core/forwarding/exchange.ts
@@ -3,7 +3,7 @@
  * bytes of earlier answers, and a failure to connect proves that nothing was sent. Measured: a new connection costs a
  * fraction of what one repeated request costs.
  */
-import { Agent, request as httpRequest, type ClientRequest, type IncomingMessage } from 'node:http'
+import { Agent, request as httpRequest, type IncomingMessage } from 'node:http'
 import type { Backend } from '../backend-pool/types.ts'
 import { CONNECT_TIMEOUT_MS } from './constants.ts'
 import type { BackendCall, BackendHead, CallerRequest } from './types.ts'
@@ -39,20 +39,12 @@
 
 export function startExchange ({ backend, request, call, body, codec, connectTimeoutMs = CONNECT_TIMEOUT_MS }: ExchangeOptions): Exchange {
   const [host, port] = backend.entry.address.split(':')
-  let outgoing: ClientRequest | undefined
   let connected = false
   let settle: (result: ExchangeResult) => void = () => {}
-  let timer: NodeJS.Timeout | undefined
   const result = new Promise<ExchangeResult>(resolve => { settle = resolve })
 
-  function fail (reason: string): void {
-    clearTimeout(timer)
-    settle({ kind: connected ? 'lost' : 'not_sent', reason })
-    outgoing?.destroy()
-  }
-
   const headers = codec.encodeBackendRequest(request, call, body?.length ?? 0)
-  outgoing = httpRequest({ agent, host, port, method: request.method, path: request.target, headers, setHost: false } as object, incoming => {
+  const outgoing = httpRequest({ agent, host, port, method: request.method, path: request.target, headers, setHost: false } as object, incoming => {
     const head = codec.decodeBackendHead(request, incoming.statusCode!, incoming.headers, incoming.rawHeaders)
     // An error after the head reaches the reader of the body.
     incoming.on('error', () => {})
@@ -64,8 +56,14 @@
   })
   outgoing.on('error', error => fail(error.message))
   outgoing.on('close', () => fail('closed'))
-  timer = setTimeout(() => { if (!connected) fail('connect timeout') }, connectTimeoutMs)
+  const timer = setTimeout(() => { if (!connected) fail('connect timeout') }, connectTimeoutMs)
   outgoing.end(body)
 
+  function fail (reason: string): void {
+    clearTimeout(timer)
+    settle({ kind: connected ? 'lost' : 'not_sent', reason })
+    outgoing.destroy()
+  }
+
   return { result, abort: fail }
 }
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -20,8 +20,9 @@
 import { createMetrics } from '../metrics/index.ts'
 import { createObjectFeed, type Change, type ObjectFeed, type ObjectStore, type StoredObject } from '../object-feed/index.ts'
 import { chooseBackend } from '../placement/index.ts'
-import { hashPoint } from '../placement/rendezvous.ts'
-import type { RolloutOrder } from '../version-trial/types.ts'
+import { hashPoint, rendezvousOrder } from '../placement/rendezvous.ts'
+import { createVersionTrials, type RolloutOrder } from '../version-trial/index.ts'
+import type { OutcomeReport } from '../rollout/types.ts'
 import { createFleet } from '../fleet/index.ts'
 import { ADDRESS_TTL_S, CONFIG_WAIT_MS, FEED_WAIT_MS, MAX_ADDRESSES, RELIST_SHARE, STOP_SETTLE_MS, STOP_SHARE, TAKE_AFTER_STOP_MS } from './constants.ts'
 import type { NodeSettings } from './types.ts'
@@ -58,6 +59,7 @@
 
 export async function startNode ({ settings: initial, adapter, store, clock = systemClock, random = Math.random }: NodeOptions): Promise<Node> {
   let settings = initial
+  const { kinds } = adapter
   const log = createDecisionLog({ vm: settings.vm, clock })
   const metrics = createMetrics()
   let table: RouteTable | undefined
@@ -91,6 +93,21 @@
     return created
   }
 
+  const trials = createVersionTrials({
+    vm: settings.vm,
+    boot: fleet.boot,
+    vms: () => fleet.liveVms(),
+    report: (to, report) => fleet.peers.notify(to, 'rollout.outcomes', report),
+    async writeStatus (order, state) {
+      return await store.replaceStatus(kinds.rollouts, order.name, adapter.encodeRolloutStatus(order, state), order.revision) !== undefined
+    },
+    largestShare: () => settings.trialShare,
+    clock,
+    log,
+    metrics
+  })
+  fleet.peers.handle('rollout.outcomes', report => trials.accept(report as OutcomeReport))
+
   function applyConfig (object: StoredObject): void {
     let config: TrafficConfig
     try {
@@ -110,7 +127,6 @@
   function applyEvacuations (): void { pool.setOutOfService(new Set(evacuated)) }
 
   const feedDefaults = { source: store, waitMs: FEED_WAIT_MS, relistMs: settings.storeHistoryMs * RELIST_SHARE, clock, log, metrics, random }
-  const { kinds } = adapter
   const feeds: ObjectFeed[] = [
     createObjectFeed({
       ...feedDefaults,
@@ -143,9 +159,25 @@
         else evacuated.add(brandId<DataCentreId>(object.name))
         applyEvacuations()
       }
+    }),
+    createObjectFeed({
+      ...feedDefaults,
+      kind: kinds.rollouts,
+      onSnapshot: objects => trials.applyAll(objects.flatMap(readRollout)),
+      onChange: ({ object, deleted }) => {
+        if (deleted) trials.remove(object.name)
+        else for (const order of readRollout(object)) trials.apply(order)
+      }
     })
   ]
 
+  function readRollout (object: StoredObject): RolloutOrder[] {
+    const order = adapter.decodeRollout(object)
+    if (order) return [order]
+    metrics.count('bad_input', 'rollout')
+    return []
+  }
+
   function readBackend (object: StoredObject): BackendEntry[] {
     const entry = adapter.decodeBackend(object)
     if (entry) return [entry]
@@ -155,7 +187,9 @@
 
   function assign (forwarded: ForwardedRequest, tried: ReadonlySet<Backend>): Assignment | undefined {
     const { request, service, route } = forwarded
-    const usable = pool.eligible(service).filter(backend => hasRoom(backend) && pool.hasColdRoom(backend))
+    const rule = trials.rule(service, request.session ?? request.id!, tried.size > 0)
+    const permitted = pool.eligible(service).filter(({ entry }) => rule.allows(entry.version))
+    const usable = spreadOver(permitted, rule.spread).filter(backend => hasRoom(backend) && pool.hasColdRoom(backend))
     const fresh = usable.filter(backend => !tried.has(backend))
     const candidates = fresh.length > 0 ? fresh : usable
     const affinityKey = route.kind === 'streaming' ? request.prompt.at(-2)?.id ?? request.prompt.at(-1)?.id : undefined
@@ -163,6 +197,14 @@
     return backend && { backend, version: backend.entry.version }
   }
 
+  /** The first backend servers in an order that all VMs share. */
+  function spreadOver (backends: Backend[], share: number): Backend[] {
+    if (share >= 1) return backends
+    const byId = new Map(backends.map(backend => [backend.entry.id, backend]))
+    const count = Math.max(1, Math.ceil(share * backends.length))
+    return rendezvousOrder('trial', [...byId.keys()]).slice(0, count).map(id => byId.get(id)!)
+  }
+
   /** This VM's part of the connections and slots of a backend server. */
   function hasRoom ({ entry, inFlight }: Backend): boolean {
     const connections = (table?.service(entry.service)?.maxConnections ?? Infinity) / fleet.vms().length
@@ -180,7 +222,10 @@
     },
     noteSend: backend => pool.noteSend(backend),
     noteConnectFailure: backend => pool.noteConnectFailure(backend),
-    noteResult: (backend, _forwarded, { failed }) => pool.noteResult(backend, failed),
+    noteResult (backend, { service }, result) {
+      pool.noteResult(backend, result.failed)
+      trials.observe(service, backend.entry.version, result)
+    },
     noteRoom () {},
     clock,
     metrics,
@@ -238,6 +283,7 @@
   log.info('VM starts', { dataCentre: settings.dataCentre })
   for (const feed of feeds) feed.start()
   fleet.start()
+  trials.start()
   await Promise.all([
     listen(callers.server, settings.callerAddress), listen(readiness, settings.readinessAddress),
     listen(directory, settings.directoryAddress), listen(metricsServer, settings.metricsAddress)
--- a/src/core/object-feed/index.ts
+++ b/src/core/object-feed/index.ts
@@ -54,7 +54,8 @@
   let loaded = false
 
   async function run (): Promise<void> {
-    while (running) {
+    for (;;) {
+      if (!running) return
       try {
         await step()
         failures = 0
--- a/src/core/rollout/tally.ts
+++ b/src/core/rollout/tally.ts
@@ -17,7 +17,7 @@
 }
 
 /** Counts an outcome in place; one with a rating repeats an outcome that was counted before and adds the rating. */
-export function countOutcome (tally: VersionTally, { failed, firstTokenMs, rating }: VersionOutcome): void {
+export function countOutcome (tally: VersionTally, { failed, firstTokenMs, rating }: Pick<VersionOutcome, 'failed' | 'firstTokenMs' | 'rating'>): void {
   if (rating !== undefined) {
     tally.ratings++
     tally.ratingLoss += 1 - rating
--- /dev/null
+++ b/src/core/version-trial/index.ts
@@ -0,0 +1,201 @@
+/**
+ * Moves a service to a new version on an operator's order. The load it answers: a version that fails or is slow, at
+ * once, later, under load or on one route only. Sessions are chosen by hash, so all VMs put the same ones on trial and
+ * none goes back; the few backend servers of the trial get a usual load each. Every VM counts and reports; the first
+ * VM in the order's rendezvous order decides, and the next one does when it stays silent. Status changes are
+ * conditional writes, so two deciders cannot contradict each other.
+ */
+import type { Clock, TimerCancel } from '../clock/index.ts'
+import { errorMessage } from '../errors/index.ts'
+import type { BootId, ServiceId, VersionId, VmId } from '../ids/index.ts'
+import type { Log } from '../logging/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import { hashPoint, rendezvousOrder } from '../placement/rendezvous.ts'
+import { createJudge, type Judge } from '../rollout/judge.ts'
+import { addTallies, countOutcome, emptyRolloutTally } from '../rollout/tally.ts'
+import type { OutcomeReport, RolloutTally } from '../rollout/types.ts'
+import {
+  COMPLETE_AT, FIRST_SHARE, LOAD_FACTOR, MIN_TRIALS, REPORT_RECEIVERS, SECOND_SHARE, SECOND_STAGE_AT, SHARE_SAFETY, TRIAL_PERIOD_MS, WRITER_DELAY_MS
+} from './constants.ts'
+import type { RolloutOrder } from './types.ts'
+
+export type { RolloutOrder } from './types.ts'
+
+type FinalState = 'completed' | 'rolled_back'
+
+/** Versions that a request may use. */
+export interface VersionRule {
+  allows(version: VersionId): boolean
+  /** Share of the allowed backend servers to use; 1 for all. */
+  spread: number
+}
+
+export interface VersionTrialsOptions {
+  vm: VmId
+  boot: BootId
+  /** VMs that take part, this one included. */
+  vms: () => readonly VmId[]
+  report(to: VmId, report: OutcomeReport): void
+  /** Conditional write of the status; false when the order has changed in the meantime. */
+  writeStatus(order: RolloutOrder, state: 'running' | FinalState): Promise<boolean>
+  /** Largest share of a service's requests that a version on trial may get. */
+  largestShare: () => number
+  clock: Clock
+  log: Log
+  metrics: Metrics
+}
+
+interface Trial {
+  order: RolloutOrder
+  seenMs: number
+  /** What this VM concluded before the store confirms it. */
+  concluded: FinalState | undefined
+  dueSinceMs: number | undefined
+  tally: RolloutTally
+  reports: Map<string, RolloutTally>
+  judge: Judge
+  requests: number
+  trialRequests: number
+  writing: boolean
+}
+
+const ANY_VERSION: VersionRule = { allows: () => true, spread: 1 }
+
+export function createVersionTrials (options: VersionTrialsOptions) {
+  const { vm, boot, vms, report, writeStatus, largestShare, clock, log, metrics } = options
+  const trials = new Map<string, Trial>()
+  let cancelTicks: TimerCancel | undefined
+
+  function apply (order: RolloutOrder): void {
+    const known = trials.get(order.name)
+    if (known && known.order.revision > order.revision) return
+    if (known && known.order.target === order.target) {
+      if (known.order.state !== order.state) log.info('roll-out', { service: order.service, target: order.target, state: order.state ?? 'ordered' })
+      // A state that the store has confirmed replaces what this VM concluded; a final one is never left.
+      known.order = order
+      return
+    }
+    log.info('roll-out', { service: order.service, target: order.target, state: order.state ?? 'ordered' })
+    trials.set(order.name, {
+      order,
+      seenMs: clock.now(),
+      concluded: undefined,
+      dueSinceMs: undefined,
+      tally: emptyRolloutTally(),
+      reports: new Map(),
+      judge: createJudge(),
+      requests: 0,
+      trialRequests: 0,
+      writing: false
+    })
+  }
+
+  const stateOf = ({ order, concluded }: Trial) => (order.state === 'running' || order.state === undefined ? concluded ?? order.state : order.state)
+  const elapsedShare = ({ seenMs, order }: Trial) => (clock.now() - seenMs) / order.durationMs
+
+  function trialOf (service: ServiceId): Trial | undefined {
+    for (const trial of trials.values()) if (trial.order.service === service) return trial
+    return undefined
+  }
+
+  /** Which versions a request of a session may use; `repeated` when an attempt on the trial has failed. */
+  function rule (service: ServiceId, sessionKey: string, repeated: boolean): VersionRule {
+    const trial = trialOf(service)
+    if (!trial) return ANY_VERSION
+    const { order: { target, name } } = trial
+    const state = stateOf(trial)
+    if (state === 'completed') return { allows: version => version === target, spread: 1 }
+    const onOld: VersionRule = { allows: version => version !== target, spread: 1 }
+    trial.requests++
+    if (state !== 'running' || repeated) return onOld
+    const share = Math.min(largestShare() * SHARE_SAFETY, elapsedShare(trial) < SECOND_STAGE_AT ? FIRST_SHARE : SECOND_SHARE)
+    if (hashPoint(`${name}/${target}/${sessionKey}`) >= share) return onOld
+    if (trial.trialRequests + 1 > Math.max(1, largestShare() * SHARE_SAFETY * trial.requests)) return onOld
+    trial.trialRequests++
+    return { allows: version => version === target, spread: share * LOAD_FACTOR }
+  }
+
+  function observe (service: ServiceId, version: VersionId, { failed, firstEventMs }: { failed: boolean, firstEventMs: number | undefined }): void {
+    const trial = trialOf(service)
+    if (!trial || stateOf(trial) !== 'running') return
+    countOutcome(version === trial.order.target ? trial.tally.to : trial.tally.from, {
+      failed, ...firstEventMs !== undefined && { firstTokenMs: firstEventMs }
+    })
+  }
+
+  function accept ({ rollout, pair, vm: from, boot: run, tally }: OutcomeReport): void {
+    const trial = trials.get(rollout)
+    if (trial && trial.order.target === pair) trial.reports.set(`${from}/${run}`, tally)
+  }
+
+  function tick (): void {
+    for (const trial of trials.values()) {
+      const writers = rendezvousOrder(trial.order.name, vms())
+      if (stateOf(trial) === 'running') sendReport(trial, writers)
+      decide(trial, writers.indexOf(vm))
+    }
+  }
+
+  function sendReport (trial: Trial, writers: readonly VmId[]): void {
+    const message: OutcomeReport = { rollout: trial.order.name, pair: trial.order.target, vm, boot, tally: trial.tally }
+    accept(message)
+    for (const to of writers.slice(0, REPORT_RECEIVERS)) if (to !== vm) report(to, message)
+  }
+
+  function decide (trial: Trial, rank: number): void {
+    const wanted = trial.concluded ?? conclusion(trial)
+    if (wanted === undefined || wanted === trial.order.state) {
+      trial.dueSinceMs = undefined
+      return
+    }
+    trial.dueSinceMs ??= clock.now()
+    if (trial.writing || clock.now() - trial.dueSinceMs < Math.max(0, rank) * WRITER_DELAY_MS) return
+    if (wanted !== 'running') trial.concluded = wanted
+    void write(trial, wanted)
+  }
+
+  /** The state that the order should have now, as far as this VM knows. */
+  function conclusion (trial: Trial): 'running' | FinalState | undefined {
+    const { order, judge, reports } = trial
+    if (order.state === undefined) return 'running'
+    if (order.state !== 'running') return undefined
+    const total = [...reports.values()].reduce((sum, tally) => ({ from: addTallies(sum.from, tally.from), to: addTallies(sum.to, tally.to) }), emptyRolloutTally())
+    const verdict = judge.judge(total)
+    if (verdict.worse ?? verdict.suspect) {
+      log.warn('the new version is worse', { service: order.service, target: order.target, evidence: verdict.evidence, trials: total.to.requests, failures: total.to.failures })
+      return 'rolled_back'
+    }
+    return elapsedShare(trial) >= COMPLETE_AT && total.to.requests >= MIN_TRIALS && verdict.mayAdvance ? 'completed' : undefined
+  }
+
+  async function write (trial: Trial, state: 'running' | FinalState): Promise<void> {
+    trial.writing = true
+    try {
+      const written = await writeStatus(trial.order, state)
+      metrics.count('rollout_steps', written ? state : 'conflict')
+      log.info('roll-out status written', { service: trial.order.service, target: trial.order.target, state, written })
+    } catch (error) {
+      log.warn('the roll-out status could not be written', { service: trial.order.service, state, error: errorMessage(error) })
+    } finally {
+      trial.writing = false
+    }
+  }
+
+  return {
+    apply,
+    /** Replaces all orders by the listed ones. */
+    applyAll (orders: readonly RolloutOrder[]): void {
+      const names = new Set(orders.map(({ name }) => name))
+      for (const name of [...trials.keys()]) if (!names.has(name)) trials.delete(name)
+      for (const order of orders) apply(order)
+    },
+    remove (name: string): void { trials.delete(name) },
+    rule,
+    observe,
+    accept,
+    start (): void { cancelTicks = clock.every(TRIAL_PERIOD_MS, tick) },
+    stop (): void { cancelTicks?.() }
+  }
+}
+
+export type VersionTrials = ReturnType<typeof createVersionTrials>
