Refuse until every feed is read; a reset answer is never whole; silence ends no last attempt

Cause: after the closing power loss a restarted VM knew no roll-out yet and used the bad version (EXPOSURE); Node's parser reports a body without length as complete when its connection is reset (MIXED); a stream on its last attempt was ended for a pause (LOST). Ruled out: a judge that is too slow, since the bad version was found 5 s after the order. Change: one each.

--- a/src/core/forwarding/exchange.ts
+++ b/src/core/forwarding/exchange.ts
@@ -22,6 +22,11 @@
 export interface Exchange {
   /** Settles with the answer's head or with the failure; never rejects. */
   result: Promise<ExchangeResult>
+  /**
+   * Whether the connection has failed. Node's parser reports a body without length as complete also when its
+   * connection was reset, so the end of a body proves nothing by itself.
+   */
+  isBroken(): boolean
   /** Closes the connection, which makes the backend server drop the request. */
   abort(reason: string): void
 }
@@ -40,6 +45,7 @@
 export function startExchange ({ backend, request, call, body, codec, connectTimeoutMs = CONNECT_TIMEOUT_MS }: ExchangeOptions): Exchange {
   const [host, port] = backend.entry.address.split(':')
   let connected = false
+  let broken = false
   let settle: (result: ExchangeResult) => void = () => {}
   const result = new Promise<ExchangeResult>(resolve => { settle = resolve })
 
@@ -54,7 +60,10 @@
     if (!socket.connecting) connected = true
     else socket.once('connect', () => { connected = true; clearTimeout(timer) })
   })
-  outgoing.on('error', error => fail(error.message))
+  outgoing.on('error', error => {
+    broken = true
+    fail(error.message)
+  })
   outgoing.on('close', () => fail('closed'))
   const timer = setTimeout(() => { if (!connected) fail('connect timeout') }, connectTimeoutMs)
   outgoing.end(body)
@@ -65,5 +74,5 @@
     outgoing.destroy()
   }
 
-  return { result, abort: fail }
+  return { result, isBroken: () => broken, abort: fail }
 }
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -150,7 +150,9 @@
       if (prefilling) backend.promptTokensAhead -= request.promptTokens
       prefilling = false
     }
-    const cancelWait = mayRepeat(route) ? clock.after(firstWaitMs(route), () => exchange.abort('no answer in time')) : () => {}
+    // The last attempt may take all the time that is left: silence is no reason to end an answer sooner.
+    const mayMove = mayRepeat(route) && progress.attempts + 1 < route.maxAttempts
+    const cancelWait = mayMove ? clock.after(firstWaitMs(route), () => exchange.abort('no answer in time')) : () => {}
     try {
       const result = await exchange.result
       if (result.kind !== 'head') {
@@ -167,7 +169,7 @@
       }
       progress.attempts++
       backend.lastHeardMs = clock.now()
-      return await useHead(forwarded, progress, { backend, exchange, head: result.head, body: result.body, startedMs, endPrefill, cancelWait })
+      return await useHead(forwarded, progress, { backend, exchange, head: result.head, body: result.body, startedMs, mayMove, endPrefill, cancelWait })
     } finally {
       cancelWait()
       endPrefill()
@@ -183,6 +185,7 @@
     head: BackendHead
     body: Parameters<typeof readAnswer>[0]
     startedMs: number
+    mayMove: boolean
     endPrefill(): void
     cancelWait(): void
   }
@@ -226,7 +229,7 @@
       }
       return repeatOr(route, end.reason)
     }
-    const bytes = await readAnswer(answer.body)
+    const bytes = await readAnswer(answer.body, exchange)
     if (!bytes) {
       noteResult(backend, forwarded, { failed: true, firstEventMs: undefined })
       return repeatOr(route, 'answer cut off')
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -9,7 +9,7 @@
 import type { BackendHead, Route } from './types.ts'
 
 /** The whole body, or `undefined` when it was cut off or is too large to hold. */
-export function readAnswer (body: IncomingMessage): Promise<Buffer | undefined> {
+export function readAnswer (body: IncomingMessage, exchange: Exchange): Promise<Buffer | undefined> {
   return new Promise(resolve => {
     const chunks: Buffer[] = []
     let bytes = 0
@@ -18,7 +18,7 @@
       if (bytes > MAX_HELD_ANSWER_BYTES) return body.destroy()
       chunks.push(chunk)
     })
-    body.on('end', () => resolve(body.complete ? Buffer.concat(chunks) : undefined))
+    body.on('end', () => resolve(body.complete && !exchange.isBroken() ? Buffer.concat(chunks) : undefined))
     body.on('close', () => resolve(undefined))
   })
 }
@@ -32,6 +32,8 @@
   route: Route
   /** Last event that the caller has; the next one must follow it. */
   lastEventId: number | undefined
+  /** Whether the stream may still go on at another backend server. */
+  mayMove: boolean
   /** Called at the first event. */
   endPrefill(): void
   cancelWait(): void
@@ -47,7 +49,7 @@
 
 /** Relays whole events until the stream is complete, breaks or stalls. The caller's answer begins with the first event. */
 export function relayEvents (relay: EventRelay): Promise<EventRelayEnd> {
-  const { backend, exchange, head, body, caller, route, clock } = relay
+  const { backend, exchange, head, body, caller, route, mayMove, clock } = relay
   const splitter = createEventSplitter()
   let { lastEventId } = relay
   let firstEventMs: number | undefined
@@ -68,7 +70,7 @@
 
     /** A stream that pauses for too long goes on elsewhere, sooner when its backend server sends nothing at all. */
     function checkStall (): void {
-      if (firstEventMs === undefined || blocked || !route.resumable) return
+      if (firstEventMs === undefined || blocked || !mayMove) return
       const pauseMs = clock.now() - lastEventMs
       const silent = clock.now() - backend.lastHeardMs > route.longestPauseMs * SILENT_SERVER_FACTOR
       if (pauseMs > route.longestPauseMs * (silent ? SILENT_SERVER_FACTOR : STALL_FACTOR)) end('broken', 'stalled')
@@ -94,7 +96,7 @@
       }
     })
     body.on('end', () => {
-      if (!body.complete || splitter.pendingBytes() > 0) return end('broken', 'the stream was cut off')
+      if (!body.complete || exchange.isBroken() || splitter.pendingBytes() > 0) return end('broken', 'the stream was cut off')
       if (!caller.hasBegun()) caller.begin(head.status, head.headers)
       caller.end()
       end('complete', 'complete')
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -252,7 +252,7 @@
       caller.fail(new GatewayError(error, { retryAfterMs: RETRY_AFTER_S * 1000 }))
     }
     if (stoppingSinceMs !== undefined && clock.now() - stoppingSinceMs > TAKE_AFTER_STOP_MS) return refuse('vm_leaving')
-    if (!table) return refuse('vm_not_ready')
+    if (!table || !feeds.every(feed => feed.isLoaded())) return refuse('vm_not_ready')
     if (!lease.isValid() && !await lease.waitValid(PROOF_WAIT_MS)) {
       const route = table.match(request.host, request.target)
       if (!route || needsKey(route.anonymous)) return refuse('keys_unproven')
