Share load between VMs, wait for room in bursts, keep lapsed entries for the store's return

Ruled out: polling the engines' own reports, 18 backend servers from 9 VMs each second cost 2.4% in probes; ending polls sooner. Change: load reports over the peer links, a queue for room by urgency, one grace after each return of the store, and the proof of keys only after what was read is applied.

--- a/src/core/backend-pool/index.ts
+++ b/src/core/backend-pool/index.ts
@@ -29,10 +29,12 @@
 }
 
 export interface BackendPool {
-  /** Replaces all entries; `silentMs` is how long the store had not answered before. */
-  applySnapshot(entries: readonly BackendEntry[], silentMs: number): void
+  /** Replaces all entries. */
+  applySnapshot(entries: readonly BackendEntry[]): void
   apply(entry: BackendEntry): void
-  remove(id: BackendServerId, silentMs: number): void
+  remove(id: BackendServerId): void
+  /** Notes that the store answers again; entries that are missing now may come back. */
+  noteStoreReturned(): void
   /** Data centres that must get no new work. */
   setOutOfService(dataCentres: ReadonlySet<DataCentreId>): void
   /** Backend servers of a service that may get work, whether or not they have room. */
@@ -44,12 +46,14 @@
   noteSend(backend: Backend): void
   noteConnectFailure(backend: Backend): void
   noteResult(backend: Backend, failed: boolean): void
-  size(): number
+  all(): Iterable<Backend>
 }
 
 export function createBackendPool ({ cold, clock, log, metrics }: BackendPoolOptions): BackendPool {
   const backends = new Map<BackendServerId, Backend>()
   let outOfService: ReadonlySet<DataCentreId> = new Set()
+  /** Monotonic time until which missing entries are kept. */
+  let graceEndMs = -Infinity
   let cancelSweep: TimerCancel | undefined
 
   function apply (entry: BackendEntry): void {
@@ -58,7 +62,7 @@
     if (known && !restarted) {
       if (!known.entry.leaving && entry.leaving) log.info('backend server is leaving', { backendServer: entry.id, service: entry.service })
       known.entry = entry
-      known.missingSinceMs = undefined
+      known.isMissing = false
       return
     }
     if (known) drop(known, 'restarted')
@@ -66,13 +70,13 @@
     backends.set(entry.id, {
       entry,
       inFlight: 0,
-      promptTokensAhead: 0,
+      load: 0,
       failureRate: 0,
       lastHeardMs: clock.now(),
       connectFailures: 0,
       suspendedUntilMs: -Infinity,
       recentSends: known?.recentSends ?? [],
-      missingSinceMs: undefined,
+      isMissing: false,
       onGone: new Set()
     })
   }
@@ -81,29 +85,24 @@
     log.info('backend server gone', { backendServer: backend.entry.id, service: backend.entry.service, reason, inFlight: backend.inFlight })
     backends.delete(backend.entry.id)
     for (const notify of [...backend.onGone]) notify()
+    backend.onGone.clear()
   }
 
-  function remove (id: BackendServerId, silentMs: number): void {
+  function remove (id: BackendServerId): void {
     const backend = backends.get(id)
     if (!backend) return
-    if (silentMs === 0 && backend.missingSinceMs === undefined) {
+    if (clock.now() >= graceEndMs) {
       // Some leave without notice: the entry goes and the requests in flight are still served.
       backend.entry = { ...backend.entry, leaving: true }
       backends.delete(id)
       log.info('backend server entry removed', { backendServer: id, inFlight: backend.inFlight })
       return
     }
-    backend.missingSinceMs ??= clock.now()
-    cancelSweep ??= clock.after(RETURN_GRACE_MS, sweep)
+    backend.isMissing = true
   }
 
-  function sweep (): void {
-    cancelSweep = undefined
-    for (const backend of [...backends.values()]) {
-      if (backend.missingSinceMs === undefined) continue
-      if (clock.now() - backend.missingSinceMs >= RETURN_GRACE_MS) drop(backend, 'missing after the store returned')
-      else cancelSweep ??= clock.after(RETURN_GRACE_MS, sweep)
-    }
+  function dropMissing (): void {
+    for (const backend of [...backends.values()]) if (backend.isMissing) drop(backend, 'missing after the store returned')
   }
 
   function ofService (service: ServiceId): Backend[] {
@@ -120,10 +119,15 @@
   }
 
   return {
-    applySnapshot (entries, silentMs) {
+    noteStoreReturned () {
+      graceEndMs = clock.now() + RETURN_GRACE_MS
+      cancelSweep?.()
+      cancelSweep = clock.after(RETURN_GRACE_MS, dropMissing)
+    },
+    applySnapshot (entries) {
       const listed = new Set(entries.map(({ id }) => id))
       for (const entry of entries) apply(entry)
-      for (const id of [...backends.keys()]) if (!listed.has(id)) remove(id, silentMs)
+      for (const id of [...backends.keys()]) if (!listed.has(id)) remove(id)
     },
     apply,
     remove,
@@ -151,6 +155,6 @@
       backend.failureRate += FAILURE_WEIGHT * ((failed ? 1 : 0) - backend.failureRate)
       if (!failed) backend.connectFailures = 0
     },
-    size: () => backends.size
+    all: () => backends.values()
   }
 }
--- a/src/core/backend-pool/types.ts
+++ b/src/core/backend-pool/types.ts
@@ -23,8 +23,8 @@
   entry: BackendEntry
   /** Requests of this VM that it runs or queues. */
   inFlight: number
-  /** Prompt tokens of these requests whose first event has not come. */
-  promptTokensAhead: number
+  /** Load of these requests, in requests to the largest model; prompts count until their first event. */
+  load: number
   /** Moving share of failed requests, 0 to 1. */
   failureRate: number
   /** Monotonic time of the last bytes that this VM received from it. */
@@ -35,8 +35,8 @@
   suspendedUntilMs: number
   /** Monotonic times of the requests that this VM sent in the last second. */
   recentSends: number[]
-  /** Monotonic time from which a missing entry counts as gone; `undefined` while the entry is present. */
-  missingSinceMs: number | undefined
+  /** Whether its entry is missing while entries may still come back. */
+  isMissing: boolean
   /** Called when the backend server is known to be gone, for each request in flight. */
   onGone: Set<() => void>
 }
--- a/src/core/forwarding/constants.ts
+++ b/src/core/forwarding/constants.ts
@@ -29,3 +29,7 @@
 export const SILENT_SERVER_FACTOR = 0.75
 /** Period of the checks for stalled answers. */
 export const STALL_CHECK_MS = 150
+/** Longest wait for room: the bounds that are met in bursts are counted over one second. */
+export const MAX_ROOM_WAIT_MS = 1100
+/** Part of the time left that a request may wait for room. */
+export const ROOM_WAIT_SHARE = 0.25
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -8,8 +8,10 @@
 import { GatewayError, type ErrorName } from '../errors/index.ts'
 import type { ModelId, ServiceId, VersionId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
+import { requestLoad } from '../placement/index.ts'
+import type { RoomQueue } from '../placement/room-queue.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
-import { ANSWER_FACTOR, DEFAULT_WAIT_MS, ESCALATION_CONFIDENCE, FIRST_EVENT_FACTOR, MAX_CONNECT_TRIES, MIN_ATTEMPT_MS, RETRY_AFTER_S, RETRY_AFTER_SPREAD_S } from './constants.ts'
+import { ANSWER_FACTOR, DEFAULT_WAIT_MS, ESCALATION_CONFIDENCE, FIRST_EVENT_FACTOR, MAX_CONNECT_TRIES, MAX_ROOM_WAIT_MS, MIN_ATTEMPT_MS, RETRY_AFTER_S, RETRY_AFTER_SPREAD_S, ROOM_WAIT_SHARE } from './constants.ts'
 import { startExchange, type Codec, type Exchange } from './exchange.ts'
 import { readAnswer, relayEvents } from './relay.ts'
 import type { RetryAllowance } from './retry-allowance.ts'
@@ -32,8 +34,13 @@
 
 export interface ForwarderOptions {
   codec: Codec
-  /** Chooses a backend server with room for the request; `undefined` when there is none. */
-  assign(forwarded: ForwardedRequest, tried: ReadonlySet<Backend>): Assignment | undefined
+  /** Load of a request to a model, relative to the largest one. */
+  modelWeight(service: ServiceId, model: ModelId | undefined): number
+  room: RoomQueue
+  /** Decides the version for one attempt; the result chooses a backend server with room, `undefined` when there is none. */
+  prepare(forwarded: ForwardedRequest, tried: ReadonlySet<Backend>): () => Assignment | undefined
+  /** Whether room may appear: some backend server may get work and is only full for the moment. */
+  mayFindRoom(service: ServiceId): boolean
   /** The retries that this VM may still send to a service. */
   retries(service: ServiceId): RetryAllowance
   /** Last check before a request is sent; a reason keeps it from being sent. */
@@ -41,8 +48,6 @@
   noteSend(backend: Backend): void
   noteConnectFailure(backend: Backend): void
   noteResult(backend: Backend, forwarded: ForwardedRequest, result: { failed: boolean, firstEventMs: number | undefined }): void
-  /** Called when a backend server has room again. */
-  noteRoom(service: ServiceId): void
   clock: Clock
   metrics: Metrics
   log: DecisionLog
@@ -69,7 +74,7 @@
 }
 
 export function createForwarder (options: ForwarderOptions) {
-  const { codec, assign, retries, mayStillRun, clock, metrics, log, random } = options
+  const { codec, prepare, retries, mayStillRun, clock, metrics, log, random } = options
 
   /** Forwards the request and answers the caller; never rejects. */
   async function forward (forwarded: ForwardedRequest): Promise<void> {
@@ -127,7 +132,8 @@
     if (progress.connectTries >= MAX_CONNECT_TRIES) return { kind: 'failed', error: notRunError, reason: 'no connection' }
     const forbidden = mayStillRun(forwarded)
     if (forbidden) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : forbidden, reason: 'may not run any more' }
-    const assignment = assign(forwarded, progress.tried)
+    const assignment = await place(forwarded, progress, remainingMs)
+    if (progress.ended) return { kind: 'done' }
     if (!assignment) return { kind: 'failed', error: notRunError, reason: 'no backend server has room' }
     if (progress.attempts > 0 && !retries(service).take()) {
       metrics.count('retries', 'budget_exhausted')
@@ -144,14 +150,17 @@
     progress.tried.add(backend)
     options.noteSend(backend)
     backend.inFlight++
-    backend.promptTokensAhead += request.promptTokens
-    let prefilling = true
+    const load = requestLoad(request.promptTokens, options.modelWeight(service, progress.model))
+    let promptLoad = load.prompt
+    backend.load += load.running + promptLoad
     const endPrefill = () => {
-      if (prefilling) backend.promptTokensAhead -= request.promptTokens
-      prefilling = false
+      backend.load -= promptLoad
+      promptLoad = 0
     }
+    const onGone = () => exchange.abort('backend server gone')
     // The last attempt may take all the time that is left: silence is no reason to end an answer sooner.
     const mayMove = mayRepeat(route) && progress.attempts + 1 < route.maxAttempts
+    if (mayMove) backend.onGone.add(onGone)
     const cancelWait = mayMove ? clock.after(firstWaitMs(route), () => exchange.abort('no answer in time')) : () => {}
     try {
       const result = await exchange.result
@@ -173,12 +182,27 @@
     } finally {
       cancelWait()
       endPrefill()
+      backend.load -= load.running
+      backend.onGone.delete(onGone)
       backend.inFlight--
       progress.current = undefined
-      options.noteRoom(service)
+      options.room.wake(service)
     }
   }
 
+  async function place (forwarded: ForwardedRequest, progress: Progress, remainingMs: number): Promise<Assignment | undefined> {
+    const { service, route, team } = forwarded
+    const assign = prepare(forwarded, progress.tried)
+    const found = options.room.size(service) === 0 ? assign() : undefined
+    if (found || !options.mayFindRoom(service)) return found
+    return await options.room.wait(service, {
+      urgency: urgencyOf(route, team),
+      timeoutMs: Math.min(MAX_ROOM_WAIT_MS, remainingMs * ROOM_WAIT_SHARE),
+      place: assign,
+      isGone: () => progress.ended
+    })
+  }
+
   interface Answer {
     backend: Backend
     exchange: Exchange
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -44,6 +44,8 @@
   slots: number
   /** Tokens of running requests and cached prefixes together. */
   tokenCapacity: number
+  /** Cost of 1,000 generated tokens by model; it also stands for how much of an engine's time a model takes. */
+  modelCosts: ReadonlyMap<ModelId, number>
 }
 
 export interface Team {
--- a/src/core/node/constants.ts
+++ b/src/core/node/constants.ts
@@ -16,3 +16,5 @@
 export const STOP_SHARE = 0.94
 /** Pause between the end of the last request and the end of the process, so that its answer leaves. */
 export const STOP_SETTLE_MS = 200
+/** Loads below this are left out of reports; rounding leaves tiny remainders. */
+export const MIN_REPORTED_LOAD = 0.01
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -15,16 +15,18 @@
 import { createCallerServer } from '../forwarding/server.ts'
 import type { CallerConnection } from '../forwarding/caller-connection.ts'
 import type { CallerRequest, TrafficConfig } from '../forwarding/types.ts'
-import { brandId, type BackendServerId, type DataCentreId, type ServiceId } from '../ids/index.ts'
+import { brandId, type BackendServerId, type DataCentreId, type ModelId, type ServiceId } from '../ids/index.ts'
 import { createDecisionLog } from '../logging/decision-log.ts'
 import { createMetrics } from '../metrics/index.ts'
 import { createObjectFeed, type Change, type ObjectFeed, type ObjectStore, type StoredObject } from '../object-feed/index.ts'
 import { chooseBackend } from '../placement/index.ts'
+import { createRoomQueue } from '../placement/room-queue.ts'
 import { hashPoint, rendezvousOrder } from '../placement/rendezvous.ts'
 import { createVersionTrials, type RolloutOrder } from '../version-trial/index.ts'
 import type { OutcomeReport } from '../rollout/types.ts'
+import { createLoadExchange, type LoadReport } from '../load-exchange/index.ts'
 import { createFleet } from '../fleet/index.ts'
-import { ADDRESS_TTL_S, CONFIG_WAIT_MS, FEED_WAIT_MS, MAX_ADDRESSES, RELIST_SHARE, STOP_SETTLE_MS, STOP_SHARE, TAKE_AFTER_STOP_MS } from './constants.ts'
+import { ADDRESS_TTL_S, CONFIG_WAIT_MS, FEED_WAIT_MS, MAX_ADDRESSES, MIN_REPORTED_LOAD, RELIST_SHARE, STOP_SETTLE_MS, STOP_SHARE, TAKE_AFTER_STOP_MS } from './constants.ts'
 import type { NodeSettings } from './types.ts'
 
 export type { NodeSettings } from './types.ts'
@@ -93,6 +95,27 @@
     return created
   }
 
+  const room = createRoomQueue(clock)
+  const loads = createLoadExchange({
+    vms: () => fleet.liveVms(),
+    self: settings.vm,
+    ownLoad () {
+      const loaded = [...pool.all()].filter(({ load }) => load > MIN_REPORTED_LOAD)
+      return Object.fromEntries(loaded.map(backend => [backend.entry.id, Math.round(backend.load * 100) / 100]))
+    },
+    send: (to, report) => fleet.peers.notify(to, 'load.report', report),
+    clock,
+    random
+  })
+  fleet.peers.handle('load.report', (report, from) => loads.accept(from, report as LoadReport))
+
+  /** Costs stand for the time that the models take; without costs all weigh the same. */
+  function modelWeight (service: ServiceId, model: ModelId | undefined): number {
+    const costs = table?.service(service)?.engine?.modelCosts
+    if (!costs || model === undefined) return 1
+    return (costs.get(model) ?? 1) / Math.max(...costs.values(), Number.MIN_VALUE)
+  }
+
   const trials = createVersionTrials({
     vm: settings.vm,
     boot: fleet.boot,
@@ -134,16 +157,17 @@
       waitMs: CONFIG_WAIT_MS,
       onSnapshot: objects => { for (const object of objects) if (object.name === adapter.configName) applyConfig(object) },
       onChange: ({ object, deleted }) => { if (object.name === adapter.configName && !deleted) applyConfig(object) },
-      onAnswer: sent => lease.renew(sent)
+      onCurrent: sent => lease.renew(sent)
     }),
     createObjectFeed({
       ...feedDefaults,
       kind: kinds.backendServers,
-      onSnapshot: (objects, { silentMs }) => pool.applySnapshot(objects.flatMap(readBackend), silentMs),
-      onChange: ({ object, deleted }, { silentMs }) => {
+      onRegained: () => pool.noteStoreReturned(),
+      onSnapshot: objects => pool.applySnapshot(objects.flatMap(readBackend)),
+      onChange: ({ object, deleted }) => {
         const [entry] = deleted ? [] : readBackend(object)
         if (entry) pool.apply(entry)
-        else pool.remove(brandId<BackendServerId>(object.name), silentMs)
+        else pool.remove(brandId<BackendServerId>(object.name))
       }
     }),
     createObjectFeed({
@@ -185,16 +209,22 @@
     return []
   }
 
-  function assign (forwarded: ForwardedRequest, tried: ReadonlySet<Backend>): Assignment | undefined {
-    const { request, service, route } = forwarded
+  function prepare ({ request, service, route }: ForwardedRequest, tried: ReadonlySet<Backend>): () => Assignment | undefined {
     const rule = trials.rule(service, request.session ?? request.id!, tried.size > 0)
-    const permitted = pool.eligible(service).filter(({ entry }) => rule.allows(entry.version))
-    const usable = spreadOver(permitted, rule.spread).filter(backend => hasRoom(backend) && pool.hasColdRoom(backend))
-    const fresh = usable.filter(backend => !tried.has(backend))
-    const candidates = fresh.length > 0 ? fresh : usable
     const affinityKey = route.kind === 'streaming' ? request.prompt.at(-2)?.id ?? request.prompt.at(-1)?.id : undefined
-    const backend = chooseBackend({ candidates, affinityKey, dataCentre: settings.dataCentre, random })
-    return backend && { backend, version: backend.entry.version }
+    return () => {
+      const permitted = pool.eligible(service).filter(({ entry }) => rule.allows(entry.version))
+      const usable = spreadOver(permitted, rule.spread).filter(backend => hasRoom(backend) && pool.hasColdRoom(backend))
+      const fresh = usable.filter(backend => !tried.has(backend))
+      const backend = chooseBackend({
+        candidates: fresh.length > 0 ? fresh : usable,
+        affinityKey,
+        dataCentre: settings.dataCentre,
+        othersLoad: ({ entry }) => loads.othersLoad(entry.id),
+        random
+      })
+      return backend && { backend, version: backend.entry.version }
+    }
   }
 
   /** The first backend servers in an order that all VMs share. */
@@ -213,7 +243,10 @@
 
   const forwarder = createForwarder({
     codec: adapter,
-    assign,
+    prepare,
+    mayFindRoom: service => pool.eligible(service).length > 0,
+    modelWeight,
+    room,
     retries,
     mayStillRun ({ request, route, team }) {
       if (!needsKey(route.anonymous)) return undefined
@@ -226,7 +259,6 @@
       pool.noteResult(backend, result.failed)
       trials.observe(service, backend.entry.version, result)
     },
-    noteRoom () {},
     clock,
     metrics,
     log,
@@ -284,6 +316,7 @@
   for (const feed of feeds) feed.start()
   fleet.start()
   trials.start()
+  loads.start()
   await Promise.all([
     listen(callers.server, settings.callerAddress), listen(readiness, settings.readinessAddress),
     listen(directory, settings.directoryAddress), listen(metricsServer, settings.metricsAddress)
--- a/src/core/object-feed/index.ts
+++ b/src/core/object-feed/index.ts
@@ -7,7 +7,7 @@
 import { errorMessage } from '../errors/index.ts'
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import { FIRST_RETRY_MS, LONGEST_RETRY_MS, LOST_AFTER_MS } from './constants.ts'
+import { FIRST_RETRY_MS, LONGEST_RETRY_MS } from './constants.ts'
 import type { Change, ObjectSource, StoredObject } from './types.ts'
 
 export type * from './types.ts'
@@ -19,21 +19,18 @@
   waitMs: number
   /** Longest time between two lists, in milliseconds; under the history that the store keeps. */
   relistMs: number
-  onSnapshot(objects: StoredObject[], context: FeedContext): void
-  onChange(change: Change, context: FeedContext): void
-  /** Called after each answer with the times at which the call was sent. */
-  onAnswer?: (sent: { monotonicMs: number, wallMs: number }) => void
+  onSnapshot(objects: StoredObject[]): void
+  onChange(change: Change): void
+  /** Called at the first answer after failed calls, before what it reports. */
+  onRegained?: () => void
+  /** Called when everything up to a call is applied, with the times at which the call was sent. */
+  onCurrent?: (sent: { monotonicMs: number, wallMs: number }) => void
   clock: Clock
   log: Log
   metrics: Metrics
   random: () => number
 }
 
-export interface FeedContext {
-  /** Time without an answer before this one, in milliseconds. */
-  silentMs: number
-}
-
 export interface ObjectFeed {
   start(): void
   stop(): void
@@ -44,7 +41,7 @@
 }
 
 export function createObjectFeed (options: ObjectFeedOptions): ObjectFeed {
-  const { kind, source, waitMs, relistMs, onSnapshot, onChange, onAnswer, clock, log, metrics, random } = options
+  const { kind, source, waitMs, relistMs, onSnapshot, onChange, onRegained, onCurrent, clock, log, metrics, random } = options
   let running = false
   let position: number | undefined
   let listedMs = -Infinity
@@ -70,33 +67,34 @@
     const sent = { monotonicMs: sentMs, wallMs: clock.wallMs() }
     if (position === undefined || sentMs - listedMs >= relistMs) {
       const snapshot = await source.list(kind)
-      const context = noteAnswer(sent)
+      noteAnswer()
       if (position !== undefined && snapshot.revision < position) return
       position = snapshot.revision
       listedMs = sentMs
-      onSnapshot(snapshot.objects, context)
+      onSnapshot(snapshot.objects)
       loaded = true
+      onCurrent?.(sent)
     } else {
       const batch = await source.watch(kind, position, waitMs)
-      const context = noteAnswer(sent)
+      noteAnswer()
       if (!batch) {
         metrics.count('retries', 'history_dropped')
         position = undefined
         return
       }
-      if (batch.changes.length === 0) return
-      position = batch.revision
-      for (const change of batch.changes) onChange(change, context)
+      if (batch.changes.length > 0) position = batch.revision
+      for (const change of batch.changes) onChange(change)
+      onCurrent?.(sent)
     }
   }
 
-  function noteAnswer (sent: { monotonicMs: number, wallMs: number }): FeedContext {
-    const silentMs = clock.now() - answeredMs
+  function noteAnswer (): void {
+    if (lost) {
+      log.info('the store answers again', { kind, silentMs: Math.round(clock.now() - answeredMs) })
+      onRegained?.()
+    }
     answeredMs = clock.now()
-    if (lost) log.info('the store answers again', { kind, silentMs: Math.round(silentMs) })
     lost = false
-    onAnswer?.(sent)
-    return { silentMs: silentMs > waitMs + LOST_AFTER_MS ? silentMs : 0 }
   }
 
   async function noteFailure (error: unknown): Promise<void> {
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -13,6 +13,8 @@
   /** Prefix or session that requests share; `undefined` places by load alone. */
   affinityKey: string | undefined
   dataCentre: DataCentreId
+  /** Load that other VMs have put on a backend server. */
+  othersLoad(backend: Backend): number
   random: () => number
 }
 
@@ -20,17 +22,18 @@
 const AFFINITY_CHOICES = 2
 /** Load above the least busy one, in requests, up to which a cached prefix is worth waiting for. */
 const AFFINITY_SLACK = 1.5
-/** Prompt tokens that count as one more request: about 65 ms of prefill at 61 tokens a millisecond. */
+/** Prompt tokens that count as one more request until the first event: about 65 ms of prefill at 61 tokens a millisecond. */
 const TOKENS_PER_LOAD = 4000
 /** Load that a backend server which fails all requests appears to have in addition. */
 const FAILURE_LOAD = 40
 /** Advantage of a backend server in the VM's own data centre; breaks ties only. */
 const NEAR_BONUS = 0.3
 
-export function chooseBackend ({ candidates, affinityKey, dataCentre, random }: PlacementOptions): Backend | undefined {
+export function chooseBackend ({ candidates, affinityKey, dataCentre, othersLoad, random }: PlacementOptions): Backend | undefined {
+  const loads = new Map(candidates.map(backend => [backend, loadOf(backend) + othersLoad(backend)]))
   let best: { backend: Backend, load: number, order: number } | undefined
   for (const backend of candidates) {
-    const load = loadOf(backend) - (backend.entry.dataCentre === dataCentre ? NEAR_BONUS : 0)
+    const load = loads.get(backend)! - (backend.entry.dataCentre === dataCentre ? NEAR_BONUS : 0)
     const order = random()
     if (!best || load < best.load || (load === best.load && order < best.order)) best = { backend, load, order }
   }
@@ -40,11 +43,16 @@
     .map(backend => ({ backend, weight: hashText(`${affinityKey}/${backend.entry.id}`) }))
     .sort((a, b) => b.weight - a.weight)
     .slice(0, AFFINITY_CHOICES)
-    .find(({ backend }) => loadOf(backend) <= limit)
+    .find(({ backend }) => loads.get(backend)! <= limit)
   return preferred?.backend ?? best.backend
 }
 
-/** Load of a backend server in requests, as far as this VM knows it. */
-export function loadOf ({ inFlight, promptTokensAhead, failureRate }: Backend): number {
-  return inFlight + promptTokensAhead / TOKENS_PER_LOAD + failureRate * FAILURE_LOAD
+/** Load that this VM has put on a backend server, and how badly it serves, in requests. */
+export function loadOf ({ load, failureRate }: Backend): number {
+  return load + failureRate * FAILURE_LOAD
+}
+
+/** Load of one request: its place in the batch, and its prompt until the first event. */
+export function requestLoad (promptTokens: number, modelWeight: number): { running: number, prompt: number } {
+  return { running: modelWeight, prompt: modelWeight * promptTokens / TOKENS_PER_LOAD }
 }
