--- a/src/core/forwarding/constants.ts
+++ b/src/core/forwarding/constants.ts
@@ -17,8 +17,6 @@
 export const RETRY_AFTER_SPREAD_S = 0.6
 /** Time that a keyed request waits for a newer proof of the configuration before it is refused. */
 export const PROOF_WAIT_MS = 500
-/** Confidence, of 100, below which an answer of a small model is dropped for a larger one. */
-export const ESCALATION_CONFIDENCE = 50
 /** Added to the idle timeout of the configuration, so that a connection is not closed while a caller reuses it. */
 export const IDLE_MARGIN_MS = 2000
 /** Wait for the first event, as a multiple of the target latency, after which a stream that may be repeated starts elsewhere. */
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -11,7 +11,7 @@
 import { requestLoad } from '../placement/index.ts'
 import type { RoomQueue } from '../placement/room-queue.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
-import { ANSWER_FACTOR, DEFAULT_WAIT_MS, ESCALATION_CONFIDENCE, FIRST_EVENT_FACTOR, MAX_CONNECT_TRIES, MAX_ROOM_WAIT_MS, MIN_ATTEMPT_MS, RETRY_AFTER_S, RETRY_AFTER_SPREAD_S, ROOM_WAIT_SHARE } from './constants.ts'
+import { ANSWER_FACTOR, DEFAULT_WAIT_MS, FIRST_EVENT_FACTOR, MAX_CONNECT_TRIES, MAX_ROOM_WAIT_MS, MIN_ATTEMPT_MS, RETRY_AFTER_S, RETRY_AFTER_SPREAD_S, ROOM_WAIT_SHARE } from './constants.ts'
 import { startExchange, type Codec, type Exchange } from './exchange.ts'
 import { readAnswer, relayEvents } from './relay.ts'
 import type { RetryAllowance } from './retry-allowance.ts'
@@ -36,6 +36,8 @@
   codec: Codec
   /** Load of a request to a model, relative to the largest one. */
   modelWeight(service: ServiceId, model: ModelId | undefined): number
+  /** Confidence, of 100, below which an answer is dropped for the largest model's. */
+  escalationConfidence(service: ServiceId): number
   room: RoomQueue
   /** Decides the version for one attempt; the result chooses a backend server with room, `undefined` when there is none. */
   prepare(forwarded: ForwardedRequest, tried: ReadonlySet<Backend>): () => Assignment | undefined
@@ -267,11 +269,11 @@
   }
 
   /** Drops the answer of a small model that doubts it, while the caller has received nothing and an attempt is left. */
-  function shouldEscalate ({ route, request, caller }: ForwardedRequest, progress: Progress, head: BackendHead): boolean {
+  function shouldEscalate ({ route, service, request, caller }: ForwardedRequest, progress: Progress, head: BackendHead): boolean {
     const { models } = route
     if (request.model !== undefined || models.length < 2 || progress.model === models[models.length - 1]) return false
     if (caller.hasBegun() || progress.attempts >= route.maxAttempts || head.confidence === undefined) return false
-    return head.confidence < ESCALATION_CONFIDENCE
+    return head.confidence < options.escalationConfidence(service)
   }
 
   function repeatOr (route: Route, reason: string): AttemptEnd {
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -12,6 +12,7 @@
 import { createForwarder, type Assignment, type ForwardedRequest } from '../forwarding/forward.ts'
 import { createRetryAllowance, type RetryAllowance } from '../forwarding/retry-allowance.ts'
 import { chooseService, createRouteTable, type RouteTable } from '../forwarding/route-table.ts'
+import { escalationConfidence } from '../cascade/confidence.ts'
 import { createCallerServer } from '../forwarding/server.ts'
 import type { CallerConnection } from '../forwarding/caller-connection.ts'
 import type { CallerRequest, TrafficConfig } from '../forwarding/types.ts'
@@ -116,6 +117,12 @@
     return (costs.get(model) ?? 1) / Math.max(...costs.values(), Number.MIN_VALUE)
   }
 
+  /** Mean load of the backend servers of a service, of all VMs. */
+  function meanLoad (service: ServiceId): number {
+    const backends = pool.eligible(service)
+    return backends.reduce((sum, backend) => sum + backend.load + loads.othersLoad(backend.entry.id), 0) / Math.max(1, backends.length)
+  }
+
   const trials = createVersionTrials({
     vm: settings.vm,
     boot: fleet.boot,
@@ -246,6 +253,7 @@
     prepare,
     mayFindRoom: service => pool.eligible(service).length > 0,
     modelWeight,
+    escalationConfidence: service => escalationConfidence(meanLoad(service)),
     room,
     retries,
     mayStillRun ({ request, route, team }) {
--- a/src/core/version-trial/constants.ts
+++ b/src/core/version-trial/constants.ts
@@ -20,3 +20,7 @@
 export const REPORT_RECEIVERS = 2
 /** Backend servers of the new version that a share of the traffic is put on, as a multiple of that share, so that each gets a usual load. */
 export const LOAD_FACTOR = 1.5
+/** Evidence at which a version is rolled back: chance alone reaches it in about 1 of 1,000 looks. */
+export const STOP_EVIDENCE = 6.5
+/** Evidence above which a version is not taken over completely yet. */
+export const WAIT_EVIDENCE = 2.5
--- a/src/core/version-trial/index.ts
+++ b/src/core/version-trial/index.ts
@@ -11,12 +11,12 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { hashPoint, rendezvousOrder } from '../placement/rendezvous.ts'
-import { createJudge, type Judge } from '../rollout/judge.ts'
-import { addTallies, countOutcome, emptyRolloutTally } from '../rollout/tally.ts'
+import { countOutcome, emptyRolloutTally } from '../rollout/tally.ts'
 import type { OutcomeReport, RolloutTally } from '../rollout/types.ts'
 import {
-  COMPLETE_AT, FIRST_SHARE, LOAD_FACTOR, MIN_TRIALS, REPORT_RECEIVERS, SECOND_SHARE, SECOND_STAGE_AT, SHARE_SAFETY, TRIAL_PERIOD_MS, WRITER_DELAY_MS
+  COMPLETE_AT, FIRST_SHARE, LOAD_FACTOR, MIN_TRIALS, REPORT_RECEIVERS, SECOND_SHARE, SECOND_STAGE_AT, SHARE_SAFETY, STOP_EVIDENCE, TRIAL_PERIOD_MS, WAIT_EVIDENCE, WRITER_DELAY_MS
 } from './constants.ts'
+import { createTrialJudge, sumTallies, type TrialJudge } from './evidence.ts'
 import type { RolloutOrder } from './types.ts'
 
 export type { RolloutOrder } from './types.ts'
@@ -53,7 +53,7 @@
   dueSinceMs: number | undefined
   tally: RolloutTally
   reports: Map<string, RolloutTally>
-  judge: Judge
+  judge: TrialJudge
   requests: number
   trialRequests: number
   writing: boolean
@@ -83,7 +83,7 @@
       dueSinceMs: undefined,
       tally: emptyRolloutTally(),
       reports: new Map(),
-      judge: createJudge(),
+      judge: createTrialJudge(),
       requests: 0,
       trialRequests: 0,
       writing: false
@@ -159,13 +159,14 @@
     const { order, judge, reports } = trial
     if (order.state === undefined) return 'running'
     if (order.state !== 'running') return undefined
-    const total = [...reports.values()].reduce((sum, tally) => ({ from: addTallies(sum.from, tally.from), to: addTallies(sum.to, tally.to) }), emptyRolloutTally())
-    const verdict = judge.judge(total)
-    if (verdict.worse ?? verdict.suspect) {
-      log.warn('the new version is worse', { service: order.service, target: order.target, evidence: verdict.evidence, trials: total.to.requests, failures: total.to.failures })
+    const total = sumTallies(reports.values())
+    const evidence = judge.judge(total, clock.now())
+    const strongest = Math.max(evidence.failures, evidence.latency)
+    if (strongest >= STOP_EVIDENCE) {
+      log.warn('the new version is worse', { service: order.service, target: order.target, evidence, trials: total.to.requests, failures: total.to.failures })
       return 'rolled_back'
     }
-    return elapsedShare(trial) >= COMPLETE_AT && total.to.requests >= MIN_TRIALS && verdict.mayAdvance ? 'completed' : undefined
+    return elapsedShare(trial) >= COMPLETE_AT && total.to.requests >= MIN_TRIALS && strongest <= WAIT_EVIDENCE ? 'completed' : undefined
   }
 
   async function write (trial: Trial, state: 'running' | FinalState): Promise<void> {
