Pass an answer without length on without length

Change: such a body goes on with the same framing; a stream without length goes on at another backend server.

--- a/src/core/forwarding/caller-connection.ts
+++ b/src/core/forwarding/caller-connection.ts
@@ -3,8 +3,11 @@
 import type { LacewingError } from '../errors/index.ts'
 
 export interface CallerConnection {
-  /** Answers with a whole body. */
-  answer(status: number, headers: readonly string[], body: Buffer): void
+  /**
+   * Answers with a whole body. A body that was only ended by its connection is passed on in the same way, because it
+   * may have been cut off and must not look surer than it is.
+   */
+  answer(status: number, headers: readonly string[], body: Buffer, isFramed: boolean): void
   /** Begins a streamed answer. */
   begin(status: number, headers: readonly string[]): void
   hasBegun(): boolean
@@ -41,10 +44,13 @@
   }
 
   return {
-    answer (status, headers, body) {
+    answer (status, headers, body, isFramed) {
       finished = true
       const all = withoutLength(headers)
-      if (status !== 204 && status !== 304) all.push('Content-Length', String(body.length))
+      if (!isFramed) {
+        outgoing.useChunkedEncodingByDefault = false
+        outgoing.shouldKeepAlive = false
+      } else if (status !== 204 && status !== 304) all.push('Content-Length', String(body.length))
       outgoing.writeHead(status, all)
       outgoing.end(incoming.method === 'HEAD' ? undefined : body)
     },
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -13,7 +13,7 @@
 import type { DecisionLog } from '../logging/decision-log.ts'
 import { ANSWER_FACTOR, DEFAULT_WAIT_MS, FIRST_EVENT_FACTOR, MAX_CONNECT_TRIES, MAX_ROOM_WAIT_MS, MIN_ATTEMPT_MS, RETRY_AFTER_S, RETRY_AFTER_SPREAD_S, ROOM_WAIT_SHARE } from './constants.ts'
 import { startExchange, type Codec, type Exchange } from './exchange.ts'
-import { readAnswer, relayEvents } from './relay.ts'
+import { isFramed, readAnswer, relayEvents } from './relay.ts'
 import type { RetryAllowance } from './retry-allowance.ts'
 import { mayRepeat, urgencyOf } from './route-table.ts'
 import type { CallerConnection } from './caller-connection.ts'
@@ -262,7 +262,7 @@
     }
     noteResult(backend, forwarded, { failed, firstEventMs: clock.now() - startedMs })
     if (caller.hasBegun()) return { kind: 'failed', error: 'answer_truncated', reason: `status ${head.status} after a part of the answer` }
-    caller.answer(head.status, head.headers, bytes)
+    caller.answer(head.status, head.headers, bytes, isFramed(answer.body))
     metrics.count('requests', failed ? 'backend_failure' : 'answered')
     log.request('answered', { id: request.id, route: route.name, backendServer: backend.entry.id, status: head.status, attempts: progress.attempts })
     return { kind: 'done' }
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -23,6 +23,11 @@
   })
 }
 
+/** Whether the end of a body is marked by more than the end of its connection. */
+export function isFramed ({ headers, statusCode }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === 204 || statusCode === 304
+}
+
 export interface EventRelay {
   backend: Backend
   exchange: Exchange
@@ -96,7 +101,8 @@
       }
     })
     body.on('end', () => {
-      if (!body.complete || exchange.isBroken() || splitter.pendingBytes() > 0) return end('broken', 'the stream was cut off')
+      // A stream without length may have been cut off between two events; the next backend server tells.
+      if (!isFramed(body) || !body.complete || exchange.isBroken() || splitter.pendingBytes() > 0) return end('broken', 'the stream was cut off')
       if (!caller.hasBegun()) caller.begin(head.status, head.headers)
       caller.end()
       end('complete', 'complete')
