--- /dev/null
+++ b/features/forwarding.feature
@@ -0,0 +1,153 @@
+@forwarding
+Feature: Forwarding of callers' requests
+
+  Scenario Outline: <kind> meets <acts>
+    Given a forwarding VM with 2 backend servers that <acts>
+    When a caller sends a request to /<kind>/1
+    Then the caller gets status <status> with the body "<body>"
+    And the backend servers received <received>
+
+    Examples:
+      | kind  | acts                                | status | body   | received |
+      | order | answer                              | 200    | whole  | 1        |
+      | order | answer-500                          | 500    | failed | 1        |
+      | order | reset                               | 502    | -      | 1        |
+      | order | not-run                             | 503    | -      | 1        |
+      | order | misdirected                         | 503    | -      | 1        |
+      | order | cut-body                            | 502    | -      | 1        |
+      | order | foreign-id                          | 502    | -      | 1        |
+      | order | encoded                             | 502    | -      | 1        |
+      | order | no-mark                             | 502    | -      | 1        |
+      | order | garbage                             | 502    | -      | 1        |
+      | order | no-length-reset                     | 502    | -      | 1        |
+      | order | extra-answer                        | 200    | whole  | 1        |
+      | short | silent                              | 504    | -      | 1        |
+      | read  | answer                              | 200    | whole  | 1        |
+      | read  | reset, answer                       | 200    | whole  | 2        |
+      | read  | not-run, answer                     | 200    | whole  | 2        |
+      | read  | answer-500, answer                  | 200    | whole  | 2        |
+      | read  | cut-body, answer                    | 200    | whole  | 2        |
+      | read  | foreign-id, answer                  | 200    | whole  | 2        |
+      | read  | silent, answer                      | 200    | whole  | 2        |
+      | read  | answer-500                          | 500    | failed | 3        |
+      | read  | reset                               | 502    | -      | 3        |
+
+  Scenario Outline: a stream meets <acts> and comes whole
+    Given a forwarding VM with 2 backend servers that <acts>
+    When a caller sends a request to /stream/1
+    Then the caller gets every event once and the end of the stream
+    And the backend servers received <received>
+
+    Examples:
+      | acts                             | received |
+      | stream                           | 1        |
+      | stream-slow                      | 1        |
+      | stream-break-mid-event, stream   | 2        |
+      | stream-no-length, stream         | 2        |
+      | stream-stall, stream             | 2        |
+      | reset, stream                    | 2        |
+      | silent, stream                   | 2        |
+
+  Scenario: a stream that cannot go on does not look complete
+    Given a forwarding VM with 1 backend servers that stream-break-mid-event
+    When a caller sends a request to /stream/1
+    Then the caller's answer is broken off
+
+  Scenario: an answer without length goes on without length
+    Given a forwarding VM with 1 backend servers that no-length
+    When a caller sends a request to /order/1
+    Then the caller gets status 200 with the body "whole"
+    And the answer has neither length nor chunks
+
+  Scenario: a doubtful answer of the small model is replaced before the caller has any of it
+    Given a forwarding VM with 2 backend servers that stream-doubt, stream
+    When a caller sends a request to /cascade/1
+    Then the caller gets every event once and the end of the stream
+    And the backend servers were asked for the models small, large
+
+  Scenario: a backend server that refuses connections was not sent the request
+    Given a forwarding VM with 1 backend servers that answer
+    And one more backend server that has crashed
+    When 6 callers send a request to /order/1
+    Then every caller gets status 200
+    And the backend servers received 6
+
+  Scenario: a caller who leaves ends the work at the backend server
+    Given a forwarding VM with 1 backend servers that silent
+    When a caller sends a request to /read/1 and leaves after 100 ms
+    Then the backend server's connection is closed within 500 ms
+    And the backend servers received 1
+
+  Scenario: a leaving backend server gets nothing new
+    Given a forwarding VM with 2 backend servers that answer
+    When the first backend server is leaving
+    And 6 callers send a request to /order/1
+    Then every caller gets status 200
+    And the first backend server received 0
+
+  Scenario: a data centre out of service gets nothing new
+    Given a forwarding VM with 2 backend servers that answer
+    When the data centre of the first backend server is evacuated
+    And 6 callers send a request to /order/1
+    Then every caller gets status 200
+    And the first backend server received 0
+
+  Scenario Outline: a request with <fault> is refused and not run
+    Given a forwarding VM with 1 backend servers that answer
+    When a caller sends a request with <fault>
+    Then the caller gets status <status> with the body "-"
+    And the backend servers received 0
+
+    Examples:
+      | fault               | status |
+      | no key              | 401    |
+      | an unknown key      | 401    |
+      | an unknown host     | 404    |
+      | an unknown path     | 404    |
+      | no id               | 400    |
+      | a large body        | 413    |
+      | large headers       | 431    |
+      | two lengths         | 400    |
+      | length and chunks   | 400    |
+
+  Scenario: a withdrawn key stops working at once
+    Given a forwarding VM with 1 backend servers that answer
+    When the keys are withdrawn by version 2
+    And a caller sends a request to /order/1
+    Then the caller gets status 401 with the body "-"
+
+  Scenario: an older configuration never comes back
+    Given a forwarding VM with 1 backend servers that answer
+    When the keys are withdrawn by version 3
+    And version 2 with the old keys is stored
+    And a caller sends a request to /order/1
+    Then the caller gets status 401 with the body "-"
+
+  Scenario: an unreadable configuration leaves the one before in force
+    Given a forwarding VM with 1 backend servers that answer
+    When an unreadable configuration is stored
+    And a caller sends a request to /order/1
+    Then the caller gets status 200 with the body "whole"
+
+  Scenario: keys are not trusted longer than their withdrawal may stay unknown
+    Given a forwarding VM with 1 backend servers that answer
+    When the store is down for 2500 ms
+    And a caller sends a request to /order/1
+    Then the caller gets status 503 with the body "-"
+    When a caller sends a request to /open/1
+    Then the caller gets status 200 with the body "whole"
+    When the store is back
+    And a caller sends a request to /order/1
+    Then the caller gets status 200 with the body "whole"
+
+  Scenario: nothing runs before the configuration is known
+    Given a forwarding VM without configuration
+    When a caller sends a request to /order/1
+    Then the caller gets status 503 with the body "-"
+    And the VM is not ready
+
+  Scenario: a stop completes running streams and closes kept connections
+    Given a forwarding VM with 1 backend servers that stream-slow
+    When a caller sends a request to /stream/1 and the VM stops meanwhile
+    Then the caller gets every event once and the end of the stream
+    And the VM is not ready
--- /dev/null
+++ b/features/steps/forwarding.ts
@@ -0,0 +1,181 @@
+import assert from 'node:assert/strict'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { brandId, type DataCentreId } from '../../src/core/ids/index.ts'
+import { exchangeBytes, backendEntry, KINDS, startNodeStand, trafficConfig, type NodeStand, type RawAnswer } from '../support/node-stand.ts'
+import { startScriptedBackend, STREAM_EVENTS, type BackendAct, type ScriptedBackend } from '../support/scripted-backend.ts'
+
+interface ForwardingWorld {
+  stand: NodeStand
+  backends: ScriptedBackend[]
+  answers: RawAnswer[]
+}
+
+After({ tags: '@forwarding' }, async function (this: Partial<ForwardingWorld>) {
+  await this.stand?.node.close()
+  for (const backend of this.backends ?? []) await backend.close()
+})
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
+let requests = 0
+
+function requestBytes (path: string, { host = 'desk.example', key = 'good-key', id = `request-${requests++}`, extra = '', body = '' } = {}): string {
+  const lines = [`POST ${path} HTTP/1.1`, `host: ${host}`, 'connection: close', 'x-test-wait-ms: 2500', 'x-test-backend: forged', 'x-test-team: forged']
+  if (id) lines.push(`x-test-id: ${id}`)
+  if (key) lines.push(`authorization: Bearer ${key}`)
+  if (!extra.includes('length')) lines.push(`content-length: ${body.length}`)
+  return [...lines, ...extra ? [extra] : [], '', body].join('\r\n')
+}
+
+async function send (world: ForwardingWorld, bytes: string): Promise<void> {
+  world.answers = [...world.answers ?? [], await exchangeBytes(world.stand.settings.callerAddress, bytes)]
+}
+
+async function isReady (world: ForwardingWorld): Promise<boolean> {
+  return (await fetch(`http://${world.stand.settings.readinessAddress}/`)).status === 200
+}
+
+Given(/^a forwarding VM with (\d+) backend servers that (.*)$/, async function (this: ForwardingWorld, count: string, acts: string) {
+  this.stand = await startNodeStand()
+  this.backends = []
+  // The acts are one script: whichever backend server is asked first plays the first act.
+  const script = { acts: acts.split(', ') as BackendAct[] }
+  for (let i = 0; i < Number(count); i++) {
+    const backend = await startScriptedBackend(script)
+    this.backends.push(backend)
+    this.stand.store.put(KINDS.backendServers, `backend-${i}`, backendEntry(backend.address, { dataCentre: brandId<DataCentreId>(`dc-${i + 1}`) }))
+  }
+  while (!await isReady(this)) await sleep(5)
+  await sleep(30)
+})
+
+Given('a forwarding VM without configuration', async function (this: ForwardingWorld) {
+  this.stand = await startNodeStand({ configured: false })
+  await sleep(50)
+})
+
+Given('one more backend server that has crashed', async function (this: ForwardingWorld) {
+  const crashed = await startScriptedBackend()
+  await crashed.close()
+  this.stand.store.put(KINDS.backendServers, 'crashed', backendEntry(crashed.address))
+  await sleep(30)
+})
+
+When(/^(?:a|(\d+)) callers? sends? a request to (\S+)$/, async function (this: ForwardingWorld, count: string | null, path: string) {
+  await Promise.all(Array.from({ length: Number(count ?? 1) }, () => send(this, requestBytes(path))))
+})
+
+When(/^a caller sends a request to (\S+) and leaves after (\d+) ms$/, async function (this: ForwardingWorld, path: string, ms: string) {
+  const controller = new AbortController()
+  const headers = { host: 'desk.example', 'x-test-id': 'leaver', authorization: 'Bearer good-key' }
+  const { request } = await import('node:http')
+  const [host, port] = this.stand.settings.callerAddress.split(':')
+  request({ host, port, path, headers, signal: controller.signal }).on('error', () => {}).end()
+  await sleep(Number(ms))
+  controller.abort()
+})
+
+When(/^a caller sends a request to (\S+) and the VM stops meanwhile$/, async function (this: ForwardingWorld, path: string) {
+  const answer = send(this, requestBytes(path))
+  await sleep(100)
+  void this.stand.node.stop()
+  await answer
+})
+
+When(/^a caller sends a request with (.*)$/, async function (this: ForwardingWorld, fault: string) {
+  const bytes: Record<string, string> = {
+    'no key': requestBytes('/order/1', { key: '' }),
+    'an unknown key': requestBytes('/order/1', { key: 'other-key' }),
+    'an unknown host': requestBytes('/order/1', { host: 'other.example' }),
+    'an unknown path': requestBytes('/ordering/1'),
+    'no id': requestBytes('/order/1', { id: '' }),
+    'a large body': requestBytes('/order/1', { body: 'x'.repeat(2000) }),
+    'large headers': requestBytes('/order/1', { extra: `x-large: ${'x'.repeat(5000)}` }),
+    'two lengths': requestBytes('/order/1', { extra: 'content-length: 3\r\ncontent-length: 4', body: 'abcd' }),
+    'length and chunks': requestBytes('/order/1', { extra: 'content-length: 3\r\ntransfer-encoding: chunked', body: '0\r\n\r\n' })
+  }
+  await send(this, bytes[fault]!)
+})
+
+When('the first backend server is leaving', async function (this: ForwardingWorld) {
+  this.stand.store.put(KINDS.backendServers, 'backend-0', backendEntry(this.backends[0]!.address, { leaving: true }))
+  await sleep(50)
+})
+
+When('the data centre of the first backend server is evacuated', async function (this: ForwardingWorld) {
+  this.stand.store.put(KINDS.evacuations, 'dc-1', {})
+  await sleep(50)
+})
+
+When(/^the keys are withdrawn by version (\d+)$/, async function (this: ForwardingWorld, version: string) {
+  this.stand.store.put(KINDS.config, 'main', trafficConfig(Number(version), { keys: [] }))
+  await sleep(50)
+})
+
+When(/^version (\d+) with the old keys is stored$/, async function (this: ForwardingWorld, version: string) {
+  this.stand.store.put(KINDS.config, 'main', trafficConfig(Number(version)))
+  await sleep(50)
+})
+
+When('an unreadable configuration is stored', async function (this: ForwardingWorld) {
+  this.stand.store.put(KINDS.config, 'main', { version: 'two' })
+  await sleep(50)
+})
+
+When(/^the store is down for (\d+) ms$/, async function (this: ForwardingWorld, ms: string) {
+  this.stand.store.setDown(true)
+  await sleep(Number(ms))
+})
+
+When('the store is back', async function (this: ForwardingWorld) {
+  this.stand.store.setDown(false)
+  await sleep(1500)
+})
+
+Then(/^the caller gets status (\d+) with the body "(.*)"$/, function (this: ForwardingWorld, status: string, body: string) {
+  const answer = this.answers.at(-1)!
+  assert.equal(answer.status, Number(status), answer.head)
+  if (body !== '-') assert.equal(answer.body, body)
+})
+
+Then('every caller gets status {int}', function (this: ForwardingWorld, status: number) {
+  assert.deepEqual([...new Set(this.answers.map(answer => answer.status))], [status])
+})
+
+Then('the backend servers received {int}', function (this: ForwardingWorld, count: number) {
+  assert.equal(this.backends.reduce((sum, { received }) => sum + received.length, 0), count)
+})
+
+Then('the first backend server received {int}', function (this: ForwardingWorld, count: number) {
+  assert.equal(this.backends[0]!.received.length, count)
+})
+
+Then('the caller gets every event once and the end of the stream', function (this: ForwardingWorld) {
+  const { body, status, ended } = this.answers.at(-1)!
+  assert.equal(status, 200)
+  assert.deepEqual([...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1])), Array.from({ length: STREAM_EVENTS }, (_, index) => index + 1))
+  assert.ok(body.endsWith('0\r\n\r\n'))
+  assert.equal(ended, 'closed')
+})
+
+Then("the caller's answer is broken off", function (this: ForwardingWorld) {
+  assert.ok(!this.answers.at(-1)!.body.endsWith('0\r\n\r\n'))
+})
+
+Then('the answer has neither length nor chunks', function (this: ForwardingWorld) {
+  assert.doesNotMatch(this.answers.at(-1)!.head, /content-length|transfer-encoding/i)
+})
+
+Then(/^the backend servers were asked for the models (.*)$/, function (this: ForwardingWorld, models: string) {
+  const heads = this.backends.flatMap(({ received }) => received)
+  const asked = heads.map(head => /^x-test-model: (.*)$/m.exec(head)?.[1]).sort()
+  assert.deepEqual(asked, models.split(', ').sort())
+})
+
+Then(/^the backend server's connection is closed within (\d+) ms$/, async function (this: ForwardingWorld, ms: string) {
+  await sleep(Number(ms))
+  assert.equal(this.backends[0]!.dropped, 1)
+})
+
+Then('the VM is not ready', async function (this: ForwardingWorld) {
+  assert.equal(await isReady(this), false)
+})
--- /dev/null
+++ b/features/steps/object-feed.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { systemClock } from '../../src/core/clock/index.ts'
+import { silentLog } from '../../src/core/logging/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createObjectFeed, type ObjectFeed } from '../../src/core/object-feed/index.ts'
+import { ObjectApiError } from '../../src/core/errors/index.ts'
+import { createMemoryStore, type MemoryStore } from '../support/memory-store.ts'
+
+interface FeedWorld {
+  store: MemoryStore
+  feed: ObjectFeed
+  names: Set<string>
+  regained: number
+  currentMs: number[]
+  failedListMs: number
+}
+
+const KIND = 'things'
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
+
+After({ tags: '@object-feed' }, function (this: Partial<FeedWorld>) { this.feed?.stop() })
+
+Given(/^a feed of a kind with the objects (.*)$/, async function (this: FeedWorld, names: string) {
+  this.store = createMemoryStore()
+  for (const name of names.split(', ')) this.store.put(KIND, name, {})
+  Object.assign(this, { names: new Set(), regained: 0, currentMs: [] })
+  this.feed = createObjectFeed({
+    kind: KIND,
+    source: this.store,
+    waitMs: 100,
+    relistMs: 250,
+    onSnapshot: objects => { this.names = new Set(objects.map(({ name }) => name)) },
+    onChange: ({ object, deleted }) => { if (deleted) this.names.delete(object.name); else this.names.add(object.name) },
+    onRegained: () => { this.regained++ },
+    onCurrent: ({ monotonicMs }) => { this.currentMs.push(monotonicMs) },
+    clock: systemClock,
+    log: silentLog,
+    metrics: createMetrics(),
+    random: () => 0.5
+  })
+  this.feed.start()
+  await sleep(20)
+})
+
+When(/^the objects b, c are stored and a is removed$/, async function (this: FeedWorld) {
+  this.store.put(KIND, 'b', {})
+  this.store.put(KIND, 'c', {})
+  this.store.drop(KIND, 'a')
+  await sleep(20)
+})
+
+When('polls hear nothing while b is stored', async function (this: FeedWorld) {
+  this.store.setMute(true)
+  this.store.put(KIND, 'b', {})
+  await sleep(110)
+})
+
+When('the history is dropped', async function (this: FeedWorld) {
+  this.store.setMute(false)
+  this.store.forgetHistory()
+  await sleep(30)
+})
+
+When('polls hear again', async function (this: FeedWorld) {
+  this.store.setMute(false)
+  await sleep(110)
+})
+
+When('the store is away while b is stored and a is removed', async function (this: FeedWorld) {
+  this.store.setDown(true)
+  this.store.put(KIND, 'b', {})
+  this.store.drop(KIND, 'a')
+  await sleep(150)
+  this.store.setDown(false)
+  await sleep(900)
+})
+
+When('the history is dropped while lists fail', async function (this: FeedWorld) {
+  const { list } = this.store
+  this.store.setMute(true)
+  this.store.put(KIND, 'b', {})
+  this.store.list = async () => { throw new ObjectApiError('object_api_unavailable') }
+  this.store.forgetHistory()
+  this.store.setMute(false)
+  await sleep(10)
+  this.failedListMs = systemClock.now()
+  await sleep(220)
+  this.store.list = list
+})
+
+When(/^(\d+) ms pass in the feed$/, async (ms: string) => { await sleep(Number(ms)) })
+
+Then(/^the feed knows (.*)$/, function (this: FeedWorld, names: string) {
+  assert.deepEqual([...this.names].sort(), names.split(', '))
+})
+
+Then('the feed has told once that the store is back', function (this: FeedWorld) { assert.equal(this.regained, 1) })
+
+Then('no answer since then counts as current', function (this: FeedWorld) {
+  assert.ok(this.currentMs.every(atMs => atMs < this.failedListMs))
+})
+
+Then(/^the feed has listed at least (\d+) times$/, function (this: FeedWorld, times: string) {
+  assert.ok(this.store.calls.filter(call => call === `list ${KIND}`).length >= Number(times))
+})
--- /dev/null
+++ b/features/steps/traffic-decisions.ts
@@ -0,0 +1,289 @@
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { createBackendPool, type Backend, type BackendEntry, type BackendPool } from '../../src/core/backend-pool/index.ts'
+import { escalationConfidence } from '../../src/core/cascade/confidence.ts'
+import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
+import { createConfigLease, type ConfigLease } from '../../src/core/forwarding/config-lease.ts'
+import { createEventSplitter } from '../../src/core/forwarding/event-stream.ts'
+import { createRetryAllowance } from '../../src/core/forwarding/retry-allowance.ts'
+import { brandId, type BackendServerId, type DataCentreId, type ServiceId, type VmId } from '../../src/core/ids/index.ts'
+import { createLoadExchange, type LoadReport } from '../../src/core/load-exchange/index.ts'
+import { silentLog } from '../../src/core/logging/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import { chooseBackend, requestLoad } from '../../src/core/placement/index.ts'
+import { createRoomQueue, type RoomQueue } from '../../src/core/placement/room-queue.ts'
+import { countOutcome, emptyRolloutTally } from '../../src/core/rollout/tally.ts'
+import type { RolloutTally } from '../../src/core/rollout/types.ts'
+import { STOP_EVIDENCE, WAIT_EVIDENCE } from '../../src/core/version-trial/constants.ts'
+import { createTrialJudge } from '../../src/core/version-trial/evidence.ts'
+import { createRandom } from '../../src/standin/random.ts'
+import { backendEntry } from '../support/node-stand.ts'
+
+const SERVICE = brandId<ServiceId>('service')
+const backendId = (name: string) => brandId<BackendServerId>(name)
+const vmNames = (count: number) => Array.from({ length: count }, (_, index) => brandId<VmId>(`vm-${index}`))
+
+interface LeaseWorld { clock: ManualClock, wallShiftMs: number, lease: ConfigLease }
+
+Given(/^a config lease of (\d+) ms$/, function (this: LeaseWorld, boundMs: string) {
+  this.clock = createManualClock({ wallStartMs: 1_000_000 })
+  this.wallShiftMs = 0
+  const clock = { ...this.clock, wallMs: () => this.clock.wallMs() + this.wallShiftMs }
+  this.lease = createConfigLease({ boundMs: Number(boundMs), strict: true, clock })
+})
+
+When('the store confirms the configuration', function (this: LeaseWorld) {
+  this.lease.renew({ monotonicMs: this.clock.now(), wallMs: this.clock.wallMs() })
+})
+
+When(/^(\d+) ms pass$/, async function (this: LeaseWorld, ms: string) { await this.clock.advance(Number(ms)) })
+// The steady clock stands still while a VM is frozen.
+When(/^the VM is frozen for (\d+) ms$/, function (this: LeaseWorld, ms: string) { this.wallShiftMs += Number(ms) })
+When(/^the wall clock jumps back by (\d+) ms$/, function (this: LeaseWorld, ms: string) { this.wallShiftMs -= Number(ms) })
+
+When(/^the VM is frozen for (\d+) ms between a call and its answer$/, function (this: LeaseWorld, ms: string) {
+  const sent = { monotonicMs: this.clock.now(), wallMs: this.clock.wallMs() }
+  this.wallShiftMs += Number(ms)
+  this.lease.renew(sent)
+})
+
+Then(/^the keys are (trusted|not trusted)$/, function (this: LeaseWorld, expected: string) {
+  assert.equal(this.lease.isValid(), expected === 'trusted')
+})
+
+interface ShareWorld { vms: VmId[], bound: number, sent: number, clock: ManualClock, retries: number }
+
+function createPool (clock: ManualClock, { limit = 0, vms = vmNames(1), self = brandId<VmId>('vm-0') } = {}): BackendPool {
+  return createBackendPool({ cold: { limit: () => limit, vms: () => vms, self }, clock, log: silentLog, metrics: createMetrics() })
+}
+
+const entry = (name: string, more: Partial<BackendEntry> = {}): BackendEntry => ({ ...backendEntry('127.0.0.1:1', more), id: backendId(name) })
+
+Given(/^(\d+) VMs with a bound of (\d+) requests a second to a cold backend server$/, function (this: ShareWorld, vms: string, bound: string) {
+  this.vms = vmNames(Number(vms))
+  this.bound = Number(bound)
+})
+
+When('each of them sends as much as it may within one second', async function (this: ShareWorld) {
+  const clock = createManualClock()
+  const pools = this.vms.map(self => createPool(clock, { limit: this.bound, vms: this.vms, self }))
+  for (const pool of pools) pool.apply(entry('cold'))
+  this.sent = 0
+  for (let step = 0; step < 10; step++) {
+    for (const pool of pools) {
+      const [backend] = pool.eligible(SERVICE)
+      while (pool.hasColdRoom(backend!)) {
+        pool.noteSend(backend!)
+        this.sent++
+      }
+    }
+    await clock.advance(99)
+  }
+})
+
+Then(/^the backend server gets at least (\d+) and at most (\d+) requests$/, function (this: ShareWorld, least: string, most: string) {
+  assert.ok(this.sent >= Number(least) && this.sent <= Number(most), `${this.sent} requests`)
+})
+
+Given(/^(\d+) VMs that share 0\.9 retries a request and 58 more in 10 s$/, function (this: ShareWorld, vms: string) {
+  this.vms = vmNames(Number(vms))
+})
+
+When(/^(\d+) requests all fail and are retried as often as allowed$/, async function (this: ShareWorld, count: string) {
+  const clock = createManualClock()
+  const allowances = this.vms.map(() => createRetryAllowance({ share: 0.9, windowMs: 10_000, slack: 58, vmCount: () => this.vms.length, clock }))
+  this.retries = 0
+  for (let i = 0; i < Number(count); i++) {
+    const allowance = allowances[i % allowances.length]!
+    allowance.noteRequest()
+    while (allowance.take()) this.retries++
+    if (i % 20 === 0) await clock.advance(400)
+  }
+})
+
+Then(/^the retries are at least (\d+) and at most (\d+)$/, function (this: ShareWorld, least: string, most: string) {
+  assert.ok(this.retries >= Number(least) && this.retries <= Number(most), `${this.retries} retries`)
+})
+
+interface PoolWorld { clock: ManualClock, pool: BackendPool, gone: number }
+
+Given(/^a pool with backend servers (.*)$/, function (this: PoolWorld, names: string) {
+  this.clock = createManualClock()
+  this.pool = createPool(this.clock)
+  this.pool.applySnapshot(names.split(', ').map(name => entry(name)))
+  this.gone = 0
+})
+
+When('the store returns and lists only a', function (this: PoolWorld) {
+  this.pool.noteStoreReturned()
+  this.pool.applySnapshot([entry('a')])
+})
+
+When(/^(\d+) ms pass in the pool$/, async function (this: PoolWorld, ms: string) { await this.clock.advance(Number(ms)) })
+When('the entry of b is written', function (this: PoolWorld) { this.pool.apply(entry('b')) })
+When('the entry of b is removed', function (this: PoolWorld) { this.pool.remove(backendId('b')) })
+
+When('the entry of b is written with a later start', function (this: PoolWorld) {
+  const backend = this.pool.known(SERVICE).find(({ entry: { id } }) => id === 'b')!
+  backend.onGone.add(() => { this.gone++ })
+  this.pool.apply(entry('b', { startedWallMs: 5 }))
+})
+
+Then(/^the pool offers (.*)$/, function (this: PoolWorld, names: string) {
+  assert.deepEqual(this.pool.eligible(SERVICE).map(({ entry: { id } }) => id).sort(), names.split(', '))
+})
+
+Then('the request in flight at b is told that it is gone', function (this: PoolWorld) { assert.equal(this.gone, 1) })
+
+interface JudgeWorld { tally: RolloutTally, judge: ReturnType<typeof createTrialJudge>, nowMs: number }
+
+function count (tally: RolloutTally['to'], text: string): void {
+  const [, events, , total] = /^(\d+)( of (\d+))? /.exec(text)!
+  const requests = Number(total ?? events)
+  for (let i = 0; i < requests; i++) {
+    const firstTokenMs = Number(/took (\d+)/.exec(text)?.[1] ?? 100)
+    countOutcome(tally, { failed: total !== undefined && i < Number(events), firstTokenMs })
+  }
+}
+
+Given(/^a trial in which the old version had (.*) and the new one (.*)$/, function (this: JudgeWorld, from: string, to: string) {
+  Object.assign(this, { tally: emptyRolloutTally(), judge: createTrialJudge(), nowMs: 1000 })
+  count(this.tally.from, from)
+  count(this.tally.to, to)
+})
+
+Given(/^a trial in which the new version answered (\d+) requests well$/, function (this: JudgeWorld, good: string) {
+  Object.assign(this, { tally: emptyRolloutTally(), judge: createTrialJudge(), nowMs: 0 })
+  for (let i = 0; i < Number(good); i++) {
+    for (let old = 0; old < 8; old++) countOutcome(this.tally.from, { failed: false })
+    countOutcome(this.tally.to, { failed: false })
+    this.nowMs += 500
+    this.judge.judge(structuredClone(this.tally), this.nowMs)
+  }
+})
+
+When(/^it fails (\d+) of the next (\d+) requests$/, function (this: JudgeWorld, failures: string, requests: string) {
+  for (let i = 0; i < Number(requests); i++) {
+    for (let old = 0; old < 8; old++) countOutcome(this.tally.from, { failed: false })
+    countOutcome(this.tally.to, { failed: i < Number(failures) })
+    this.nowMs += 500
+    this.judge.judge(structuredClone(this.tally), this.nowMs)
+  }
+})
+
+Then(/^the evidence says (worse|wait|good)$/, function (this: JudgeWorld, expected: string) {
+  const { failures, latency } = this.judge.judge(this.tally, this.nowMs + 1)
+  const strongest = Math.max(failures, latency)
+  assert.equal(strongest >= STOP_EVIDENCE ? 'worse' : strongest > WAIT_EVIDENCE ? 'wait' : 'good', expected, `evidence ${strongest}`)
+})
+
+interface QueueWorld { clock: ManualClock, queue: RoomQueue, room: number, placed: number[], results: Promise<number | undefined>[] }
+
+Given(/^a queue for room with waiting requests of urgency (.*)$/, function (this: QueueWorld, urgencies: string) {
+  this.clock = createManualClock()
+  this.queue = createRoomQueue(this.clock)
+  this.room = 0
+  this.placed = []
+  this.results = urgencies.split(', ').map((urgency, index) => this.queue.wait(SERVICE, {
+    urgency: Number(urgency),
+    timeoutMs: 900,
+    place: () => {
+      if (this.room === 0) return undefined
+      this.room--
+      this.placed.push(index)
+      return index
+    },
+    isGone: () => false
+  }))
+})
+
+When(/^room appears for (\d+) requests$/, function (this: QueueWorld, room: string) {
+  this.room = Number(room)
+  this.queue.wake(SERVICE)
+})
+
+When(/^(\d+) ms pass without room$/, async function (this: QueueWorld, ms: string) { await this.clock.advance(Number(ms)) })
+
+Then(/^the requests (.*) are placed$/, function (this: QueueWorld, order: string) {
+  assert.deepEqual(this.placed, order.split(', ').map(Number))
+})
+
+Then('the request is refused', async function (this: QueueWorld) {
+  assert.equal(await this.results[0], undefined)
+  assert.equal(this.queue.size(SERVICE), 0)
+})
+
+interface PlacementWorld { engines: Backend[], others: Map<Backend, number>, chosen: Backend[], random: () => number }
+
+Given(/^(\d+) engines without load$/, function (this: PlacementWorld, engines: string) {
+  const pool = createPool(createManualClock())
+  pool.applySnapshot(Array.from({ length: Number(engines) }, (_, index) => entry(`engine-${index}`)))
+  this.engines = pool.eligible(SERVICE)
+  this.others = new Map()
+  this.chosen = []
+  this.random = createRandom(7)
+})
+
+Given('another VM reports long prompts on all engines but one', function (this: PlacementWorld) {
+  for (const engine of this.engines.slice(1)) this.others.set(engine, 3)
+})
+
+When(/^(\d+) requests with one prefix are placed$/, function (this: PlacementWorld, count: string) {
+  for (let i = 0; i < Number(count); i++) {
+    const chosen = chooseBackend({
+      candidates: this.engines,
+      affinityKey: 'prefix',
+      dataCentre: brandId<DataCentreId>('elsewhere'),
+      othersLoad: backend => this.others.get(backend) ?? 0,
+      random: this.random
+    })!
+    chosen.load += requestLoad(400, 1).running
+    chosen.inFlight++
+    this.chosen.push(chosen)
+  }
+})
+
+Then(/^the busiest engine has at most (\d+) requests more than the least busy one$/, function (this: PlacementWorld, most: string) {
+  const counts = this.engines.map(({ inFlight }) => inFlight)
+  assert.ok(Math.max(...counts) - Math.min(...counts) <= Number(most), counts.join(', '))
+})
+
+Then(/^the first requests went to at most (\d+) engines$/, function (this: PlacementWorld, most: string) {
+  assert.ok(new Set(this.chosen.slice(0, 2)).size <= Number(most))
+})
+
+Then('it went to the engine without prompts', function (this: PlacementWorld) { assert.equal(this.chosen[0], this.engines[0]) })
+
+interface ExchangeWorld { estimate: number }
+
+Given(/^(\d+) VMs of which (\d+) report a load of 1 on an engine$/, function (this: ExchangeWorld, vms: string, reporting: string) {
+  const names = vmNames(Number(vms))
+  const exchange = createLoadExchange({ vms: () => names, self: names[0]!, ownLoad: () => ({}), send () {}, clock: createManualClock(), random: () => 0 })
+  for (const vm of names.slice(1, Number(reporting) + 1)) exchange.accept(vm, { [backendId('engine')]: 1 } as LoadReport)
+  this.estimate = exchange.othersLoad(backendId('engine'))
+})
+
+Then(/^the estimated load of the others is (\d+)$/, function (this: ExchangeWorld, load: string) {
+  assert.equal(Math.round(this.estimate), Number(load))
+})
+
+interface SplitWorld { events: string[], ids: (number | undefined)[], text: string }
+
+Given(/^a stream of 3 events in chunks of (\d+) bytes$/, function (this: SplitWorld, bytes: string) {
+  const splitter = createEventSplitter()
+  this.text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nversion: 4\nid: 3\ndata: c\n\nid: 4\ndata'
+  const data = Buffer.from(this.text)
+  const events = []
+  for (let at = 0; at < data.length; at += Number(bytes)) events.push(...splitter.push(data.subarray(at, at + Number(bytes))))
+  this.events = events.map(event => event.bytes.toString())
+  this.ids = events.map(({ id }) => id)
+})
+
+Then('the splitter finds the events 1, 2, 3 unchanged', function (this: SplitWorld) {
+  assert.deepEqual(this.ids, [1, 2, 3])
+  assert.equal(this.events.join('') + 'id: 4\ndata', this.text)
+})
+
+Then(/^an answer with confidence (\d+) is (dropped|kept) at a mean load of (\d+)$/, function (confidence: string, expected: string, load: string) {
+  assert.equal(Number(confidence) < escalationConfidence(Number(load)) ? 'dropped' : 'kept', expected)
+})
--- /dev/null
+++ b/features/support/node-stand.ts
@@ -0,0 +1,187 @@
+/** A forwarding VM in this process, with a store in memory, scripted backend servers and headers of its own. */
+import { createServer } from 'node:http'
+import { connect } from 'node:net'
+import { freePorts } from '../../src/cli/dev/free-ports.ts'
+import type { BackendEntry } from '../../src/core/backend-pool/index.ts'
+import { systemClock, type Clock } from '../../src/core/clock/index.ts'
+import type { BackendHead, Route, TrafficConfig } from '../../src/core/forwarding/types.ts'
+import { brandId, type BackendServerId, type DataCentreId, type ModelId, type RegionId, type RequestId, type ServiceId, type SessionId, type TeamId, type VersionId, type VmId } from '../../src/core/ids/index.ts'
+import { silentLog } from '../../src/core/logging/index.ts'
+import { startNode, type Node, type NodeSettings, type PlatformAdapter } from '../../src/core/node/index.ts'
+import { createMemoryStore, type MemoryStore } from './memory-store.ts'
+
+export const KINDS = { config: 'config', backendServers: 'backend-servers', rollouts: 'rollouts', evacuations: 'evacuations' }
+export const LIMITS = { maxHeaderBytes: 4000, maxBodyBytes: 1000, headerTimeoutMs: 500, idleTimeoutMs: 2000 }
+const SERVICE = brandId<ServiceId>('service')
+
+type HeaderMap = Record<string, string | string[] | undefined>
+const text = (value: string | string[] | undefined) => (Array.isArray(value) ? value[0] : value)
+
+function withoutOwn (raw: readonly string[]): string[] {
+  const own = new Set(['host', 'connection', 'content-length', 'transfer-encoding', 'authorization'])
+  return raw.flatMap((value, index) => (index % 2 === 0 && !own.has(value.toLowerCase()) ? [value, raw[index + 1]!] : []))
+}
+
+/** Header names of the stand's own; the product must not depend on any platform's. */
+export const adapter: PlatformAdapter = {
+  kinds: KINDS,
+  configName: 'main',
+  decodeConfig: spec => {
+    if (typeof (spec as TrafficConfig | undefined)?.version !== 'number') throw new Error('version: not a number')
+    return spec as TrafficConfig
+  },
+  decodeBackend: ({ name, spec }) => (spec === 'unreadable' ? undefined : { ...spec as BackendEntry, id: brandId<BackendServerId>(name) }),
+  decodeRollout: () => undefined,
+  encodeRolloutStatus: (_order, state) => state,
+  decodeCallerRequest (method, target, headers: HeaderMap, raw) {
+    const id = text(headers['x-test-id'])
+    const session = text(headers['x-test-session'])
+    const waitMs = text(headers['x-test-wait-ms'])
+    return {
+      id: id === undefined ? undefined : brandId<RequestId>(id),
+      method,
+      target,
+      host: text(headers.host) ?? '',
+      key: /^Bearer (.+)$/.exec(text(headers.authorization) ?? '')?.[1],
+      waitMs: waitMs === undefined ? undefined : Number(waitMs),
+      session: session === undefined ? undefined : brandId<SessionId>(session),
+      model: undefined,
+      promptTokens: 100,
+      maxOutputTokens: 10,
+      prompt: [],
+      lastEventId: undefined,
+      headers: withoutOwn(raw)
+    }
+  },
+  encodeBackendRequest (request, call, bodyBytes) {
+    const headers = ['host', request.host, ...request.headers, 'x-test-backend', call.backendServer, 'content-length', String(bodyBytes)]
+    headers.push('x-test-remaining-ms', String(Math.round(call.remainingMs)))
+    if (call.team !== undefined) headers.push('x-test-team', call.team)
+    if (call.model !== undefined) headers.push('x-test-model', call.model)
+    if (call.lastEventId !== undefined) headers.push('last-event-id', String(call.lastEventId))
+    return headers
+  },
+  decodeBackendHead (request, status, headers: HeaderMap, raw): BackendHead {
+    const confidence = text(headers['x-test-confidence'])
+    return {
+      status,
+      notRun: headers['x-test-not-run'] !== undefined || status === 421,
+      misdirected: status === 421,
+      authentic: headers['x-test-mark'] !== undefined && headers['x-test-id'] === request.id && headers['content-encoding'] === undefined,
+      confidence: confidence === undefined ? undefined : Number(confidence),
+      headers: withoutOwn(raw)
+    }
+  },
+  serveReadiness: isReady => createServer((_incoming, outgoing) => {
+    outgoing.statusCode = isReady() ? 200 : 503
+    outgoing.end()
+  }),
+  serveDirectory: addresses => createServer((_incoming, outgoing) => outgoing.end(JSON.stringify(addresses(''))))
+}
+
+export const route = (prefix: string, kind: Route['kind'], more: Partial<Route> = {}): Route => ({
+  name: prefix,
+  host: 'desk.example',
+  pathPrefix: prefix,
+  kind,
+  resumable: kind === 'streaming',
+  timeoutMs: 3000,
+  targetLatencyMs: 400,
+  longestPauseMs: 300,
+  priority: 1,
+  models: [],
+  targets: [{ service: SERVICE, weight: 1 }],
+  maxAttempts: kind === 'non_idempotent' ? 1 : 3,
+  anonymous: false,
+  ...more
+})
+
+export function trafficConfig (version: number, { keys = ['good-key'] } = {}): TrafficConfig {
+  return {
+    version,
+    routes: [
+      route('/order/', 'non_idempotent'), route('/read/', 'idempotent'), route('/stream/', 'streaming'),
+      route('/cascade/', 'streaming', { models: [brandId<ModelId>('small'), brandId<ModelId>('large')] }),
+      route('/short/', 'non_idempotent', { timeoutMs: 400 }),
+      route('/open/', 'idempotent', { anonymous: true })
+    ],
+    services: [{ id: SERVICE, maxConnections: 1000, coldRate: 0, engine: undefined }],
+    teams: [{ id: brandId<TeamId>('team-1'), keys, priority: undefined }],
+    limits: LIMITS
+  }
+}
+
+export function backendEntry (address: string, more: Partial<BackendEntry> = {}): Omit<BackendEntry, 'id'> {
+  return {
+    service: SERVICE,
+    address,
+    dataCentre: brandId<DataCentreId>('dc-1'),
+    version: brandId<VersionId>('v1'),
+    slots: 8,
+    leaving: false,
+    coldLeftMs: 0,
+    startedWallMs: undefined,
+    ...more
+  }
+}
+
+export interface NodeStand {
+  node: Node
+  store: MemoryStore
+  settings: NodeSettings
+}
+
+export async function startNodeStand ({ clock = systemClock, configured = true }: { clock?: Clock, configured?: boolean } = {}): Promise<NodeStand> {
+  const ports = await freePorts(5)
+  const at = (index: number) => `127.0.0.1:${ports[index]}`
+  const settings: NodeSettings = {
+    vm: brandId<VmId>('vm-1'),
+    dataCentre: brandId<DataCentreId>('dc-1'),
+    region: brandId<RegionId>('region-1'),
+    callerAddress: at(0),
+    readinessAddress: at(1),
+    directoryAddress: at(2),
+    peerAddress: at(3),
+    metricsAddress: at(4),
+    storeAddress: '',
+    storeHistoryMs: 20_000,
+    backendHeartbeatMs: 1000,
+    contactMs: 3000,
+    backendDrainMs: 2000,
+    stopGraceMs: 3000,
+    keyWithdrawalMs: 2000,
+    strictKeyWithdrawal: true,
+    retryShare: 0.9,
+    retryWindowMs: 10_000,
+    retrySlack: 50,
+    trialShare: 0.15,
+    trialSlack: 30,
+    coldOvershoot: 1.5,
+    coldSlack: 5,
+    sessionMs: 5000,
+    longestAddressTtlMs: 5000
+  }
+  const store = createMemoryStore()
+  if (configured) store.put(KINDS.config, 'main', trafficConfig(1))
+  const node = await startNode({ settings, adapter, store, clock, log: { ...silentLog, request () {} } })
+  return { node, store, settings }
+}
+
+export interface RawAnswer { status: number, head: string, body: string, ended: 'closed' | 'reset' }
+
+/** Sends bytes and collects everything until the connection ends. */
+export function exchangeBytes (address: string, bytes: string): Promise<RawAnswer> {
+  const [host, port] = address.split(':')
+  return new Promise(resolve => {
+    const socket = connect(Number(port), host)
+    let received = ''
+    let ended: RawAnswer['ended'] = 'closed'
+    socket.on('data', chunk => { received += chunk.toString('latin1') })
+    socket.on('error', () => { ended = 'reset' })
+    socket.on('close', () => {
+      const [head = '', ...rest] = received.split('\r\n\r\n')
+      resolve({ status: Number(/^HTTP\/1\.1 (\d+)/.exec(head)?.[1] ?? 0), head, body: rest.join('\r\n\r\n'), ended })
+    })
+    socket.write(bytes)
+  })
+}
--- /dev/null
+++ b/features/support/scripted-backend.ts
@@ -0,0 +1,108 @@
+/** A backend server that answers as a test tells it, down to single bytes. */
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+
+/** What the backend server does with each request; the last one repeats. */
+export type BackendAct =
+  | 'answer' | 'answer-500' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
+  | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
+  | 'stream' | 'stream-break-mid-event' | 'stream-no-length' | 'stream-stall' | 'stream-doubt' | 'stream-slow'
+
+export interface ScriptedBackend {
+  address: string
+  /** Heads of the requests received. */
+  received: string[]
+  /** Requests whose connection the router closed before the answer was complete. */
+  dropped: number
+  close(): Promise<void>
+}
+
+/** What the next requests meet; backend servers that share one play it together. */
+export interface Script { acts: BackendAct[] }
+
+/** Events in a whole stream. */
+export const STREAM_EVENTS = 4
+
+export async function startScriptedBackend (script: Script = { acts: ['answer'] }): Promise<ScriptedBackend> {
+  const sockets = new Set<Socket>()
+  const backend: Omit<ScriptedBackend, 'address' | 'close'> = {
+    received: [],
+    dropped: 0
+  }
+  const server: Server = createServer(socket => {
+    sockets.add(socket)
+    let text = ''
+    let done = false
+    socket.on('error', () => {})
+    socket.on('close', () => {
+      sockets.delete(socket)
+      if (text !== '' && !done) backend.dropped++
+    })
+    socket.on('data', chunk => {
+      const isFirst = text === ''
+      text += chunk.toString('latin1')
+      if (!isFirst) return
+      backend.received.push(text.split('\r\n\r\n', 1)[0]!)
+      const act = script.acts.length > 1 ? script.acts.shift()! : script.acts[0]!
+      perform(act, text, socket, () => { done = true })
+    })
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  return Object.assign(backend, {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    async close () {
+      for (const socket of sockets) socket.destroy()
+      await new Promise(resolve => server.close(resolve))
+    }
+  })
+}
+
+function perform (act: BackendAct, head: string, socket: Socket, done: () => void): void {
+  const id = /^x-test-id: (.*)$/im.exec(head)?.[1]?.trim() ?? ''
+  const after = Number(/^last-event-id: (\d+)$/im.exec(head)?.[1] ?? 0)
+  const mark = `x-test-mark: m\r\nx-test-id: ${id}\r\n`
+  const finish = (text: string) => {
+    done()
+    socket.end(text)
+  }
+  const stream = 'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n' + mark
+  const chunk = (text: string) => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`
+  const event = (number: number) => `id: ${number}\ndata: piece ${number}\n\n`
+  const events = (to: number) => Array.from({ length: Math.max(0, to - after) }, (_, index) => event(after + index + 1))
+  const all = events(STREAM_EVENTS)
+  const chunked = stream + 'transfer-encoding: chunked\r\n\r\n'
+  const acts: Record<BackendAct, () => void> = {
+    answer: () => finish(`HTTP/1.1 200 OK\r\n${mark}content-length: 5\r\n\r\nwhole`),
+    'answer-500': () => finish(`HTTP/1.1 500 Internal Server Error\r\n${mark}content-length: 6\r\n\r\nfailed`),
+    'not-run': () => finish('HTTP/1.1 503 Service Unavailable\r\nx-test-not-run: 1\r\ncontent-length: 0\r\n\r\n'),
+    misdirected: () => finish('HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n'),
+    reset: () => { socket.resetAndDestroy() },
+    'cut-body': () => finish(`HTTP/1.1 200 OK\r\n${mark}content-length: 50\r\n\r\nwhole`),
+    'no-length': () => finish(`HTTP/1.1 200 OK\r\n${mark}\r\nwhole`),
+    'no-length-reset': () => {
+      socket.write(`HTTP/1.1 200 OK\r\n${mark}\r\nwho`)
+      setTimeout(() => socket.resetAndDestroy(), 30)
+    },
+    'foreign-id': () => finish('HTTP/1.1 200 OK\r\nx-test-mark: m\r\nx-test-id: other\r\ncontent-length: 5\r\n\r\nother'),
+    encoded: () => finish(`HTTP/1.1 200 OK\r\n${mark}content-encoding: br\r\ncontent-length: 5\r\n\r\nother`),
+    'no-mark': () => finish(`HTTP/1.1 200 OK\r\nx-test-id: ${id}\r\ncontent-length: 5\r\n\r\nother`),
+    silent: () => {},
+    'extra-answer': () => finish(`HTTP/1.1 200 OK\r\n${mark}content-length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\n${mark}content-length: 5\r\n\r\nextra`),
+    garbage: () => finish('\u0001\u0002 no answer at all\r\n\r\n'),
+    stream: () => finish(chunked + all.map(chunk).join('') + '0\r\n\r\n'),
+    'stream-break-mid-event': () => {
+      socket.write(chunked + chunk(event(after + 1) + event(after + 2).slice(0, 8)))
+      setTimeout(() => socket.destroy(), 30)
+    },
+    'stream-no-length': () => finish(stream + '\r\n' + events(after + 2).join('')),
+    'stream-stall': () => { socket.write(chunked + chunk(event(after + 1))) },
+    'stream-doubt': () => finish(stream + 'x-test-confidence: 5\r\ntransfer-encoding: chunked\r\n\r\n' + all.map(chunk).join('') + '0\r\n\r\n'),
+    'stream-slow': () => {
+      socket.write(chunked)
+      all.forEach((text, index) => setTimeout(() => {
+        socket.write(chunk(text))
+        if (index === all.length - 1) finish('0\r\n\r\n')
+      }, 150 * (index + 1)))
+    }
+  }
+  acts[act]()
+}
--- a/src/core/backend-pool/index.ts
+++ b/src/core/backend-pool/index.ts
@@ -132,8 +132,9 @@
     apply,
     remove,
     setOutOfService (dataCentres) {
+      const isSame = dataCentres.size === outOfService.size && [...dataCentres].every(name => outOfService.has(name))
       outOfService = dataCentres
-      log.info('data centres out of service', { dataCentres: [...dataCentres] })
+      if (!isSame) log.info('data centres out of service', { dataCentres: [...dataCentres] })
     },
     eligible: service => ofService(service).filter(({ entry, suspendedUntilMs }) =>
       !entry.leaving && !outOfService.has(entry.dataCentre) && suspendedUntilMs <= clock.now()),
--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -160,6 +160,14 @@
       const listed = [...inState('live'), ...selfReady ? [own.callerAddress] : []]
       return listed.length > 0 ? listed : inState('suspect')
     },
+    /** Ends at once, without telling the others. */
+    async close (): Promise<void> {
+      leaving = true
+      cancelCleanup?.()
+      feed.stop()
+      await membership.stop()
+      await peers.close()
+    },
     async leave (): Promise<void> {
       leaving = true
       cancelCleanup?.()
--- a/src/core/node/constants.ts
+++ b/src/core/node/constants.ts
@@ -2,6 +2,8 @@
 
 /** Wait of a poll for the configuration; each answer also proves that the keys are recent. */
 export const CONFIG_WAIT_MS = 1500
+/** Part of the time in which a withdrawn key must stop working that one poll may wait, so that a lost poll can be repeated. */
+export const PROOF_SHARE = 0.3
 /** Wait of a poll for everything else. */
 export const FEED_WAIT_MS = 8000
 /** Lists are repeated after this part of the store's history. */
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -17,7 +17,7 @@
 import type { CallerConnection } from '../forwarding/caller-connection.ts'
 import type { CallerRequest, TrafficConfig } from '../forwarding/types.ts'
 import { brandId, type BackendServerId, type DataCentreId, type ModelId, type ServiceId } from '../ids/index.ts'
-import { createDecisionLog } from '../logging/decision-log.ts'
+import { createDecisionLog, type DecisionLog } from '../logging/decision-log.ts'
 import { createMetrics } from '../metrics/index.ts'
 import { createObjectFeed, type Change, type ObjectFeed, type ObjectStore, type StoredObject } from '../object-feed/index.ts'
 import { chooseBackend } from '../placement/index.ts'
@@ -27,7 +27,7 @@
 import type { OutcomeReport } from '../rollout/types.ts'
 import { createLoadExchange, type LoadReport } from '../load-exchange/index.ts'
 import { createFleet } from '../fleet/index.ts'
-import { ADDRESS_TTL_S, CONFIG_WAIT_MS, FEED_WAIT_MS, MAX_ADDRESSES, MIN_REPORTED_LOAD, RELIST_SHARE, STOP_SETTLE_MS, STOP_SHARE, TAKE_AFTER_STOP_MS } from './constants.ts'
+import { ADDRESS_TTL_S, CONFIG_WAIT_MS, FEED_WAIT_MS, MAX_ADDRESSES, MIN_REPORTED_LOAD, PROOF_SHARE, RELIST_SHARE, STOP_SETTLE_MS, STOP_SHARE, TAKE_AFTER_STOP_MS } from './constants.ts'
 import type { NodeSettings } from './types.ts'
 
 export type { NodeSettings } from './types.ts'
@@ -52,18 +52,23 @@
   store: ObjectStore
   clock?: Clock
   random?: () => number
+  /** Default: lines on standard output. */
+  log?: DecisionLog
 }
 
 export interface Node {
   /** Stops taking work, completes what was taken, and resolves when nothing is left or the grace is used up. */
   stop(): Promise<void>
   reload(settings: NodeSettings): void
+  /** Ends everything at once. */
+  close(): Promise<void>
 }
 
-export async function startNode ({ settings: initial, adapter, store, clock = systemClock, random = Math.random }: NodeOptions): Promise<Node> {
-  let settings = initial
+export async function startNode (options: NodeOptions): Promise<Node> {
+  const { adapter, store, clock = systemClock, random = Math.random } = options
+  let { settings } = options
   const { kinds } = adapter
-  const log = createDecisionLog({ vm: settings.vm, clock })
+  const log = options.log ?? createDecisionLog({ vm: settings.vm, clock })
   const metrics = createMetrics()
   let table: RouteTable | undefined
   let stoppingSinceMs: number | undefined
@@ -131,7 +136,7 @@
     async writeStatus (order, state) {
       return await store.replaceStatus(kinds.rollouts, order.name, adapter.encodeRolloutStatus(order, state), order.revision) !== undefined
     },
-    largestShare: () => settings.trialShare,
+    bound: () => ({ share: settings.trialShare, slack: settings.trialSlack }),
     clock,
     log,
     metrics
@@ -161,7 +166,7 @@
     createObjectFeed({
       ...feedDefaults,
       kind: kinds.config,
-      waitMs: CONFIG_WAIT_MS,
+      waitMs: Math.min(CONFIG_WAIT_MS, settings.keyWithdrawalMs * PROOF_SHARE),
       onSnapshot: objects => { for (const object of objects) if (object.name === adapter.configName) applyConfig(object) },
       onChange: ({ object, deleted }) => { if (object.name === adapter.configName && !deleted) applyConfig(object) },
       onCurrent: sent => lease.renew(sent)
@@ -293,10 +298,9 @@
     }
     if (stoppingSinceMs !== undefined && clock.now() - stoppingSinceMs > TAKE_AFTER_STOP_MS) return refuse('vm_leaving')
     if (!table || !feeds.every(feed => feed.isLoaded())) return refuse('vm_not_ready')
-    if (!lease.isValid() && !await lease.waitValid(PROOF_WAIT_MS)) {
-      const route = table.match(request.host, request.target)
-      if (!route || needsKey(route.anonymous)) return refuse('keys_unproven')
-    }
+    const takesAnyone = table.match(request.host, request.target)?.anonymous ?? false
+    // Also an unknown route or key may be one that a newer configuration knows.
+    if (needsKey(takesAnyone) && !await lease.waitValid(PROOF_WAIT_MS)) return refuse('keys_unproven')
     const route = table.match(request.host, request.target)
     if (!route) return refuse('unknown_route')
     if (request.id === undefined) return refuse('bad_request')
@@ -346,6 +350,16 @@
         if (clock.now() - stoppingSinceMs > TAKE_AFTER_STOP_MS && callers.open() === 0) break
       }
       log.info('VM stopped', { openRequests: callers.open() })
+    },
+    async close () {
+      for (const feed of feeds) feed.stop()
+      trials.stop()
+      loads.stop()
+      await fleet.close()
+      for (const server of [callers.server, readiness, directory, metricsServer]) {
+        server.close()
+        server.closeAllConnections()
+      }
     }
   }
 }
--- a/src/core/version-trial/index.ts
+++ b/src/core/version-trial/index.ts
@@ -38,8 +38,8 @@
   report(to: VmId, report: OutcomeReport): void
   /** Conditional write of the status; false when the order has changed in the meantime. */
   writeStatus(order: RolloutOrder, state: 'running' | FinalState): Promise<boolean>
-  /** Largest share of a service's requests that a version on trial may get. */
-  largestShare: () => number
+  /** Largest share of a service's requests that a version on trial may get, and the requests beyond it, over all VMs. */
+  bound: () => { share: number, slack: number }
   clock: Clock
   log: Log
   metrics: Metrics
@@ -62,7 +62,7 @@
 const ANY_VERSION: VersionRule = { allows: () => true, spread: 1 }
 
 export function createVersionTrials (options: VersionTrialsOptions) {
-  const { vm, boot, vms, report, writeStatus, largestShare, clock, log, metrics } = options
+  const { vm, boot, vms, report, writeStatus, bound, clock, log, metrics } = options
   const trials = new Map<string, Trial>()
   let cancelTicks: TimerCancel | undefined
 
@@ -108,9 +108,11 @@
     const onOld: VersionRule = { allows: version => version !== target, spread: 1 }
     trial.requests++
     if (state !== 'running' || repeated) return onOld
-    const share = Math.min(largestShare() * SHARE_SAFETY, elapsedShare(trial) < SECOND_STAGE_AT ? FIRST_SHARE : SECOND_SHARE)
+    const largest = bound()
+    const share = Math.min(largest.share * SHARE_SAFETY, elapsedShare(trial) < SECOND_STAGE_AT ? FIRST_SHARE : SECOND_SHARE)
     if (hashPoint(`${name}/${target}/${sessionKey}`) >= share) return onOld
-    if (trial.trialRequests + 1 > Math.max(1, largestShare() * SHARE_SAFETY * trial.requests)) return onOld
+    const most = SHARE_SAFETY * (largest.share * trial.requests + largest.slack / Math.max(1, vms().length))
+    if (trial.trialRequests + 1 > most) return onOld
     trial.trialRequests++
     return { allows: version => version === target, spread: share * LOAD_FACTOR }
   }
