--- a/features/steps/traffic-decisions.ts
+++ b/features/steps/traffic-decisions.ts
@@ -158,7 +158,7 @@
     for (let old = 0; old < 8; old++) countOutcome(this.tally.from, { failed: false })
     countOutcome(this.tally.to, { failed: false })
     this.nowMs += 500
-    this.judge.judge(structuredClone(this.tally), this.nowMs)
+    this.judge.judge({ route: structuredClone(this.tally) }, this.nowMs)
   }
 })
 
@@ -167,12 +167,12 @@
     for (let old = 0; old < 8; old++) countOutcome(this.tally.from, { failed: false })
     countOutcome(this.tally.to, { failed: i < Number(failures) })
     this.nowMs += 500
-    this.judge.judge(structuredClone(this.tally), this.nowMs)
+    this.judge.judge({ route: structuredClone(this.tally) }, this.nowMs)
   }
 })
 
 Then(/^the evidence says (worse|wait|good)$/, function (this: JudgeWorld, expected: string) {
-  const { failures, latency } = this.judge.judge(this.tally, this.nowMs + 1)
+  const { failures, latency } = this.judge.judge({ route: this.tally }, this.nowMs + 1)
   const strongest = Math.max(failures, latency)
   assert.equal(strongest >= STOP_EVIDENCE ? 'worse' : strongest > WAIT_EVIDENCE ? 'wait' : 'good', expected, `evidence ${strongest}`)
 })
--- a/features/steps/version-trial.ts
+++ b/features/steps/version-trial.ts
@@ -60,22 +60,22 @@
 })
 
 /** One request of a session at any VM that lives; tells whether it used the new version. */
-function request (world: TrialWorld, session: number, vm: VmId, isBad: boolean): boolean {
+function request (world: TrialWorld, session: number, vm: VmId, isBad: (session: number) => boolean): boolean {
   const trials = world.vms.get(vm)!
   const rule = trials.rule(SERVICE, `session-${session}`, false)
   const usesNew = rule.allows(NEW) && !rule.allows(OLD)
-  trials.observe(SERVICE, usesNew ? NEW : OLD, { failed: usesNew && isBad, firstEventMs: 100 })
+  trials.observe(SERVICE, { version: usesNew ? NEW : OLD, route: `route-${session % 4}`, failed: usesNew && isBad(session), firstEventMs: 100 })
   return usesNew
 }
 
-async function play (world: TrialWorld, ms: number, isBad: (number: number) => boolean): Promise<void> {
+async function play (world: TrialWorld, ms: number, isBad: (session: number) => boolean): Promise<void> {
   const random = createRandom(3)
   const live = [...world.vms.keys()].filter(vm => !world.dead.has(vm))
   for (let passed = 0; passed < ms; passed += STEP_MS) {
     // 60 requests a second.
     for (let i = 0; i < 3 && world.order.state !== 'completed'; i++) {
       const session = Math.floor(random() * 400)
-      const usesNew = request(world, session, live[Math.floor(random() * live.length)]!, isBad(world.total))
+      const usesNew = request(world, session, live[Math.floor(random() * live.length)]!, isBad)
       const known = world.sessions.get(session)
       world.sessions.set(session, { wasNew: usesNew, wentBack: (known?.wentBack ?? false) || ((known?.wasNew ?? false) && !usesNew) })
       world.total++
@@ -99,9 +99,15 @@
 When('the new version fails half of its requests', { timeout: 30_000 }, async function (this: TrialWorld) {
   // The second stage begins here, in which the trial gets more requests.
   await this.clock.advance(this.order.durationMs * 0.55)
-  await play(this, 4000, number => number % 2 === 0)
+  await play(this, 4000, () => this.total % 2 === 0)
 })
 
+When('the new version fails on one of 4 routes', { timeout: 30_000 }, async function (this: TrialWorld) {
+  await play(this, 20_000, session => session % 4 === 1 && this.total % 3 !== 0)
+})
+
+Then('the order is rolled back', function (this: TrialWorld) { assert.equal(this.order.state, 'rolled_back') })
+
 Then(/^at most (\d+) % of the requests use the new version in the first half$/, function (this: TrialWorld, most: string) {
   assert.ok(this.newInFirstHalf <= this.firstHalf * Number(most) / 100, `${this.newInFirstHalf} of ${this.firstHalf}`)
 })
--- a/features/traffic-decisions.feature
+++ b/features/traffic-decisions.feature
@@ -98,6 +98,11 @@
     Then the order is rolled back within 4000 ms
     And no VM sends requests to the new version
 
+  Scenario: a version that fails on one route only is rolled back
+    Given a roll-out of 20 s that 9 VMs follow
+    When the new version fails on one of 4 routes
+    Then the order is rolled back
+
   Scenario: a good version is taken over completely near the end
     Given a roll-out of 20 s that 9 VMs follow
     When 400 sessions send requests all the time
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -23,8 +23,7 @@
 import { chooseBackend } from '../placement/index.ts'
 import { createRoomQueue } from '../placement/room-queue.ts'
 import { hashPoint, rendezvousOrder } from '../placement/rendezvous.ts'
-import { createVersionTrials, type RolloutOrder } from '../version-trial/index.ts'
-import type { OutcomeReport } from '../rollout/types.ts'
+import { createVersionTrials, type RolloutOrder, type TrialReport } from '../version-trial/index.ts'
 import { createLoadExchange, type LoadReport } from '../load-exchange/index.ts'
 import { createFleet } from '../fleet/index.ts'
 import { ADDRESS_TTL_S, CONFIG_WAIT_MS, FEED_WAIT_MS, MAX_ADDRESSES, MIN_REPORTED_LOAD, PROOF_SHARE, RELIST_SHARE, STOP_SETTLE_MS, STOP_SHARE, TAKE_AFTER_STOP_MS } from './constants.ts'
@@ -141,7 +140,7 @@
     log,
     metrics
   })
-  fleet.peers.handle('rollout.outcomes', report => trials.accept(report as OutcomeReport))
+  fleet.peers.handle('rollout.outcomes', report => trials.accept(report as TrialReport))
 
   function applyConfig (object: StoredObject): void {
     let config: TrafficConfig
@@ -268,9 +267,9 @@
     },
     noteSend: backend => pool.noteSend(backend),
     noteConnectFailure: backend => pool.noteConnectFailure(backend),
-    noteResult (backend, { service }, result) {
+    noteResult (backend, { service, route }, result) {
       pool.noteResult(backend, result.failed)
-      trials.observe(service, backend.entry.version, result)
+      trials.observe(service, { version: backend.entry.version, route: route.name, ...result })
     },
     clock,
     metrics,
--- a/src/core/version-trial/constants.ts
+++ b/src/core/version-trial/constants.ts
@@ -8,8 +8,11 @@
 export const SECOND_STAGE_AT = 0.53
 /** Part of the order's time after which a version that shows no fault is taken over completely. */
 export const COMPLETE_AT = 0.8
-/** Requests on the new version without which nothing is known about it. */
-export const MIN_TRIALS = 20
+/**
+ * Requests on the new version without which too little is known about it: in all, and on each route that carries at
+ * least this share of the traffic. Four failures of seven on one route are evidence enough.
+ */
+export const ENOUGH_TRIALS = { minTrials: 20, minRouteTrials: 7, routeShare: 0.08 }
 /** Part of the allowed share that one VM uses of its own requests, because VMs begin at different times. */
 export const SHARE_SAFETY = 0.85
 /** Period of reports and decisions. */
--- a/src/core/version-trial/evidence.ts
+++ b/src/core/version-trial/evidence.ts
@@ -2,16 +2,20 @@
  * Evidence that a version on trial is worse, from few requests. The load it answers: a trial gets some tens of requests
  * in all, where the sequential test of the product's own roll-outs needs hundreds. Both versions are compared over the
  * same time, so a fault that hits both is none; the whole trial and its latest part are judged apart, so that a version
- * that turns bad late is not excused by its good start.
+ * that turns bad late is not excused by its good start. Each route is judged by itself, too: a version that fails on one
+ * route only is good on the whole.
  */
 import { addTallies, emptyRolloutTally, tallySince } from '../rollout/tally.ts'
 import type { RolloutTally, VersionTally } from '../rollout/types.ts'
 
 export interface Evidence { failures: number, latency: number }
 
+/** Tallies by name of the route. */
+export type RouteTallies = Record<string, RolloutTally>
+
 export interface TrialJudge {
-  /** Takes the total so far at a monotonic time and returns the strongest evidence. */
-  judge(total: RolloutTally, nowMs: number): Evidence
+  /** Takes the totals so far at a monotonic time and returns the strongest evidence. */
+  judge(totals: RouteTallies, nowMs: number): Evidence
 }
 
 /** Latest part of a trial that is judged by itself. */
@@ -21,27 +25,46 @@
 const SLOWER_BUCKETS = 3
 
 export function createTrialJudge (): TrialJudge {
-  let snapshots: { atMs: number, total: RolloutTally }[] = []
+  let snapshots: { atMs: number, totals: RouteTallies }[] = []
 
   return {
-    judge (total, nowMs) {
+    judge (totals, nowMs) {
       while (snapshots.length > 1 && nowMs - snapshots[1]!.atMs >= RECENT_MS) snapshots.shift()
-      const before = snapshots[0]?.total ?? emptyRolloutTally()
-      snapshots = [...snapshots, { atMs: nowMs, total }]
-      const recent = { from: tallySince(before.from, total.from), to: tallySince(before.to, total.to) }
-      const parts = [total, recent].map(compare)
+      const before = snapshots[0]?.totals ?? {}
+      snapshots = [...snapshots, { atMs: nowMs, totals }]
+      const recent = Object.fromEntries(Object.entries(totals).map(([route, tally]) => [route, since(before[route], tally)]))
+      const parts = [totals, recent].flatMap(tallies => [sumTallies(Object.values(tallies)), ...Object.values(tallies)]).map(compare)
       return { failures: Math.max(...parts.map(part => part.failures)), latency: Math.max(...parts.map(part => part.latency)) }
     }
   }
 }
 
-/** Adds the tallies of all VMs. */
+function since (before: RolloutTally | undefined, tally: RolloutTally): RolloutTally {
+  return before ? { from: tallySince(before.from, tally.from), to: tallySince(before.to, tally.to) } : tally
+}
+
 export function sumTallies (tallies: Iterable<RolloutTally>): RolloutTally {
   let sum = emptyRolloutTally()
   for (const { from, to } of tallies) sum = { from: addTallies(sum.from, from), to: addTallies(sum.to, to) }
   return sum
 }
 
+/** Adds the tallies of all VMs, route by route. */
+export function sumByRoute (reports: Iterable<RouteTallies>): RouteTallies {
+  const sums: RouteTallies = {}
+  for (const report of reports) {
+    for (const [route, tally] of Object.entries(report)) sums[route] = sumTallies(sums[route] ? [sums[route], tally] : [tally])
+  }
+  return sums
+}
+
+/** Whether the new version has been seen on every route that carries a good part of the traffic. */
+export function isTried (totals: RouteTallies, { minTrials, minRouteTrials, routeShare }: { minTrials: number, minRouteTrials: number, routeShare: number }): boolean {
+  const all = sumTallies(Object.values(totals))
+  if (all.to.requests < minTrials) return false
+  return Object.values(totals).every(({ from, to }) => from.requests < routeShare * all.from.requests || to.requests >= minRouteTrials)
+}
+
 function compare ({ from, to }: RolloutTally): Evidence {
   const slow = slowBucket(from)
   const countSlow = ({ firstTokens }: VersionTally) => firstTokens.slice(slow).reduce((sum, count) => sum + count, 0)
--- a/src/core/version-trial/index.ts
+++ b/src/core/version-trial/index.ts
@@ -12,15 +12,23 @@
 import type { Metrics } from '../metrics/index.ts'
 import { hashPoint, rendezvousOrder } from '../placement/rendezvous.ts'
 import { countOutcome, emptyRolloutTally } from '../rollout/tally.ts'
-import type { OutcomeReport, RolloutTally } from '../rollout/types.ts'
 import {
-  COMPLETE_AT, FIRST_SHARE, LOAD_FACTOR, MIN_TRIALS, REPORT_RECEIVERS, SECOND_SHARE, SECOND_STAGE_AT, SHARE_SAFETY, STOP_EVIDENCE, TRIAL_PERIOD_MS, WAIT_EVIDENCE, WRITER_DELAY_MS
+  COMPLETE_AT, ENOUGH_TRIALS, FIRST_SHARE, LOAD_FACTOR, REPORT_RECEIVERS, SECOND_SHARE, SECOND_STAGE_AT, SHARE_SAFETY, STOP_EVIDENCE, TRIAL_PERIOD_MS, WAIT_EVIDENCE, WRITER_DELAY_MS
 } from './constants.ts'
-import { createTrialJudge, sumTallies, type TrialJudge } from './evidence.ts'
+import { createTrialJudge, isTried, sumByRoute, sumTallies, type RouteTallies, type TrialJudge } from './evidence.ts'
 import type { RolloutOrder } from './types.ts'
 
 export type { RolloutOrder } from './types.ts'
 
+/** Everything that one run of a VM has counted since the order. */
+export interface TrialReport {
+  order: string
+  target: VersionId
+  vm: VmId
+  boot: BootId
+  tallies: RouteTallies
+}
+
 type FinalState = 'completed' | 'rolled_back'
 
 /** Versions that a request may use. */
@@ -35,7 +43,7 @@
   boot: BootId
   /** VMs that take part, this one included. */
   vms: () => readonly VmId[]
-  report(to: VmId, report: OutcomeReport): void
+  report(to: VmId, report: TrialReport): void
   /** Conditional write of the status; false when the order has changed in the meantime. */
   writeStatus(order: RolloutOrder, state: 'running' | FinalState): Promise<boolean>
   /** Largest share of a service's requests that a version on trial may get, and the requests beyond it, over all VMs. */
@@ -45,14 +53,22 @@
   metrics: Metrics
 }
 
+export interface Outcome {
+  version: VersionId
+  /** Name of the request's route. */
+  route: string
+  failed: boolean
+  firstEventMs: number | undefined
+}
+
 interface Trial {
   order: RolloutOrder
   seenMs: number
   /** What this VM concluded before the store confirms it. */
   concluded: FinalState | undefined
   dueSinceMs: number | undefined
-  tally: RolloutTally
-  reports: Map<string, RolloutTally>
+  tallies: RouteTallies
+  reports: Map<string, RouteTallies>
   judge: TrialJudge
   requests: number
   trialRequests: number
@@ -81,7 +97,7 @@
       seenMs: clock.now(),
       concluded: undefined,
       dueSinceMs: undefined,
-      tally: emptyRolloutTally(),
+      tallies: {},
       reports: new Map(),
       judge: createTrialJudge(),
       requests: 0,
@@ -117,17 +133,18 @@
     return { allows: version => version === target, spread: share * LOAD_FACTOR }
   }
 
-  function observe (service: ServiceId, version: VersionId, { failed, firstEventMs }: { failed: boolean, firstEventMs: number | undefined }): void {
+  function observe (service: ServiceId, { version, route, failed, firstEventMs }: Outcome): void {
     const trial = trialOf(service)
     if (!trial || stateOf(trial) !== 'running') return
-    countOutcome(version === trial.order.target ? trial.tally.to : trial.tally.from, {
+    const tally = trial.tallies[route] ??= emptyRolloutTally()
+    countOutcome(version === trial.order.target ? tally.to : tally.from, {
       failed, ...firstEventMs !== undefined && { firstTokenMs: firstEventMs }
     })
   }
 
-  function accept ({ rollout, pair, vm: from, boot: run, tally }: OutcomeReport): void {
-    const trial = trials.get(rollout)
-    if (trial && trial.order.target === pair) trial.reports.set(`${from}/${run}`, tally)
+  function accept ({ order, target, vm: from, boot: run, tallies }: TrialReport): void {
+    const trial = trials.get(order)
+    if (trial && trial.order.target === target) trial.reports.set(`${from}/${run}`, tallies)
   }
 
   function tick (): void {
@@ -139,7 +156,7 @@
   }
 
   function sendReport (trial: Trial, writers: readonly VmId[]): void {
-    const message: OutcomeReport = { rollout: trial.order.name, pair: trial.order.target, vm, boot, tally: trial.tally }
+    const message: TrialReport = { order: trial.order.name, target: trial.order.target, vm, boot, tallies: structuredClone(trial.tallies) }
     accept(message)
     for (const to of writers.slice(0, REPORT_RECEIVERS)) if (to !== vm) report(to, message)
   }
@@ -161,14 +178,15 @@
     const { order, judge, reports } = trial
     if (order.state === undefined) return 'running'
     if (order.state !== 'running') return undefined
-    const total = sumTallies(reports.values())
-    const evidence = judge.judge(total, clock.now())
+    const totals = sumByRoute(reports.values())
+    const evidence = judge.judge(totals, clock.now())
     const strongest = Math.max(evidence.failures, evidence.latency)
     if (strongest >= STOP_EVIDENCE) {
+      const total = sumTallies(Object.values(totals))
       log.warn('the new version is worse', { service: order.service, target: order.target, evidence, trials: total.to.requests, failures: total.to.failures })
       return 'rolled_back'
     }
-    return elapsedShare(trial) >= COMPLETE_AT && total.to.requests >= MIN_TRIALS && strongest <= WAIT_EVIDENCE ? 'completed' : undefined
+    return elapsedShare(trial) >= COMPLETE_AT && isTried(totals, ENOUGH_TRIALS) && strongest <= WAIT_EVIDENCE ? 'completed' : undefined
   }
 
   async function write (trial: Trial, state: 'running' | FinalState): Promise<void> {
