--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -43,7 +43,7 @@
 rmSync(REPORT, { force: true })
 const args = [
   // --exit: a handle that a failed scenario left open must not keep the run from ending.
-  CUCUMBER, '--exit', '--import', 'features/**/*.ts', '--format', 'progress', '--format', `message:${REPORT}`,
+  CUCUMBER, '--exit', 'features/**/*.feature', 'platform/tests/*.feature', '--import', 'features/**/*.ts', '--import', 'platform/tests/*.ts', '--format', 'progress', '--format', `message:${REPORT}`,
   ...process.argv.slice(2)
 ]
 const env = { ...process.env, NODE_OPTIONS: '--import tsx' }
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -59,7 +59,7 @@
 /** How one attempt ended; `next` asks for another one. */
 type AttemptEnd =
   | { kind: 'done' }
-  | { kind: 'next', reason: string }
+  | { kind: 'next', reason: string, backend: Backend }
   | { kind: 'failed', error: ErrorName, reason: string }
 
 interface Progress {
@@ -118,7 +118,7 @@
         if (progress.ended) break
         if (end.kind === 'done') progress.ended = true
         if (end.kind === 'failed') finish(end.error, end.reason)
-        if (end.kind === 'next') log.request('attempt_repeated', { id: request.id, reason: end.reason, attempts: progress.attempts })
+        if (end.kind === 'next') log.request('attempt_repeated', { id: request.id, backendServer: end.backend.entry.id, reason: end.reason, attempts: progress.attempts })
       }
     } finally {
       cancelDeadline()
@@ -171,12 +171,12 @@
         if (result.kind === 'not_sent') {
           progress.connectTries++
           options.noteConnectFailure(backend)
-          return { kind: 'next', reason: result.reason }
+          return { kind: 'next', reason: result.reason, backend }
         }
         progress.attempts++
         progress.mayHaveRun = true
         options.noteResult(backend, forwarded, { failed: true, firstEventMs: undefined })
-        return repeatOr(route, result.reason)
+        return repeatOr(route, backend, result.reason)
       }
       progress.attempts++
       backend.lastHeardMs = clock.now()
@@ -217,25 +217,25 @@
   }
 
   async function useHead (forwarded: ForwardedRequest, progress: Progress, answer: Answer): Promise<AttemptEnd> {
-    const { request, route, caller } = forwarded
+    const { route, caller } = forwarded
     const { backend, exchange, head, startedMs } = answer
     const { noteResult } = options
     if (head.notRun) {
       exchange.abort('not run')
       metrics.count('retries', head.misdirected ? 'misdirected' : 'backend_full')
-      return { kind: 'next', reason: `not run, status ${head.status}` }
+      return { kind: 'next', reason: `not run, status ${head.status}`, backend }
     }
     progress.mayHaveRun = true
     if (!head.authentic) {
       exchange.abort('foreign answer')
       noteResult(backend, forwarded, { failed: true, firstEventMs: undefined })
-      return repeatOr(route, 'foreign answer')
+      return repeatOr(route, backend, 'foreign answer')
     }
     const failed = head.status >= 500
     if (failed && mayRepeat(route) && progress.attempts < route.maxAttempts && !caller.hasBegun()) {
       exchange.abort('failed')
       noteResult(backend, forwarded, { failed: true, firstEventMs: undefined })
-      return { kind: 'next', reason: `status ${head.status}` }
+      return { kind: 'next', reason: `status ${head.status}`, backend }
     }
     if (route.kind === 'streaming' && head.status < 300) {
       if (shouldEscalate(forwarded, progress, head)) {
@@ -244,30 +244,37 @@
         noteResult(backend, forwarded, { failed: false, firstEventMs: clock.now() - startedMs })
         metrics.count('escalations', 'low_confidence')
         progress.model = models[models.length - 1]
-        return { kind: 'next', reason: `confidence ${head.confidence}` }
+        return { kind: 'next', reason: `confidence ${head.confidence}`, backend }
       }
       const end = await relayEvents({ ...answer, caller, route, lastEventId: progress.lastEventId, clock })
       progress.lastEventId = end.lastEventId
       noteResult(backend, forwarded, { failed: end.kind === 'broken', firstEventMs: end.firstEventMs === undefined ? undefined : end.firstEventMs - startedMs })
       if (end.kind === 'complete') {
         metrics.count('requests', 'answered')
+        logAnswer(forwarded, progress, backend, head)
         return { kind: 'done' }
       }
-      return repeatOr(route, end.reason)
+      return repeatOr(route, backend, end.reason)
     }
     const bytes = await readAnswer(answer.body, exchange)
     if (!bytes) {
       noteResult(backend, forwarded, { failed: true, firstEventMs: undefined })
-      return repeatOr(route, 'answer cut off')
+      return repeatOr(route, backend, 'answer cut off')
     }
     noteResult(backend, forwarded, { failed, firstEventMs: clock.now() - startedMs })
     if (caller.hasBegun()) return { kind: 'failed', error: 'answer_truncated', reason: `status ${head.status} after a part of the answer` }
     caller.answer(head.status, head.headers, bytes, isFramed(answer.body))
     metrics.count('requests', failed ? 'backend_failure' : 'answered')
-    log.request('answered', { id: request.id, route: route.name, backendServer: backend.entry.id, status: head.status, attempts: progress.attempts })
+    logAnswer(forwarded, progress, backend, head)
     return { kind: 'done' }
   }
 
+  function logAnswer ({ request, route, receivedMs }: ForwardedRequest, { attempts, model }: Progress, { entry }: Backend, { status, confidence }: BackendHead): void {
+    log.request('answered', {
+      id: request.id, route: route.name, status, backendServer: entry.id, version: entry.version, model, confidence, attempts, afterMs: Math.round(clock.now() - receivedMs)
+    })
+  }
+
   /** Drops the answer of a small model that doubts it, while the caller has received nothing and an attempt is left. */
   function shouldEscalate ({ route, service, request, caller }: ForwardedRequest, progress: Progress, head: BackendHead): boolean {
     const { models } = route
@@ -276,8 +283,8 @@
     return head.confidence < options.escalationConfidence(service)
   }
 
-  function repeatOr (route: Route, reason: string): AttemptEnd {
-    return mayRepeat(route) ? { kind: 'next', reason } : { kind: 'failed', error: 'backend_failed', reason }
+  function repeatOr (route: Route, backend: Backend, reason: string): AttemptEnd {
+    return mayRepeat(route) ? { kind: 'next', reason, backend } : { kind: 'failed', error: 'backend_failed', reason }
   }
 
   return { forward }
--- a/src/core/node/index.ts
+++ b/src/core/node/index.ts
@@ -59,6 +59,7 @@
   /** Stops taking work, completes what was taken, and resolves when nothing is left or the grace is used up. */
   stop(): Promise<void>
   reload(settings: NodeSettings): void
+  log: DecisionLog
   /** Ends everything at once. */
   close(): Promise<void>
 }
@@ -334,6 +335,7 @@
   ])
 
   return {
+    log,
     reload (changed) {
       settings = changed
       log.info('settings reloaded', {})
