Split the forwarding VM into feeds, assignment and assembly; name it in the product's words

A caller who left while its request waited for a proof of keys was not noticed. Ruled out: a class per part, functions with options are the house's way. Change: src/core/forwarding-vm with feeds.ts and assignment.ts; a connection that has closed already tells so at once.

--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -1,17 +1,17 @@
 import assert from 'node:assert/strict'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { brandId, type DataCentreId } from '../../src/core/ids/index.ts'
-import { exchangeBytes, backendEntry, KINDS, startNodeStand, trafficConfig, type NodeStand, type RawAnswer } from '../support/node-stand.ts'
+import { exchangeBytes, backendEntry, KINDS, startForwardingVmStand, trafficConfig, type ForwardingVmStand, type RawAnswer } from '../support/forwarding-vm-stand.ts'
 import { startScriptedBackend, STREAM_EVENTS, type BackendAct, type ScriptedBackend } from '../support/scripted-backend.ts'
 
 interface ForwardingWorld {
-  stand: NodeStand
+  stand: ForwardingVmStand
   backends: ScriptedBackend[]
   answers: RawAnswer[]
 }
 
 After({ tags: '@forwarding' }, async function (this: Partial<ForwardingWorld>) {
-  await this.stand?.node.close()
+  await this.stand?.vm.close()
   for (const backend of this.backends ?? []) await backend.close()
 })
 
@@ -35,7 +35,7 @@
 }
 
 Given(/^a forwarding VM with (\d+) backend servers that (.*)$/, async function (this: ForwardingWorld, count: string, acts: string) {
-  this.stand = await startNodeStand()
+  this.stand = await startForwardingVmStand()
   this.backends = []
   // The acts are one script: whichever backend server is asked first plays the first act.
   const script = { acts: acts.split(', ') as BackendAct[] }
@@ -49,7 +49,7 @@
 })
 
 Given('a forwarding VM without configuration', async function (this: ForwardingWorld) {
-  this.stand = await startNodeStand({ configured: false })
+  this.stand = await startForwardingVmStand({ configured: false })
   await sleep(50)
 })
 
@@ -77,7 +77,7 @@
 When(/^a caller sends a request to (\S+) and the VM stops meanwhile$/, async function (this: ForwardingWorld, path: string) {
   const answer = send(this, requestBytes(path))
   await sleep(100)
-  void this.stand.node.stop()
+  void this.stand.vm.stop()
   await answer
 })
 
--- a/features/steps/traffic-decisions.ts
+++ b/features/steps/traffic-decisions.ts
@@ -17,7 +17,7 @@
 import { STOP_EVIDENCE, WAIT_EVIDENCE } from '../../src/core/version-trial/constants.ts'
 import { createTrialJudge } from '../../src/core/version-trial/evidence.ts'
 import { createRandom } from '../../src/standin/random.ts'
-import { backendEntry } from '../support/node-stand.ts'
+import { backendEntry } from '../support/forwarding-vm-stand.ts'
 
 const SERVICE = brandId<ServiceId>('service')
 const backendId = (name: string) => brandId<BackendServerId>(name)
--- a/features/support/node-stand.ts
+++ b/features/support/forwarding-vm-stand.ts
@@ -7,7 +7,7 @@
 import type { BackendHead, Route, TrafficConfig } from '../../src/core/forwarding/types.ts'
 import { brandId, type BackendServerId, type DataCentreId, type ModelId, type RegionId, type RequestId, type ServiceId, type SessionId, type TeamId, type VersionId, type VmId } from '../../src/core/ids/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
-import { startNode, type Node, type NodeSettings, type PlatformAdapter } from '../../src/core/node/index.ts'
+import { startForwardingVm, type ForwardingVm, type ForwardingVmSettings, type PlatformAdapter } from '../../src/core/forwarding-vm/index.ts'
 import { createMemoryStore, type MemoryStore } from './memory-store.ts'
 
 export const KINDS = { config: 'config', backendServers: 'backend-servers', rollouts: 'rollouts', evacuations: 'evacuations' }
@@ -125,16 +125,16 @@
   }
 }
 
-export interface NodeStand {
-  node: Node
+export interface ForwardingVmStand {
+  vm: ForwardingVm
   store: MemoryStore
-  settings: NodeSettings
+  settings: ForwardingVmSettings
 }
 
-export async function startNodeStand ({ clock = systemClock, configured = true }: { clock?: Clock, configured?: boolean } = {}): Promise<NodeStand> {
+export async function startForwardingVmStand ({ clock = systemClock, configured = true }: { clock?: Clock, configured?: boolean } = {}): Promise<ForwardingVmStand> {
   const ports = await freePorts(5)
   const at = (index: number) => `127.0.0.1:${ports[index]}`
-  const settings: NodeSettings = {
+  const settings: ForwardingVmSettings = {
     vm: brandId<VmId>('vm-1'),
     dataCentre: brandId<DataCentreId>('dc-1'),
     region: brandId<RegionId>('region-1'),
@@ -163,8 +163,8 @@
   }
   const store = createMemoryStore()
   if (configured) store.put(KINDS.config, 'main', trafficConfig(1))
-  const node = await startNode({ settings, adapter, store, clock, log: { ...silentLog, request () {} } })
-  return { node, store, settings }
+  const vm = await startForwardingVm({ settings, adapter, store, clock, log: { ...silentLog, request () {} } })
+  return { vm, store, settings }
 }
 
 export interface RawAnswer { status: number, head: string, body: string, ended: 'closed' | 'reset' }
--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -9,14 +9,14 @@
 import type { Log } from '../logging/index.ts'
 import { createMembership, type Member, type Membership } from '../membership/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import type { NodeSettings } from '../node/types.ts'
+import type { ForwardingVmSettings } from '../forwarding-vm/types.ts'
 import { createObjectFeed, type ObjectStore, type StoredObject } from '../object-feed/index.ts'
 import { createPeerLinks } from '../peer/index.ts'
 import { rendezvousOrder } from '../placement/rendezvous.ts'
 import { CLEANUP_PERIOD_MS, FLEET_KIND, FLEET_WAIT_MS, GONE_AFTER_MS, KEY_KIND, KEY_NAME, REGISTER_RETRY_MS } from './constants.ts'
 
 export interface FleetOptions {
-  settings: NodeSettings
+  settings: ForwardingVmSettings
   store: ObjectStore
   clock: Clock
   log: Log
--- a/src/core/node/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -2,51 +2,37 @@
  * A VM that forwards callers' requests as they are: the feeds of the store keep the route table, the backend servers
  * and the roll-outs current; requests pass access, placement and forwarding; the directory names the live VMs.
  */
-import { createServer, type IncomingMessage, type Server } from 'node:http'
-import { createBackendPool, type Backend, type BackendEntry, type BackendPool } from '../backend-pool/index.ts'
+import { createServer, type Server } from 'node:http'
+import { createBackendPool, type BackendPool } from '../backend-pool/index.ts'
 import { systemClock, type Clock } from '../clock/index.ts'
 import { errorMessage, GatewayError, type ErrorName } from '../errors/index.ts'
 import { createConfigLease } from '../forwarding/config-lease.ts'
 import { PROOF_WAIT_MS, RETRY_AFTER_S } from '../forwarding/constants.ts'
-import type { Codec } from '../forwarding/exchange.ts'
-import { createForwarder, type Assignment, type ForwardedRequest } from '../forwarding/forward.ts'
+import { createForwarder } from '../forwarding/forward.ts'
 import { createRetryAllowance, type RetryAllowance } from '../forwarding/retry-allowance.ts'
 import { chooseService, createRouteTable, type RouteTable } from '../forwarding/route-table.ts'
 import { escalationConfidence } from '../cascade/confidence.ts'
 import { createCallerServer } from '../forwarding/server.ts'
 import type { CallerConnection } from '../forwarding/caller-connection.ts'
 import type { CallerRequest, TrafficConfig } from '../forwarding/types.ts'
-import { brandId, type BackendServerId, type DataCentreId, type ModelId, type ServiceId } from '../ids/index.ts'
+import type { ServiceId } from '../ids/index.ts'
 import { createDecisionLog, type DecisionLog } from '../logging/decision-log.ts'
 import { createMetrics } from '../metrics/index.ts'
-import { createObjectFeed, type Change, type ObjectFeed, type ObjectStore, type StoredObject } from '../object-feed/index.ts'
-import { chooseBackend } from '../placement/index.ts'
+import type { ObjectStore, StoredObject } from '../object-feed/index.ts'
 import { createRoomQueue } from '../placement/room-queue.ts'
-import { hashPoint, rendezvousOrder } from '../placement/rendezvous.ts'
-import { createVersionTrials, type RolloutOrder, type TrialReport } from '../version-trial/index.ts'
+import { hashPoint } from '../placement/rendezvous.ts'
+import { createVersionTrials, type TrialReport } from '../version-trial/index.ts'
 import { createLoadExchange, type LoadReport } from '../load-exchange/index.ts'
 import { createFleet } from '../fleet/index.ts'
-import { ADDRESS_TTL_S, CONFIG_WAIT_MS, FEED_WAIT_MS, MAX_ADDRESSES, MIN_REPORTED_LOAD, PROOF_SHARE, RELIST_SHARE, STOP_SETTLE_MS, STOP_SHARE, TAKE_AFTER_STOP_MS } from './constants.ts'
-import type { NodeSettings } from './types.ts'
+import { ADDRESS_TTL_S, MAX_ADDRESSES, MIN_REPORTED_LOAD, STOP_SETTLE_MS, STOP_SHARE, TAKE_AFTER_STOP_MS } from './constants.ts'
+import { createAssignments } from './assignment.ts'
+import { createFeeds } from './feeds.ts'
+import type { ForwardingVmSettings, PlatformAdapter } from './types.ts'
 
-export type { NodeSettings } from './types.ts'
+export type { ForwardingVmSettings, PlatformAdapter } from './types.ts'
 
-/** What the platform's adapter provides: names and formats of its objects and headers. */
-export interface PlatformAdapter extends Codec {
-  decodeCallerRequest(method: string, target: string, headers: IncomingMessage['headers'], raw: string[]): CallerRequest
-  kinds: { config: string, backendServers: string, rollouts: string, evacuations: string }
-  configName: string
-  decodeConfig(spec: unknown): TrafficConfig
-  decodeBackend(object: StoredObject): BackendEntry | undefined
-  decodeRollout(object: StoredObject): RolloutOrder | undefined
-  encodeRolloutStatus(order: RolloutOrder, state: NonNullable<RolloutOrder['state']>): unknown
-  /** Serves the calls that the platform and callers make besides requests. */
-  serveReadiness(isReady: () => boolean): Server
-  serveDirectory(addresses: (dataCentre: string) => { addresses: string[], ttlS: number }): Server
-}
-
-export interface NodeOptions {
-  settings: NodeSettings
+export interface ForwardingVmOptions {
+  settings: ForwardingVmSettings
   adapter: PlatformAdapter
   store: ObjectStore
   clock?: Clock
@@ -55,16 +41,16 @@
   log?: DecisionLog
 }
 
-export interface Node {
+export interface ForwardingVm {
   /** Stops taking work, completes what was taken, and resolves when nothing is left or the grace is used up. */
   stop(): Promise<void>
-  reload(settings: NodeSettings): void
+  reload(settings: ForwardingVmSettings): void
   log: DecisionLog
   /** Ends everything at once. */
   close(): Promise<void>
 }
 
-export async function startNode (options: NodeOptions): Promise<Node> {
+export async function startForwardingVm (options: ForwardingVmOptions): Promise<ForwardingVm> {
   const { adapter, store, clock = systemClock, random = Math.random } = options
   let { settings } = options
   const { kinds } = adapter
@@ -73,7 +59,6 @@
   let table: RouteTable | undefined
   let stoppingSinceMs: number | undefined
   const lease = createConfigLease({ boundMs: settings.keyWithdrawalMs, strict: settings.strictKeyWithdrawal, clock })
-  const evacuated = new Set<DataCentreId>()
   const fleet = createFleet({ settings, store, clock, log, metrics, random })
 
   const pool: BackendPool = createBackendPool({
@@ -115,19 +100,6 @@
   })
   fleet.peers.handle('load.report', (report, from) => loads.accept(from, report as LoadReport))
 
-  /** Costs stand for the time that the models take; without costs all weigh the same. */
-  function modelWeight (service: ServiceId, model: ModelId | undefined): number {
-    const costs = table?.service(service)?.engine?.modelCosts
-    if (!costs || model === undefined) return 1
-    return (costs.get(model) ?? 1) / Math.max(...costs.values(), Number.MIN_VALUE)
-  }
-
-  /** Mean load of the backend servers of a service, of all VMs. */
-  function meanLoad (service: ServiceId): number {
-    const backends = pool.eligible(service)
-    return backends.reduce((sum, backend) => sum + backend.load + loads.othersLoad(backend.entry.id), 0) / Math.max(1, backends.length)
-  }
-
   const trials = createVersionTrials({
     vm: settings.vm,
     boot: fleet.boot,
@@ -159,106 +131,17 @@
     log.info('configuration in force', { version: config.version, revision: object.revision, routes: config.routes.length, teams: config.teams.length })
   }
 
-  function applyEvacuations (): void { pool.setOutOfService(new Set(evacuated)) }
-
-  const feedDefaults = { source: store, waitMs: FEED_WAIT_MS, relistMs: settings.storeHistoryMs * RELIST_SHARE, clock, log, metrics, random }
-  const feeds: ObjectFeed[] = [
-    createObjectFeed({
-      ...feedDefaults,
-      kind: kinds.config,
-      waitMs: Math.min(CONFIG_WAIT_MS, settings.keyWithdrawalMs * PROOF_SHARE),
-      onSnapshot: objects => { for (const object of objects) if (object.name === adapter.configName) applyConfig(object) },
-      onChange: ({ object, deleted }) => { if (object.name === adapter.configName && !deleted) applyConfig(object) },
-      onCurrent: sent => lease.renew(sent)
-    }),
-    createObjectFeed({
-      ...feedDefaults,
-      kind: kinds.backendServers,
-      onRegained: () => pool.noteStoreReturned(),
-      onSnapshot: objects => pool.applySnapshot(objects.flatMap(readBackend)),
-      onChange: ({ object, deleted }) => {
-        const [entry] = deleted ? [] : readBackend(object)
-        if (entry) pool.apply(entry)
-        else pool.remove(brandId<BackendServerId>(object.name))
-      }
-    }),
-    createObjectFeed({
-      ...feedDefaults,
-      kind: kinds.evacuations,
-      onSnapshot: objects => {
-        evacuated.clear()
-        for (const { name } of objects) evacuated.add(brandId<DataCentreId>(name))
-        applyEvacuations()
-      },
-      onChange: ({ object, deleted }: Change) => {
-        if (deleted) evacuated.delete(brandId<DataCentreId>(object.name))
-        else evacuated.add(brandId<DataCentreId>(object.name))
-        applyEvacuations()
-      }
-    }),
-    createObjectFeed({
-      ...feedDefaults,
-      kind: kinds.rollouts,
-      onSnapshot: objects => trials.applyAll(objects.flatMap(readRollout)),
-      onChange: ({ object, deleted }) => {
-        if (deleted) trials.remove(object.name)
-        else for (const order of readRollout(object)) trials.apply(order)
-      }
-    })
-  ]
-
-  function readRollout (object: StoredObject): RolloutOrder[] {
-    const order = adapter.decodeRollout(object)
-    if (order) return [order]
-    metrics.count('bad_input', 'rollout')
-    return []
-  }
-
-  function readBackend (object: StoredObject): BackendEntry[] {
-    const entry = adapter.decodeBackend(object)
-    if (entry) return [entry]
-    metrics.count('bad_input', 'backend_entry')
-    return []
-  }
-
-  function prepare ({ request, service, route }: ForwardedRequest, tried: ReadonlySet<Backend>): () => Assignment | undefined {
-    const rule = trials.rule(service, request.session ?? request.id!, tried.size > 0)
-    const affinityKey = route.kind === 'streaming' ? request.prompt.at(-2)?.id ?? request.prompt.at(-1)?.id : undefined
-    return () => {
-      const permitted = pool.eligible(service).filter(({ entry }) => rule.allows(entry.version))
-      const usable = spreadOver(permitted, rule.spread).filter(backend => hasRoom(backend) && pool.hasColdRoom(backend))
-      const fresh = usable.filter(backend => !tried.has(backend))
-      const backend = chooseBackend({
-        candidates: fresh.length > 0 ? fresh : usable,
-        affinityKey,
-        dataCentre: settings.dataCentre,
-        othersLoad: ({ entry }) => loads.othersLoad(entry.id),
-        random
-      })
-      return backend && { backend, version: backend.entry.version }
-    }
-  }
-
-  /** The first backend servers in an order that all VMs share. */
-  function spreadOver (backends: Backend[], share: number): Backend[] {
-    if (share >= 1) return backends
-    const byId = new Map(backends.map(backend => [backend.entry.id, backend]))
-    const count = Math.max(1, Math.ceil(share * backends.length))
-    return rendezvousOrder('trial', [...byId.keys()]).slice(0, count).map(id => byId.get(id)!)
-  }
-
-  /** This VM's part of the connections and slots of a backend server. */
-  function hasRoom ({ entry, inFlight }: Backend): boolean {
-    const connections = (table?.service(entry.service)?.maxConnections ?? Infinity) / fleet.vms().length
-    return inFlight < Math.max(2, Math.min(connections, entry.slots))
-  }
+  const feeds = createFeeds({ settings, adapter, store, pool, trials, onConfig: applyConfig, onCurrentConfig: sent => lease.renew(sent), clock, log, metrics, random })
+  const assignments = createAssignments({
+    pool, trials, loads, table: () => table, vmCount: () => fleet.vms().length, dataCentre: settings.dataCentre, random
+  })
 
   const forwarder = createForwarder({
     codec: adapter,
-    prepare,
+    prepare: assignments.prepare,
     mayFindRoom: service => pool.eligible(service).length > 0,
-    modelWeight,
-    escalationConfidence: service => escalationConfidence(meanLoad(service)),
+    modelWeight: assignments.modelWeight,
+    escalationConfidence: service => escalationConfidence(assignments.meanLoad(service)),
     room,
     retries,
     mayStillRun ({ request, route, team }) {
--- a/src/core/node/types.ts
+++ b/src/core/forwarding-vm/types.ts
@@ -1,7 +1,13 @@
-/** Settings of a VM that forwards callers' requests, as its platform gives them. */
+/** Settings of a VM that forwards callers' requests, and what an adapter to its platform provides. */
+import type { IncomingMessage, Server } from 'node:http'
+import type { BackendEntry } from '../backend-pool/types.ts'
+import type { Codec } from '../forwarding/exchange.ts'
+import type { CallerRequest, TrafficConfig } from '../forwarding/types.ts'
+import type { StoredObject } from '../object-feed/types.ts'
+import type { RolloutOrder } from '../version-trial/types.ts'
 import type { DataCentreId, RegionId, VmId } from '../ids/index.ts'
 
-export interface NodeSettings {
+export interface ForwardingVmSettings {
   vm: VmId
   dataCentre: DataCentreId
   region: RegionId
@@ -41,3 +47,17 @@
   sessionMs: number
   longestAddressTtlMs: number
 }
+
+/** What the platform's adapter provides: names and formats of its objects and headers. */
+export interface PlatformAdapter extends Codec {
+  decodeCallerRequest(method: string, target: string, headers: IncomingMessage['headers'], raw: string[]): CallerRequest
+  kinds: { config: string, backendServers: string, rollouts: string, evacuations: string }
+  configName: string
+  decodeConfig(spec: unknown): TrafficConfig
+  decodeBackend(object: StoredObject): BackendEntry | undefined
+  decodeRollout(object: StoredObject): RolloutOrder | undefined
+  encodeRolloutStatus(order: RolloutOrder, state: NonNullable<RolloutOrder['state']>): unknown
+  /** Serves the calls that the platform and callers make besides requests. */
+  serveReadiness(isReady: () => boolean): Server
+  serveDirectory(addresses: (dataCentre: string) => { addresses: string[], ttlS: number }): Server
+}
--- a/src/core/forwarding/caller-connection.ts
+++ b/src/core/forwarding/caller-connection.ts
@@ -78,7 +78,9 @@
       outgoing.end(body)
     },
     onGone (run) {
-      outgoing.once('close', () => { if (!finished) run() })
+      // A caller may have left while its request waited for something.
+      if (outgoing.destroyed) run()
+      else outgoing.once('close', () => { if (!finished) run() })
     }
   }
 }
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -6,7 +6,7 @@
 import type { Backend } from '../backend-pool/types.ts'
 import type { Clock } from '../clock/index.ts'
 import { GatewayError, type ErrorName } from '../errors/index.ts'
-import type { ModelId, ServiceId, VersionId } from '../ids/index.ts'
+import type { ModelId, ServiceId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { requestLoad } from '../placement/index.ts'
 import type { RoomQueue } from '../placement/room-queue.ts'
@@ -30,8 +30,6 @@
   caller: CallerConnection
 }
 
-export interface Assignment { backend: Backend, version: VersionId }
-
 export interface ForwarderOptions {
   codec: Codec
   /** Load of a request to a model, relative to the largest one. */
@@ -40,7 +38,7 @@
   escalationConfidence(service: ServiceId): number
   room: RoomQueue
   /** Decides the version for one attempt; the result chooses a backend server with room, `undefined` when there is none. */
-  prepare(forwarded: ForwardedRequest, tried: ReadonlySet<Backend>): () => Assignment | undefined
+  prepare(forwarded: ForwardedRequest, tried: ReadonlySet<Backend>): () => Backend | undefined
   /** Whether room may appear: some backend server may get work and is only full for the moment. */
   mayFindRoom(service: ServiceId): boolean
   /** The retries that this VM may still send to a service. */
@@ -134,15 +132,14 @@
     if (progress.connectTries >= MAX_CONNECT_TRIES) return { kind: 'failed', error: notRunError, reason: 'no connection' }
     const forbidden = mayStillRun(forwarded)
     if (forbidden) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : forbidden, reason: 'may not run any more' }
-    const assignment = await place(forwarded, progress, remainingMs)
+    const backend = await place(forwarded, progress, remainingMs)
     if (progress.ended) return { kind: 'done' }
-    if (!assignment) return { kind: 'failed', error: notRunError, reason: 'no backend server has room' }
+    if (!backend) return { kind: 'failed', error: notRunError, reason: 'no backend server has room' }
     if (progress.attempts > 0 && !retries(service).take()) {
       metrics.count('retries', 'budget_exhausted')
       return { kind: 'failed', error: notRunError, reason: 'retry budget' }
     }
 
-    const { backend } = assignment
     const call = {
       backendServer: backend.entry.id, team: team?.id, remainingMs, urgency: urgencyOf(route, team), model: progress.model, lastEventId: progress.lastEventId
     }
@@ -192,7 +189,7 @@
     }
   }
 
-  async function place (forwarded: ForwardedRequest, progress: Progress, remainingMs: number): Promise<Assignment | undefined> {
+  async function place (forwarded: ForwardedRequest, progress: Progress, remainingMs: number): Promise<Backend | undefined> {
     const { service, route, team } = forwarded
     const assign = prepare(forwarded, progress.tried)
     const found = options.room.size(service) === 0 ? assign() : undefined
