Check time and keys again after the wait for room

Cause: found by reading: a request that waited up to 1.1 s for room was handed the time it had before, and a key withdrawn meanwhile still ran. Ruled out: a shorter wait, which would refuse what can be served. Change: both are read after the wait.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -72,6 +72,16 @@
     Then every caller gets status 200
     And the backend servers received 6
 
+  Scenario: a request that waited for room is handed only the time that is left
+    Given a forwarding VM with 1 backend servers that silent, silent, answer
+    When 2 callers send a request to /short/1 and one more to /order/1
+    Then the backend server was handed at most 2200 ms for the last request
+
+  Scenario: a key that is withdrawn while its request waits for room does not run
+    Given a forwarding VM with 1 backend servers that silent, silent, answer
+    When 2 callers send a request to /short/1 and one more to /order/1 whose key is withdrawn meanwhile
+    Then the backend servers received 2
+
   Scenario: a caller who leaves ends the work at the backend server
     Given a forwarding VM with 1 backend servers that silent
     When a caller sends a request to /read/1 and leaves after 100 ms
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -64,6 +64,21 @@
   await Promise.all(Array.from({ length: Number(count ?? 1) }, () => send(this, requestBytes(path))))
 })
 
+When(/^2 callers send a request to (\S+) and one more to (\S+?)( whose key is withdrawn meanwhile)?$/, async function (this: ForwardingWorld, first: string, last: string, withdrawn: string | undefined) {
+  const busy = [send(this, requestBytes(first)), send(this, requestBytes(first))]
+  await sleep(40)
+  const waiting = send(this, requestBytes(last))
+  await sleep(40)
+  if (withdrawn) this.stand.store.put(KINDS.config, 'main', trafficConfig(2, { keys: [] }))
+  await Promise.all([...busy, waiting])
+})
+
+Then(/^the backend server was handed at most (\d+) ms for the last request$/, function (this: ForwardingWorld, most: string) {
+  const head = this.backends[0]!.received.at(-1)!
+  assert.equal(this.backends[0]!.received.length, 3)
+  assert.ok(Number(/^x-test-remaining-ms: (\d+)$/m.exec(head)?.[1]) <= Number(most), head)
+})
+
 When(/^a caller sends a request to (\S+) and leaves after (\d+) ms$/, async function (this: ForwardingWorld, path: string, ms: string) {
   const controller = new AbortController()
   const headers = { host: 'desk.example', 'x-test-id': 'leaver', authorization: 'Bearer good-key' }
--- a/features/support/forwarding-vm-stand.ts
+++ b/features/support/forwarding-vm-stand.ts
@@ -117,7 +117,7 @@
     address,
     dataCentre: brandId<DataCentreId>('dc-1'),
     version: brandId<VersionId>('v1'),
-    slots: 8,
+    slots: 2,
     leaving: false,
     coldLeftMs: 0,
     startedWallMs: undefined,
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -126,14 +126,17 @@
   async function attempt (forwarded: ForwardedRequest, progress: Progress, deadlineMs: number): Promise<AttemptEnd> {
     const { request, route, service, team, body } = forwarded
     const notRunError = progress.mayHaveRun ? 'backend_failed' : 'permit_refused'
-    const remainingMs = deadlineMs - clock.now()
-    if (remainingMs < MIN_ATTEMPT_MS) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_timeout' : 'overloaded', reason: 'no time left' }
+    const outOfTime: AttemptEnd = { kind: 'failed', error: progress.mayHaveRun ? 'backend_timeout' : 'overloaded', reason: 'no time left' }
+    if (deadlineMs - clock.now() < MIN_ATTEMPT_MS) return outOfTime
     if (progress.attempts >= route.maxAttempts) return { kind: 'failed', error: notRunError, reason: 'attempts used up' }
     if (progress.connectTries >= MAX_CONNECT_TRIES) return { kind: 'failed', error: notRunError, reason: 'no connection' }
+    const backend = await place(forwarded, progress, deadlineMs - clock.now())
+    if (progress.ended) return { kind: 'done' }
+    // Time passes and configurations change while a request waits for room.
+    const remainingMs = deadlineMs - clock.now()
+    if (remainingMs < MIN_ATTEMPT_MS) return outOfTime
     const forbidden = mayStillRun(forwarded)
     if (forbidden) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : forbidden, reason: 'may not run any more' }
-    const backend = await place(forwarded, progress, remainingMs)
-    if (progress.ended) return { kind: 'done' }
     if (!backend) return { kind: 'failed', error: notRunError, reason: 'no backend server has room' }
     if (progress.attempts > 0 && !retries(service).take()) {
       metrics.count('retries', 'budget_exhausted')
