Complete a taken request also when its key is withdrawn meanwhile

Ruled out: the wait for room, which the traced request did not meet. Change: the key is checked before the first attempt only.

--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -135,7 +135,8 @@
     // Time passes and configurations change while a request waits for room.
     const remainingMs = deadlineMs - clock.now()
     if (remainingMs < MIN_ATTEMPT_MS) return outOfTime
-    const forbidden = mayStillRun(forwarded)
+    // A request that was taken with a good key is completed, also when the key is withdrawn meanwhile.
+    const forbidden = progress.attempts === 0 ? mayStillRun(forwarded) : undefined
     if (forbidden) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : forbidden, reason: 'may not run any more' }
     if (!backend) return { kind: 'failed', error: notRunError, reason: 'no backend server has room' }
     if (progress.attempts > 0 && !retries(service).take()) {
