Quarantine prompt parts that crash engines

Cause: forwarding kept no evidence about crashes. Each request with the part was new to each VM and was retried on up to three engines. The existing quarantine counts crashes of a whole request.

Why this works: an engine that ends a response between its head and its first event is evidence against the parts of that prompt, except the last. A later first event clears a part, so the parts that a deadly request shares with sound ones are cleared within a second. Parts that cannot be told apart yet are refused only together, so sound requests pass and clear theirs. Each VM sees only a few crashes; new evidence is added to the load reports and passed on by each VM. Requests that wait at an engine are withdrawn when their part is quarantined.

A refused request gets 503 with the rest of the quarantine as Retry-After, at once: it has not run.

The scenario in forwarding.feature fails without the change: 3 requests reach engines instead of 2.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -53,6 +53,18 @@
     When a caller sends a request to /stream/1 and its key is withdrawn after 100 ms
     Then the caller gets every event once and the end of the stream
 
+  # Guards against requests that share a deadly prompt part and crash one backend server after the other.
+  Scenario: a prompt part that crashes backend servers is refused, and prompts with its other parts are served
+    Given a forwarding VM with 4 backend servers that stream-crash
+    When a caller sends the prompt shared,topic,deadly,own-1
+    Then the caller gets status 502 with the body "-"
+    And the backend servers received 2 requests
+    When a caller sends the prompt shared,topic,own-2
+    Then the caller gets every event once and the end of the stream
+    When a caller sends the prompt shared,other,deadly,own-3
+    Then the caller is told to come back when the quarantine ends
+    And the backend servers received 3 requests
+
   Scenario: a stream that cannot be resumed is visibly truncated
     Given a forwarding VM with 1 backend servers that stream-break-mid-event
     When a caller sends a request to /stream/1
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -71,3 +71,52 @@
       | {"crashes":[]}        |
       | {"lift":7}            |
       | {"crashes":[{"fingerprint":"x"}],"remainingMs":1} |
+
+  # Guards against a deadly prompt part of which each VM has seen too few crashes.
+  Scenario Outline: a prompt part that crashes backend servers is refused on all of <vms> VMs, and its sound companions are not
+    Given <vms> VMs that exchange evidence about prompt parts
+    When each of these crashes is seen by another VM: a,b,deadly,1@s1 a,b,deadly,2@s2
+    And the VMs exchange evidence for 2000 ms
+    Then the prompt a,b,deadly,3 is refused on all VMs
+    And the prompt a,b,4 is accepted on all VMs
+    When one VM gets the first event of the prompt a,b,4
+    And the VMs exchange evidence for 2000 ms
+    Then the prompt a,c,deadly,5 is refused on all VMs
+    And the prompt a,b,6 is accepted on all VMs
+
+    Examples:
+      | vms |
+      | 9   |
+      | 89  |
+
+  Scenario Outline: after the crashes <crashes>, the prompt <prompt> is <state>
+    Given 9 VMs that exchange evidence about prompt parts
+    When each of these crashes is seen by another VM: <crashes>
+    And the VMs exchange evidence for 2000 ms
+    Then the prompt <prompt> is <state> on all VMs
+
+    Examples:
+      | crashes                                                  | prompt       | state    |
+      | a,deadly,1@s1 a,deadly,1@s1                              | a,deadly,2   | accepted |
+      | a,deadly,1@s1 a,deadly,2@s2                              | deadly,b,3   | accepted |
+      | a,deadly,1@s1 b,deadly,2@s2                              | deadly,c,3   | refused  |
+      | a,deadly,1@s1 a,deadly,1@s2 b,deadly,2@s3                | c,deadly,3   | refused  |
+      | a,d,1@s1 a,d,1@s2 b,d,2@s3 a,rare,9@s1 a,rare,9@s2       | a,rare,9     | accepted |
+      | 1@s1 1@s2                                                | 1            | accepted |
+
+  Scenario: the quarantine of a prompt part ends when a response to it gets past its first event
+    Given 9 VMs that exchange evidence about prompt parts
+    When each of these crashes is seen by another VM: a,part,1@s1 a,part,2@s2
+    And the VMs exchange evidence for 2000 ms
+    Then the prompt a,part,3 is refused on all VMs
+    When one VM gets the first event of the prompt a,part,3
+    And the VMs exchange evidence for 2000 ms
+    Then the prompt a,part,4 is accepted on all VMs
+
+  Scenario: the quarantine of a prompt part ends ten minutes after the last crash
+    Given 9 VMs that exchange evidence about prompt parts
+    When each of these crashes is seen by another VM: a,deadly,1@s1 b,deadly,2@s2
+    And the VMs exchange evidence for 590000 ms
+    Then the prompt c,deadly,3 is refused on all VMs
+    When the VMs exchange evidence for 20000 ms
+    Then the prompt c,deadly,3 is accepted on all VMs
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -4,6 +4,7 @@
 import { COLD_WINDOW_MS } from '../../src/core/backend-pool/constants.ts'
 import { FLEET_KIND } from '../../src/core/fleet/constants.ts'
 import { ACCEPT_AFTER_STOP_MS, BACKENDS_COALESCE_MS } from '../../src/core/forwarding-vm/constants.ts'
+import { QUARANTINE_DURATION_MS } from '../../src/core/quarantine/constants.ts'
 import { exchangeBytes, backendEntry, KINDS, startForwardingVmHarness, trafficConfig, type ForwardingVmHarness, type RawResponse } from '../support/forwarding-vm-harness.ts'
 import { createMemoryStore } from '../support/memory-store.ts'
 import { startScriptedBackend, STREAM_EVENTS, type BackendBehaviour, type ScriptedBackend } from '../support/scripted-backend.ts'
@@ -130,6 +131,17 @@
   assert.ok(Number(/^x-test-remaining-ms: (\d+)$/m.exec(head)?.[1]) <= Number(max), head)
 })
 
+When(/^a caller sends the prompt (\S+)$/, async function (this: ForwardingWorld, prompt: string) {
+  await send(this, requestBytes('/stream/1', { extra: `x-test-prompt: ${prompt}` }))
+})
+
+Then('the caller is told to come back when the quarantine ends', function (this: ForwardingWorld) {
+  const { status, head } = this.responses.at(-1)!
+  assert.equal(status, 503)
+  const retryAfterMs = 1000 * Number(/^Retry-After: (.*)$/m.exec(head)?.[1])
+  assert.ok(retryAfterMs > 0.9 * QUARANTINE_DURATION_MS && retryAfterMs <= QUARANTINE_DURATION_MS, head)
+})
+
 When(/^a caller sends a request to (\S+) and leaves after (\d+) ms$/, async function (this: ForwardingWorld, path: string, ms: string) {
   const controller = new AbortController()
   const headers = { host: 'desk.example', 'x-test-id': 'leaver', authorization: 'Bearer good-key' }
--- /dev/null
+++ b/features/steps/prompt-parts.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import type { Backend } from '../../src/core/backend-pool/index.ts'
+import { brandId, type VmId } from '../../src/core/ids/index.ts'
+import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
+import { chooseRelays } from '../../src/core/feed-relay/relay-choice.ts'
+import { createLoadExchange, type LoadExchange, type VmReport } from '../../src/core/load-exchange/index.ts'
+import { silentLog } from '../../src/core/logging/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createPartQuarantine, type PartQuarantine } from '../../src/core/quarantine/prompt-parts.ts'
+
+interface PartsWorld {
+  clock: ManualClock
+  vms: { exchange: LoadExchange, quarantine: PartQuarantine }[]
+}
+
+const backend = (id: string) => ({ entry: { id, startedWallMs: 1 } }) as Backend
+const partsOf = (prompt: string) => prompt.split(',').slice(0, -1)
+
+Given(/^(\d+) VMs that exchange evidence about prompt parts$/, function (this: PartsWorld, count: string) {
+  const clock = createManualClock()
+  const names = Array.from({ length: Number(count) }, (_, index) => brandId<VmId>(`vm-${index}`))
+  this.clock = clock
+  this.vms = names.map(self => {
+    const quarantine = createPartQuarantine({ clock, log: silentLog, metrics: createMetrics() })
+    const deliver = (to: VmId, report: VmReport) => this.vms[names.indexOf(to)]!.exchange.accept(self, structuredClone(report))
+    const exchange = createLoadExchange({
+      vms: () => names,
+      self,
+      ownLoad: () => ({}),
+      recentEvidence () {
+        const promptParts = quarantine.recentEvidence()
+        return promptParts && { promptParts }
+      },
+      onEvidence ({ promptParts }) { if (promptParts) quarantine.merge(promptParts) },
+      collectors () {
+        const { isRelay, relays } = chooseRelays(names, self)
+        return { isCollector: isRelay, others: relays }
+      },
+      send: deliver,
+      collect: async (to, report) => deliver(to, report),
+      clock,
+      metrics: createMetrics()
+    })
+    exchange.start()
+    return { exchange, quarantine }
+  })
+})
+
+// A crash is written as PROMPT@BACKEND-SERVER.
+When(/^each of these crashes is seen by another VM: (.*)$/, function (this: PartsWorld, crashes: string) {
+  crashes.split(' ').forEach((crash, index) => {
+    const [prompt, id] = crash.split('@') as [string, string]
+    this.vms[index]!.quarantine.recordCrash(backend(id), partsOf(prompt))
+  })
+})
+
+When(/^the VMs exchange evidence for (\d+) ms$/, async function (this: PartsWorld, ms: string) { await this.clock.advance(Number(ms)) })
+
+When(/^one VM gets the first event of the prompt (\S+)$/, function (this: PartsWorld, prompt: string) {
+  this.vms.at(-1)!.quarantine.recordSurvival(partsOf(prompt), this.clock.now())
+})
+
+Then(/^the prompt (\S+) is (refused|accepted) on all VMs$/, function (this: PartsWorld, prompt: string, expected: string) {
+  const states = this.vms.map(({ quarantine }) => (quarantine.remainingMs(partsOf(prompt)) > 0 ? 'refused' : 'accepted'))
+  assert.deepEqual([...new Set(states)], [expected])
+})
--- a/features/steps/traffic-decisions.ts
+++ b/features/steps/traffic-decisions.ts
@@ -10,7 +10,7 @@
 import { createRetryAllowance } from '../../src/core/forwarding/retry-allowance.ts'
 import { chooseRelays } from '../../src/core/feed-relay/relay-choice.ts'
 import { brandId, type BackendServerId, type DataCentreId, type ServiceId, type VmId } from '../../src/core/ids/index.ts'
-import { createLoadExchange, type LoadExchange, type LoadReport } from '../../src/core/load-exchange/index.ts'
+import { createLoadExchange, type LoadExchange, type LoadReport, type VmReport } from '../../src/core/load-exchange/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { chooseBackend, requestLoad } from '../../src/core/placement/index.ts'
@@ -323,7 +323,7 @@
   this.vms = new Map()
   const names = vmNames(Number(count))
   for (const self of names) {
-    const deliver = (to: VmId, report: LoadReport) => {
+    const deliver = (to: VmId, report: VmReport) => {
       this.vms.get(self)!.messages++
       return this.vms.get(to)!.exchange.accept(self, structuredClone(report))
     }
--- a/features/support/forwarding-vm-harness.ts
+++ b/features/support/forwarding-vm-harness.ts
@@ -48,7 +48,7 @@
       model: undefined,
       promptTokens: 100,
       maxOutputTokens: 10,
-      prompt: [],
+      prompt: (firstValue(headers['x-test-prompt']) ?? '').split(',').filter(Boolean).map(part => ({ id: part, tokens: 10 })),
       lastEventId: undefined,
       headers: forwardedHeaders(raw)
     }
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -7,7 +7,7 @@
   | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
-  | 'stream' | 'stream-break-mid-event' | 'stream-no-length' | 'stream-stall' | 'stream-pause' | 'stream-low-confidence' | 'stream-slow'
+  | 'stream-crash' | 'stream' | 'stream-break-mid-event' | 'stream-no-length' | 'stream-stall' | 'stream-pause' | 'stream-low-confidence' | 'stream-slow'
 
 export interface ScriptedBackend {
   address: string
@@ -122,6 +122,12 @@
     'endless-trailer': () => writeEndlessly(`HTTP/1.1 200 OK\r\n${identityHeaders}transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n`, `x-filler: ${filler.slice(0, 1000)}\r\n`),
     'stream-endless-event': () => writeEndlessly(chunked + chunk(event(after + 1)), chunk(filler)),
     'stream-endless-chunk-extension': () => writeEndlessly(chunked + chunk(event(after + 1)) + '5;', filler),
+    // Ends a response to a prompt with the part "deadly" before the first event.
+    'stream-crash': () => {
+      if (!/^x-test-prompt: .*\bdeadly\b/m.test(head)) return behaviours.stream()
+      socket.write(chunked)
+      setTimeout(() => socket.destroy(), 20)
+    },
     stream: () => finish(chunked + all.map(chunk).join('') + '0\r\n\r\n'),
     'stream-break-mid-event': () => {
       socket.write(chunked + chunk(event(after + 1) + event(after + 2).slice(0, 8)))
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -22,7 +22,8 @@
 import { createCapacityQueue } from '../placement/capacity-queue.ts'
 import { hashFraction } from '../placement/rendezvous.ts'
 import { createVersionTrials, type TrialReport } from '../version-trial/index.ts'
-import { createLoadExchange, type LoadReport } from '../load-exchange/index.ts'
+import { createLoadExchange, type VmReport } from '../load-exchange/index.ts'
+import { createPartQuarantine } from '../quarantine/prompt-parts.ts'
 import { createFeedRelay, type FeedPoll } from '../feed-relay/index.ts'
 import { chooseRelays } from '../feed-relay/relay-choice.ts'
 import { createFleet } from '../fleet/index.ts'
@@ -103,6 +104,7 @@
   }
 
   const capacityQueue = createCapacityQueue(clock)
+  const partQuarantine = createPartQuarantine({ clock, log, metrics })
   const loads = createLoadExchange({
     vms: () => fleet.liveVms(),
     self: settings.vm,
@@ -110,6 +112,11 @@
       const loaded = [...pool.all()].filter(({ load }) => load > MIN_REPORTED_LOAD)
       return Object.fromEntries(loaded.map(backend => [backend.entry.id, Math.round(backend.load * 100) / 100]))
     },
+    recentEvidence () {
+      const promptParts = partQuarantine.recentEvidence()
+      return promptParts && { promptParts }
+    },
+    onEvidence ({ promptParts }) { if (promptParts) partQuarantine.merge(promptParts) },
     collectors () {
       const { isRelay, relays } = chooseRelays(fleet.liveVms(), settings.vm)
       return { isCollector: isRelay, others: relays }
@@ -119,7 +126,7 @@
     clock,
     metrics
   })
-  fleet.peers.handle('load.report', (report, from) => loads.accept(from, report as LoadReport))
+  fleet.peers.handle('load.report', (report, from) => loads.accept(from, report as VmReport))
 
   const trials = createVersionTrials({
     vm: settings.vm,
@@ -172,6 +179,7 @@
       if (!configLease.isValid()) return 'keys_unproven'
       return request.key !== undefined && table!.team(request.key)?.id === team?.id ? undefined : 'unauthenticated'
     },
+    partQuarantine,
     reserve: pool.reserve,
     recordConnectFailure: backend => pool.recordConnectFailure(backend),
     recordMisdirected: backend => pool.recordMisdirected(backend),
--- a/src/core/forwarding/exchange.ts
+++ b/src/core/forwarding/exchange.ts
@@ -27,6 +27,8 @@
    * connection was reset, so the end of a body alone does not prove that it is complete.
    */
   hasConnectionFailed(): boolean
+  /** Whether this VM closed the connection, rather than the backend server. */
+  isAborted(): boolean
   /** Closes the connection, which makes the backend server cancel the request. */
   abort(reason: string): void
 }
@@ -46,6 +48,7 @@
   const [host, port] = backend.entry.address.split(':')
   let connected = false
   let connectionFailed = false
+  let aborted = false
   let settle: (result: ExchangeResult) => void = () => {}
   const result = new Promise<ExchangeResult>(resolve => { settle = resolve })
 
@@ -76,5 +79,13 @@
     outgoing.destroy()
   }
 
-  return { result, hasConnectionFailed: () => connectionFailed, abort: fail }
+  return {
+    result,
+    hasConnectionFailed: () => connectionFailed,
+    isAborted: () => aborted,
+    abort (reason) {
+      aborted = true
+      fail(reason)
+    }
+  }
 }
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -10,6 +10,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import { requestLoad } from '../placement/index.ts'
 import type { CapacityQueue } from '../placement/capacity-queue.ts'
+import type { PartQuarantine } from '../quarantine/prompt-parts.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
 import { CAPACITY_WAIT_SHARE, DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, FIRST_EVENT_TIMEOUT_FACTOR, MAX_CAPACITY_WAIT_MS, MAX_CONNECT_ATTEMPTS, MIN_ATTEMPT_MS, RESPONSE_TIMEOUT_FACTOR, RETRY_AFTER_JITTER_S, RETRY_AFTER_S, STALL_CHECK_PERIOD_MS } from './constants.ts'
 import { startExchange, type Codec, type Exchange } from './exchange.ts'
@@ -56,6 +57,8 @@
   retryAllowance(service: ServiceId): RetryAllowance
   /** Checks access again right before a request is sent; the request is not sent if an error is returned. */
   recheckAccess(forwarded: ForwardedRequest): ErrorName | undefined
+  /** Refuses prompts with parts that crash engines. */
+  partQuarantine: PartQuarantine
   /** Takes capacity of a backend server for one request. */
   reserve(backend: Backend, load: RequestLoad): Reservation
   recordConnectFailure(backend: Backend): void
@@ -70,6 +73,7 @@
 }
 
 const NONE_EXCLUDED: ReadonlySet<Backend> = new Set()
+const QUARANTINE_REASON = 'prompt quarantined'
 
 /** Outcome of one attempt; `next` requests another attempt. */
 type AttemptOutcome =
@@ -94,7 +98,7 @@
 }
 
 export function createForwarder (options: ForwarderOptions) {
-  const { codec, prepareAssignment, retryAllowance, recheckAccess, clock, metrics, log, random } = options
+  const { codec, prepareAssignment, retryAllowance, recheckAccess, partQuarantine, clock, metrics, log, random } = options
 
   /** Forwards the request and sends the response to the caller; never rejects. */
   async function forward (forwarded: ForwardedRequest): Promise<void> {
@@ -131,7 +135,8 @@
       progress.isFinished = true
       progress.currentExchange?.abort(reason)
       log.request('failed', { id: request.id, route: route.name, error, reason, attempts: progress.attempts, afterMs: Math.round(clock.now() - receivedMs) })
-      caller.fail(new GatewayError(error, { retryAfterMs: (RETRY_AFTER_S + random() * RETRY_AFTER_JITTER_S) * 1000 }))
+      const retryAfterMs = error === 'prompt_quarantined' ? partQuarantine.remainingMs(sharedParts(request)) : (RETRY_AFTER_S + random() * RETRY_AFTER_JITTER_S) * 1000
+      caller.fail(new GatewayError(error, { retryAfterMs }))
     }
 
     try {
@@ -151,6 +156,7 @@
     const { route, service } = forwarded
     const noAttemptError = errorWithoutAttempt(progress)
     if (deadlineMs - clock.now() < MIN_ATTEMPT_MS) return outOfTime(progress)
+    if (isQuarantined(forwarded)) return quarantineOutcome(progress)
     if (progress.attempts >= route.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
     if (progress.connectAttempts >= MAX_CONNECT_ATTEMPTS) return { kind: 'failed', error: noAttemptError, reason: 'connection attempt limit reached' }
     const reservation = await reserveBackend(forwarded, progress, deadlineMs - clock.now())
@@ -164,12 +170,13 @@
   }
 
   /**
-   * Why the request must not be sent, if so: the time left and the configuration may have changed while it waited for
-   * capacity. Takes the retry that a repeated request needs.
+   * Why the request must not be sent, if so: the time left, the configuration and the quarantine may have changed while it
+   * waited for capacity. Takes the retry that a repeated request needs.
    */
   function findObstacle (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, reservation: Reservation | undefined): AttemptOutcome | undefined {
     if (progress.isFinished) return { kind: 'done' }
     if (deadlineMs - clock.now() < MIN_ATTEMPT_MS) return outOfTime(progress)
+    if (isQuarantined(forwarded)) return quarantineOutcome(progress)
     // Only the first attempt is checked: a request that was sent with a valid key is completed even if the key is withdrawn later.
     const accessError = progress.attempts === 0 ? recheckAccess(forwarded) : undefined
     if (accessError) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : accessError, reason: 'may not run any more' }
@@ -177,6 +184,12 @@
     return { kind: 'failed', error: errorWithoutAttempt(progress), reason: 'retry budget exhausted' }
   }
 
+  function isQuarantined ({ request }: ForwardedRequest): boolean {
+    const isRefused = partQuarantine.remainingMs(sharedParts(request)) > 0
+    if (isRefused) metrics.count('refusals', 'prompt_quarantined')
+    return isRefused
+  }
+
   async function send (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, reservation: Reservation): Promise<AttemptOutcome> {
     const { request, route, service, team, body } = forwarded
     const { backend } = reservation
@@ -199,6 +212,7 @@
     const reserveRepeat = (fraction = 1) => reserveRetry(forwarded, progress, deadlineMs, NONE_EXCLUDED, fraction)
     const onBackendRemoved = () => { if (reserveFailover()) exchange.abort('backend server gone') }
     backend.onRemoved.add(onBackendRemoved)
+    const cancelQuarantineWatch = partQuarantine.watch(sharedParts(request), () => exchange.abort(QUARANTINE_REASON))
     const cancelResponseTimer = pollAfter(firstResponseTimeoutMs(route), () => {
       const reserved = reserveFailover()
       if (reserved) exchange.abort('no response in time')
@@ -220,10 +234,16 @@
         endAttempt('failed')
         return retryOrFail(route, backend, result.reason)
       }
-      backend.lastReceivedMs = clock.now()
-      return await handleResponse(forwarded, progress, { backend, exchange, head: result.head, body: result.body, recordEvent: observation.recordEvent, endAttempt, reserveFailover, reserveRepeat, endPrompt: reservation.endPrompt, cancelResponseTimer })
+      const begunMs = clock.now()
+      backend.lastReceivedMs = begunMs
+      const onFirstEvent = () => {
+        cancelQuarantineWatch()
+        partQuarantine.recordSurvival(sharedParts(request), begunMs)
+      }
+      return await handleResponse(forwarded, progress, { backend, exchange, head: result.head, body: result.body, onFirstEvent, recordEvent: observation.recordEvent, endAttempt, reserveFailover, reserveRepeat, endPrompt: reservation.endPrompt, cancelResponseTimer })
     } finally {
       cancelResponseTimer()
+      cancelQuarantineWatch()
       reservation.release()
       backend.onRemoved.delete(onBackendRemoved)
       progress.currentExchange = undefined
@@ -282,6 +302,7 @@
     exchange: Exchange
     head: BackendResponseHead
     body: Parameters<typeof readResponse>[0]
+    onFirstEvent(): void
     recordEvent(): void
     endAttempt(end: RequestEnd): void
     /** Takes a retry from the allowance if a backend server that the request was not sent to yet has capacity. */
@@ -326,6 +347,7 @@
       }
       const relayed = await relayEvents({ ...response, caller, route, lastEventId: progress.lastEventId, clock })
       progress.lastEventId = relayed.lastEventId
+      if (relayed.endedBeforeFirstEvent) partQuarantine.recordCrash(backend, sharedParts(forwarded.request))
       endAttempt(relayed.kind === 'broken' ? 'failed' : 'completed')
       if (relayed.kind === 'complete') {
         metrics.count('requests', 'answered')
@@ -375,6 +397,15 @@
   return mayHaveRun ? 'backend_failed' : 'permit_refused'
 }
 
+function quarantineOutcome ({ mayHaveRun }: RequestProgress): AttemptOutcome {
+  return { kind: 'failed', error: mayHaveRun ? 'backend_failed' : 'prompt_quarantined', reason: QUARANTINE_REASON }
+}
+
+/** Parts of the prompt that other requests may have, too; the last part belongs to the request itself or to its session. */
+function sharedParts ({ prompt }: CallerRequest): string[] {
+  return prompt.slice(0, -1).map(({ id }) => id)
+}
+
 function outOfTime ({ mayHaveRun }: RequestProgress): AttemptOutcome {
   return { kind: 'failed', error: mayHaveRun ? 'backend_timeout' : 'overloaded', reason: 'no time left' }
 }
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -42,6 +42,7 @@
   /** Removes the load of the prompt from the backend server; called at the first event. */
   endPrompt(): void
   cancelResponseTimer(): void
+  onFirstEvent(): void
   recordEvent(): void
   clock: Clock
 }
@@ -49,6 +50,8 @@
 export interface EventRelayResult {
   kind: 'complete' | 'broken'
   reason: string
+  /** Whether the backend server ended the response before its first event. */
+  endedBeforeFirstEvent: boolean
   lastEventId: number | undefined
 }
 
@@ -69,8 +72,9 @@
       if (isSettled) return
       isSettled = true
       cancelStallCheck()
+      const endedBeforeFirstEvent = kind === 'broken' && firstEventMs === undefined && !exchange.isAborted()
       if (kind === 'broken') exchange.abort(reason)
-      resolve({ kind, reason, lastEventId })
+      resolve({ kind, reason, endedBeforeFirstEvent, lastEventId })
     }
 
     /** Ends a stalled stream so that it is resumed at another backend server; sooner if its backend server sends nothing on any connection. */
@@ -93,6 +97,7 @@
           firstEventMs = clock.now()
           options.cancelResponseTimer()
           options.endPrompt()
+          options.onFirstEvent()
         }
         options.recordEvent()
         lastEventMs = clock.now()
--- a/src/core/load-exchange/index.ts
+++ b/src/core/load-exchange/index.ts
@@ -1,5 +1,6 @@
 /**
- * Exchanges between VMs the load that each of them has placed on each backend server. Without it, several VMs would
+ * Exchanges between VMs the load that each of them has placed on each backend server, and evidence about requests and
+ * backend servers that only some of them have seen. Without it, several VMs would
  * place long prompts on the same backend server, because each would see only its own load. In a small fleet each VM
  * reports to every other one. In a large fleet each VM reports to a collector, which sums the reports, exchanges the
  * totals with the other collectors and responds with the load of all other VMs; the number of messages of a VM that is
@@ -8,11 +9,18 @@
 import type { Clock, TimerCancel } from '../clock/index.ts'
 import type { BackendServerId, VmId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
+import type { PartEvidence } from '../quarantine/prompt-parts.ts'
 import { COLLECT_TIMEOUT_MS, MAX_DIRECT_VMS, MAX_REPORT_AGE_MS, PERIODS_PER_COLLECTION, REPORT_PERIOD_MS } from './constants.ts'
 
 /** Load by backend server, in requests; backend servers without load are omitted. */
 export type LoadReport = Record<BackendServerId, number>
 
+/** What a VM reports to another one. */
+export interface VmReport { loads: LoadReport, evidence?: FleetEvidence }
+
+/** Evidence that one VM has and all must know; receivers pass on what is new to them. */
+export interface FleetEvidence { promptParts?: PartEvidence }
+
 /** The VMs that sum the reports of a large fleet. */
 export interface Collectors {
   isCollector: boolean
@@ -25,24 +33,28 @@
   vms: () => readonly VmId[]
   self: VmId
   ownLoad: () => LoadReport
+  /** Recent evidence for the other VMs, if any. */
+  recentEvidence?: () => FleetEvidence | undefined
+  onEvidence?: (evidence: FleetEvidence) => void
   collectors: () => Collectors
-  send(to: VmId, report: LoadReport): void
+  send(to: VmId, report: VmReport): void
   /** Reports to a collector and resolves with the load of all other VMs; rejects when the collector does not respond in time. */
-  collect(to: VmId, report: LoadReport, timeoutMs: number): Promise<LoadReport>
+  collect(to: VmId, report: VmReport, timeoutMs: number): Promise<VmReport>
   clock: Clock
   metrics: Metrics
 }
 
 export interface LoadExchange {
-  /** Records a VM's report or another collector's total. Returns the load of all VMs except the sender in a large fleet, and an empty report in a small one. */
-  accept(from: VmId, report: LoadReport): LoadReport
+  /** Records a VM's report or another collector's total. Returns the load of all VMs except the sender and the evidence in a large fleet, and an empty report in a small one. */
+  accept(from: VmId, report: VmReport): VmReport
   /** Last reported load that the other VMs have placed on a backend server. */
   othersLoad(backend: BackendServerId): number
   start(): void
   stop(): void
 }
 
-export function createLoadExchange ({ vms, self, ownLoad, collectors, send, collect, clock, metrics }: LoadExchangeOptions): LoadExchange {
+export function createLoadExchange (options: LoadExchangeOptions): LoadExchange {
+  const { vms, self, ownLoad, recentEvidence = () => undefined, onEvidence = () => {}, collectors, send, collect, clock, metrics } = options
   const reports = new Map<VmId, { report: LoadReport, atMs: number }>()
   let loadSums = new Map<BackendServerId, number>()
   /** The latest response of a collector. */
@@ -74,14 +86,14 @@
     const { isCollector, others: collectorVms } = collectors()
     if (!isCollector) return void reportToCollector(collectorVms)
     collectedLoads = undefined
-    const total = totalLoad(new Set(collectorVms))
+    const total = toReport(totalLoad(new Set(collectorVms)))
     for (const vm of collectorVms) send(vm, total)
   }
 
   function sendToAll (others: readonly VmId[]): void {
     collectedLoads = undefined
-    const report = ownLoad()
-    const isIdle = Object.keys(report).length === 0
+    const report = toReport(ownLoad())
+    const isIdle = Object.keys(report.loads).length === 0 && !report.evidence
     if (isIdle && wasIdle) return
     wasIdle = isIdle
     for (const vm of others) send(vm, report)
@@ -92,7 +104,9 @@
     isReporting = true
     for (const vm of collectorVms) {
       try {
-        collectedLoads = { loads: await collect(vm, ownLoad(), COLLECT_TIMEOUT_MS), atMs: clock.now() }
+        const { loads, evidence } = await collect(vm, toReport(ownLoad()), COLLECT_TIMEOUT_MS)
+        collectedLoads = { loads, atMs: clock.now() }
+        if (evidence) onEvidence(evidence)
         break
       } catch {
         metrics.count('retries', 'load_report')
@@ -101,6 +115,11 @@
     isReporting = false
   }
 
+  function toReport (loads: LoadReport): VmReport {
+    const evidence = recentEvidence()
+    return evidence ? { loads, evidence } : { loads }
+  }
+
   /** Load of this VM and of all VMs that reported to it, except the excluded ones. */
   function totalLoad (excluded: ReadonlySet<VmId>): LoadReport {
     const total = new Map<BackendServerId, number>(Object.entries(ownLoad()) as [BackendServerId, number][])
@@ -112,12 +131,13 @@
   }
 
   return {
-    accept (from, report) {
+    accept (from, { loads: report, evidence }) {
+      if (evidence) onEvidence(evidence)
       const previous = reports.get(from)?.report
       reports.set(from, { report, atMs: clock.now() })
       if (previous) addToSums(previous, -1)
       addToSums(report, 1)
-      return vms().length - 1 > MAX_DIRECT_VMS ? totalLoad(new Set([from])) : {}
+      return vms().length - 1 > MAX_DIRECT_VMS ? toReport(totalLoad(new Set([from]))) : { loads: {} }
     },
     othersLoad (backend) {
       if (collectedLoads && clock.now() - collectedLoads.atMs <= MAX_REPORT_AGE_MS) return collectedLoads.loads[backend] ?? 0
--- a/src/core/quarantine/constants.ts
+++ b/src/core/quarantine/constants.ts
@@ -10,3 +10,7 @@
 export const REFRESH_PERIOD_MS = 30_000
 /** Attempts to merge crashes into an object that other VMs also write. */
 export const MAX_WRITE_ATTEMPTS = 4
+/** Time for which a VM reports new evidence about prompt parts to the others; several periods of the reports, as some are lost. */
+export const EVIDENCE_REPORT_MS = 3000
+/** Maximum number of recorded crashes of prompt parts; the oldest are evicted first. */
+export const MAX_PART_CRASHES = 1000
