Store quarantined prompt parts for VMs that start later

Callers would see: after a restart of many VMs, or at a VM that is cut off from the others, requests with a deadly prompt part crash engines again.

Cause: the evidence was only in the memory of the VMs and is reported for three seconds.

Evidence: the scenario "a VM that starts later refuses a quarantined prompt part" fails without the change: the request is sent and gets 502.

Why this works: a VM that saw one of the crashes writes the quarantine to the store, narrowed to the parts that are not cleared; all VMs follow it through the feed relays and load it before they accept requests. The object is deleted when the quarantine ends.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -65,6 +65,17 @@
     Then the caller is told to come back when the quarantine ends
     And the backend servers received 3 requests
 
+  # Guards against a VM that starts after the crashes, or restarts, and sends the deadly part to engines again.
+  Scenario: a VM that starts later refuses a quarantined prompt part
+    Given a forwarding VM with 4 backend servers that stream-crash
+    When a caller sends the prompt shared,topic,deadly,own-1
+    And a caller sends the prompt shared,topic,own-2
+    Then the store holds 1 quarantine
+    When all VMs are replaced by a new one
+    And a caller sends the prompt shared,other,deadly,own-3
+    Then the caller is told to come back when the quarantine ends
+    And the backend servers received 3 requests
+
   Scenario: a stream that cannot be resumed is visibly truncated
     Given a forwarding VM with 1 backend servers that stream-break-mid-event
     When a caller sends a request to /stream/1
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import { brandId, type DataCentreId } from '../../src/core/ids/index.ts'
+import { brandId, type DataCentreId, type VmId } from '../../src/core/ids/index.ts'
 import { COLD_WINDOW_MS } from '../../src/core/backend-pool/constants.ts'
 import { FLEET_KIND } from '../../src/core/fleet/constants.ts'
 import { ACCEPT_AFTER_STOP_MS, BACKENDS_COALESCE_MS } from '../../src/core/forwarding-vm/constants.ts'
-import { QUARANTINE_DURATION_MS } from '../../src/core/quarantine/constants.ts'
+import { PART_KIND, QUARANTINE_DURATION_MS } from '../../src/core/quarantine/constants.ts'
 import { exchangeBytes, backendEntry, KINDS, startForwardingVmHarness, trafficConfig, type ForwardingVmHarness, type RawResponse } from '../support/forwarding-vm-harness.ts'
 import { createMemoryStore } from '../support/memory-store.ts'
 import { startScriptedBackend, STREAM_EVENTS, type BackendBehaviour, type ScriptedBackend } from '../support/scripted-backend.ts'
@@ -135,6 +135,18 @@
   await send(this, requestBytes('/stream/1', { extra: `x-test-prompt: ${prompt}` }))
 })
 
+Then('the store holds {int} quarantine(s)', async function (this: ForwardingWorld, count: number) {
+  await sleep(50)
+  assert.equal((await this.harness.store.list(PART_KIND)).objects.length, count)
+})
+
+When('all VMs are replaced by a new one', async function (this: ForwardingWorld) {
+  await sleep(50)
+  await this.harness.vm.close()
+  this.harness = await startForwardingVmHarness({ store: this.harness.store, overrides: { vm: brandId<VmId>('vm-2') } })
+  while (!await isReady(this)) await sleep(5)
+})
+
 Then('the caller is told to come back when the quarantine ends', function (this: ForwardingWorld) {
   const { status, head } = this.responses.at(-1)!
   assert.equal(status, 503)
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -23,6 +23,7 @@
 import { hashFraction } from '../placement/rendezvous.ts'
 import { createVersionTrials, type TrialReport } from '../version-trial/index.ts'
 import { createLoadExchange, type VmReport } from '../load-exchange/index.ts'
+import { createPartStore } from '../quarantine/part-store.ts'
 import { createPartQuarantine } from '../quarantine/prompt-parts.ts'
 import { createFeedRelay, type FeedPoll } from '../feed-relay/index.ts'
 import { chooseRelays } from '../feed-relay/relay-choice.ts'
@@ -104,7 +105,16 @@
   }
 
   const capacityQueue = createCapacityQueue(clock)
-  const partQuarantine = createPartQuarantine({ clock, log, metrics })
+  const partStore = createPartStore({
+    store, follow: feedRelay.follow, quarantine: () => partQuarantine, self: settings.vm, liveVms: () => fleet.liveVms(), clock, log, metrics
+  })
+  const partQuarantine = createPartQuarantine({
+    onQuarantined: (parts, crashes) => void partStore.write(parts, crashes),
+    onEnded: parts => partStore.remove(parts),
+    clock,
+    log,
+    metrics
+  })
   const loads = createLoadExchange({
     vms: () => fleet.liveVms(),
     self: settings.vm,
@@ -233,7 +243,7 @@
   }
 
   function isLoaded (): boolean {
-    return table !== undefined && feeds.every(feed => feed.isLoaded()) && fleet.isLoaded()
+    return table !== undefined && feeds.every(feed => feed.isLoaded()) && fleet.isLoaded() && partStore.isLoaded()
   }
 
   function isReady (): boolean {
@@ -254,6 +264,7 @@
   fleet.start()
   trials.start()
   loads.start()
+  const stopPartStore = partStore.start()
   await Promise.all([
     listen(callerServer.server, settings.callerAddress), listen(readiness, settings.readinessAddress),
     listen(directory, settings.directoryAddress), listen(metricsServer, settings.metricsAddress)
@@ -282,6 +293,7 @@
       feedRelay.stop()
       trials.stop()
       loads.stop()
+      stopPartStore()
       await fleet.close()
       for (const server of [callerServer.server, readiness, directory, metricsServer]) {
         server.close()
--- a/src/core/quarantine/constants.ts
+++ b/src/core/quarantine/constants.ts
@@ -14,3 +14,9 @@
 export const EVIDENCE_REPORT_MS = 3000
 /** Maximum number of recorded crashes of prompt parts; the oldest are evicted first. */
 export const MAX_PART_CRASHES = 1000
+/** Kind of the stored quarantines of prompt parts. */
+export const PART_KIND = 'lacewingstage-quarantines'
+/** Maximum wait of a long poll for them; long, because the VMs also tell each other. */
+export const PART_POLL_WAIT_MS = 5000
+/** Delay before a write to the store that failed is repeated. */
+export const STORE_RETRY_DELAY_MS = 500
--- a/src/core/quarantine/messages.ts
+++ b/src/core/quarantine/messages.ts
@@ -10,6 +10,13 @@
   instance: z.string().min(1).max(200)
 })
 
+/** Crash of an engine by a request with these prompt parts. */
+export const partCrashSchema = z.object({
+  backendServer: crashSchema.shape.backendServer,
+  instance: crashSchema.shape.instance,
+  parts: z.array(fingerprintSchema).min(1)
+})
+
 /** Reports the crashes of one fingerprint, or lifts its quarantine. */
 export const notificationSchema = z.union([
   z.object({ crashes: z.array(crashSchema).min(1).max(MAX_CRASHES), remainingMs: z.number().positive() }),
--- a/src/core/quarantine/prompt-parts.ts
+++ b/src/core/quarantine/prompt-parts.ts
@@ -37,21 +37,24 @@
 }
 
 export interface PartQuarantineOptions {
-  /** Called when parts are quarantined after a crash that this VM saw, with all crashes that are the evidence. */
+  /** Called when parts are quarantined after a crash that this VM saw, with the crashes that are the evidence against exactly these parts. */
   onQuarantined?(parts: readonly string[], crashes: readonly ReportedPartCrash[]): void
+  /** Called when a quarantine has ended. */
+  onEnded?(parts: readonly string[]): void
   clock: Clock
   log: Log
   metrics: Metrics
 }
 
-export function createPartQuarantine ({ onQuarantined = () => {}, clock, log, metrics }: PartQuarantineOptions): PartQuarantine {
+export function createPartQuarantine ({ onQuarantined = () => {}, onEnded = () => {}, clock, log, metrics }: PartQuarantineOptions): PartQuarantine {
   /** By instance and parts, oldest first. */
   const crashes = new Map<string, PartCrash & { learnedMs: number, isOwn: boolean }>()
   const survivals = new Map<string, { begunMs: number, learnedMs: number }>()
   const watchers = new Set<{ parts: readonly string[], onQuarantined: () => void }>()
   /** The parts that are refused together, with the time of the latest crash. */
   let suspects: { parts: readonly string[], lastCrashMs: number }[] = []
-  const loggedSuspects = new Set<string>()
+  /** The parts of the quarantines that have started, by their names in one text. */
+  const started = new Map<string, readonly string[]>()
 
   function add ({ backendServer, instance, parts, atMs }: PartCrash, isOwn: boolean): boolean {
     const key = [instance, ...parts].join()
@@ -76,23 +79,24 @@
     if (crashes.size === 0) survivals.clear()
     const isCleared = (part: string, { atMs }: PartCrash) => (survivals.get(part)?.begunMs ?? -Infinity) > atMs
     suspects = findSuspects([...crashes.values()], isCleared, CRASH_LIMIT)
-    for (const { parts } of suspects) if (!loggedSuspects.has(parts.join())) start(parts)
-    for (const key of loggedSuspects) if (!suspects.some(({ parts }) => parts.join() === key)) end(key)
+    for (const { parts } of suspects) if (!started.has(parts.join())) start(parts)
+    for (const parts of [...started.values()]) if (!suspects.some(suspect => suspect.parts.join() === parts.join())) end(parts)
     for (const watcher of [...watchers]) if (isRefused(watcher.parts)) watcher.onQuarantined()
   }
 
   function start (parts: readonly string[]): void {
-    loggedSuspects.add(parts.join())
+    started.set(parts.join(), parts)
     const evidence = [...crashes.values()].filter(crash => parts.every(part => crash.parts.includes(part)))
     metrics.count('quarantined', 'part_started')
     log.warn('prompt parts quarantined', { parts, backendServers: evidence.map(({ backendServer }) => backendServer) })
-    if (evidence.some(({ isOwn }) => isOwn)) onQuarantined(parts, evidence.map(toReport))
+    if (evidence.some(({ isOwn }) => isOwn)) onQuarantined(parts, evidence.map(crash => toReport({ ...crash, parts })))
   }
 
-  function end (key: string): void {
-    loggedSuspects.delete(key)
+  function end (parts: readonly string[]): void {
+    started.delete(parts.join())
     metrics.count('quarantined', 'part_lifted')
-    log.info('quarantine of prompt parts ended', { parts: key.split(',') })
+    log.info('quarantine of prompt parts ended', { parts })
+    onEnded(parts)
   }
 
   function isRefused (parts: readonly string[]): boolean {
