Keep to the request limits that backend servers name

Callers saw: a backend server in need that named a limit for the requests of all VMs got far more (LIMIT), and served them slower.

Cause: nothing read the limit.

Why this works: the limit is read from every answer and divided among the registered VMs in whole requests per 4 s, as the limit of cold servers is; both use the same division and the same record of sends. A VM whose part is nothing gets no answers, so limits and their ends are part of the load reports. One request per window is always permitted to some VM, because only an answer shows that the limit has ended. A request that no rate limit permits in the time that it may wait is refused at once.

The servers serve as much as they named, so more requests are late or are refused.

The scenario in forwarding.feature fails without the change: the server gets 31 requests instead of 9.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -76,6 +76,19 @@
     Then the caller is told to come back when the quarantine ends
     And the backend servers received 3 requests
 
+  # Guards against sending more to a backend server in need than the limit that its answers name.
+  Scenario: a backend server that names a limit of 2 requests a second gets 8 in 4 s
+    Given a forwarding VM with a backend server that answer-limited and has 64 slots
+    When a caller sends a request to /read/1
+    And 30 callers send a request to /read/1
+    Then the backend servers received 9 requests
+    And the caller waited at most 1500 ms
+
+  Scenario: the limit of a backend server ends with the first answer that names none
+    Given a forwarding VM with a backend server that answer-limited, answer and has 64 slots
+    When 2 callers send a request to /read/1 and 30 more after 100 ms
+    Then the backend servers received 32 requests
+
   Scenario: a stream that cannot be resumed is visibly truncated
     Given a forwarding VM with 1 backend servers that stream-break-mid-event
     When a caller sends a request to /stream/1
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -69,6 +69,10 @@
   await sleep(COLD_WINDOW_MS)
 })
 
+Given(/^a forwarding VM with a backend server that (.*) and has (\d+) slots$/, async function (this: ForwardingWorld, behaviours: string, slots: string) {
+  await startVmWithBackends(this, 1, behaviours, {}, Number(slots))
+})
+
 Given('a forwarding VM without configuration', async function (this: ForwardingWorld) {
   this.harness = await startForwardingVmHarness({ configured: false })
   await sleep(50)
--- a/features/steps/traffic-decisions.ts
+++ b/features/steps/traffic-decisions.ts
@@ -76,7 +76,7 @@
   for (let step = 0; step < 10; step++) {
     for (const pool of pools) {
       const [backend] = pool.eligible(SERVICE)
-      while (pool.hasColdCapacity(backend!)) {
+      while (pool.rateWaitMs(backend!) === 0) {
         pool.reserve(backend!, { running: 1, prompt: 0 })
         this.sent++
       }
@@ -137,7 +137,7 @@
   await this.clock.advance(COLD_WINDOW_MS)
   const [backend] = this.pool.eligible(SERVICE)
   for (let i = 0; i < Number(count); i++) {
-    assert.ok(this.pool.hasColdCapacity(backend!))
+    assert.equal(this.pool.rateWaitMs(backend!), 0)
     this.pool.reserve(backend!, { running: 1, prompt: 0 })
   }
 })
@@ -148,7 +148,7 @@
 })
 
 Then(/^the pool may send (no|another) request to a$/, function (this: PoolWorld, expected: string) {
-  assert.equal(this.pool.hasColdCapacity(this.pool.eligible(SERVICE)[0]!), expected === 'another')
+  assert.equal(this.pool.rateWaitMs(this.pool.eligible(SERVICE)[0]!) === 0, expected === 'another')
 })
 
 Given(/^a pool with backend servers (.*)$/, function (this: PoolWorld, names: string) {
--- a/features/support/forwarding-vm-harness.ts
+++ b/features/support/forwarding-vm-harness.ts
@@ -63,11 +63,13 @@
   },
   decodeBackendHead (request, status, headers: HeaderMap, raw): BackendResponseHead {
     const confidence = firstValue(headers['x-test-confidence'])
+    const limit = firstValue(headers['x-test-limit'])
     return {
       status,
       notRun: headers['x-test-not-run'] !== undefined || status === 421,
       misdirected: status === 421,
       authentic: headers['x-test-mark'] !== undefined && headers['x-test-id'] === request.id && headers['content-encoding'] === undefined,
+      namedLimit: limit === undefined ? undefined : Number(limit),
       confidence: confidence === undefined ? undefined : Number(confidence),
       headers: forwardedHeaders(raw)
     }
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -3,7 +3,7 @@
 
 /** How a backend server responds to one request. */
 export type BackendBehaviour =
-  | 'answer' | 'answer-500' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
+  | 'answer' | 'answer-limited' | 'answer-500' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
   | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
@@ -99,6 +99,7 @@
   const filler = 'x'.repeat(16 * 1024)
   const behaviours: Record<BackendBehaviour, () => void> = {
     answer: () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
+    'answer-limited': () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}x-test-limit: 2\r\ncontent-length: 5\r\n\r\nwhole`),
     'answer-500': () => finish(`HTTP/1.1 500 Internal Server Error\r\n${identityHeaders}content-length: 6\r\n\r\nfailed`),
     'not-run': () => finish('HTTP/1.1 503 Service Unavailable\r\nx-test-not-run: 1\r\ncontent-length: 0\r\n\r\n'),
     misdirected: () => finish('HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n'),
--- a/features/traffic-decisions.feature
+++ b/features/traffic-decisions.feature
@@ -85,6 +85,27 @@
     When 1100 ms pass in the pool
     Then the pool may send another request to a
 
+  # Guards against a named limit that each VM applies by itself, and against one of less than a request per VM and second.
+  Scenario Outline: <vms> VMs, of which <joining> join later, together stay within a limit of <rate> requests a second
+    Given <vms> VMs that send to a backend server as often as they may, and <joining> more after 6 s
+    When one of them gets an answer that names a limit of <rate> requests a second
+    Then from 2 s later on the backend server gets at least <min> and at most <max> requests in any 4 s
+
+    Examples:
+      | vms | joining | rate | min | max |
+      | 8   | 0       | 3.2  | 12  | 13  |
+      | 8   | 2       | 3.2  | 10  | 19  |
+      | 9   | 0       | 0.1  | 1   | 1   |
+      | 89  | 0       | 1    | 4   | 4   |
+      | 89  | 0       | 50   | 200 | 200 |
+      | 89  | 10      | 2.9  | 9   | 17  |
+
+  Scenario: all VMs learn that a limit has ended
+    Given 89 VMs that send to a backend server as often as they may, and 0 more after 6 s
+    When one of them gets an answer that names a limit of 1 requests a second
+    And one of them gets an answer that names no limit
+    Then none of them has a limit for the backend server
+
   # Guards against a VM that uses its share twice because it was restarted within the window of the limit.
   Scenario: a restart does not reset the count of a cold limit
     Given a VM that has just started and may send 3 requests to a in a second
--- a/src/core/backend-pool/constants.ts
+++ b/src/core/backend-pool/constants.ts
@@ -16,3 +16,7 @@
 export const COLD_SAFETY_FACTOR = 0.85
 /** Time in which the entry of an ended process expires: three heartbeats of 1.2 s plus propagation to this VM. */
 export const BACKEND_ENTRY_EXPIRY_MS = 4000
+/** Window in which requests to a backend server that names a limit are counted; a limit of less than one request per second and VM needs several seconds. */
+export const NAMED_LIMIT_WINDOW_MS = 4000
+/** Time for which a VM reports the end of such a limit to the others; several periods of the reports, as some are lost. */
+export const ENDED_LIMIT_REPORT_MS = 3000
--- a/src/core/backend-pool/index.ts
+++ b/src/core/backend-pool/index.ts
@@ -8,7 +8,8 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { rendezvousOrder } from '../placement/rendezvous.ts'
-import { BACKEND_ENTRY_EXPIRY_MS, COLD_SAFETY_FACTOR, COLD_WINDOW_MS, FAILURE_RATE_WEIGHT, FIRST_SUSPENSION_MS, MAX_SUSPENSION_MS, STORE_RECOVERY_GRACE_MS } from './constants.ts'
+import { BACKEND_ENTRY_EXPIRY_MS, COLD_SAFETY_FACTOR, COLD_WINDOW_MS, FAILURE_RATE_WEIGHT, FIRST_SUSPENSION_MS, MAX_SUSPENSION_MS, NAMED_LIMIT_WINDOW_MS, STORE_RECOVERY_GRACE_MS } from './constants.ts'
+import { createNamedLimits, type NamedLimits } from './named-limits.ts'
 import type { Backend, BackendEntry, RequestLoad, Reservation } from './types.ts'
 
 export type * from './types.ts'
@@ -41,8 +42,13 @@
   eligible(service: ServiceId): Backend[]
   /** All backend servers of a service, leaving ones included. */
   list(service: ServiceId): Backend[]
-  /** Whether this VM's share of the limit for a cold backend server permits one more request. */
-  hasColdCapacity(backend: Backend): boolean
+  /** Limits that backend servers have named in their answers. */
+  namedLimits: NamedLimits
+  /**
+   * Time until this VM's shares of the limit for a cold backend server and of the limit that it has named permit one more
+   * request, in milliseconds; 0 if they do now, Infinity if a share is nothing.
+   */
+  rateWaitMs(backend: Backend): number
   /**
    * Takes capacity for one request. Must be called in the same synchronous step as the checks of the limits, so that the
    * next request that is checked finds the capacity taken.
@@ -60,6 +66,7 @@
 
 export function createBackendPool ({ cold, clock, log, metrics }: BackendPoolOptions): BackendPool {
   const backends = new Map<BackendServerId, Backend>()
+  const namedLimits = createNamedLimits({ clock, log })
   /** Rank of this VM among the VMs in the rendezvous order of a backend server, cached with the VMs that it was computed for. */
   const ranks = new WeakMap<Backend, { vms: readonly VmId[], rank: number }>()
   /** Recent sends to backend servers that were removed; the entry of such a one may be written again. */
@@ -99,7 +106,11 @@
   function detach ({ entry: { id }, recentSends }: Backend): void {
     backends.delete(id)
     departedSends.set(id, recentSends)
-    clock.after(COLD_WINDOW_MS, () => { if (departedSends.get(id) === recentSends) departedSends.delete(id) })
+    clock.after(NAMED_LIMIT_WINDOW_MS, () => {
+      if (departedSends.get(id) !== recentSends) return
+      departedSends.delete(id)
+      if (!backends.has(id)) namedLimits.remove(id)
+    })
   }
 
   function drop (backend: Backend, reason: string): void {
@@ -130,14 +141,35 @@
     return [...backends.values()].filter(({ entry }) => entry.service === service)
   }
 
-  /** This VM's share of the limit: the integer quotient, plus one for the VMs whose rank is below the remainder. */
-  function coldShare (backend: Backend): number {
-    const limit = Math.floor(cold.limit(backend.entry.service) * COLD_SAFETY_FACTOR)
+  /** This VM's share of a number of requests: the integer quotient, plus one for the VMs whose rank is below the remainder. */
+  function shareOf (limit: number, backend: Backend): number {
     const vms = cold.vms()
     const basePerVm = Math.floor(limit / Math.max(1, vms.length))
     return basePerVm + (rankFor(backend, vms) < limit - basePerVm * vms.length ? 1 : 0)
   }
 
+  /** Time until one more request may follow the earlier ones, of which a window may contain `share`; 0 if it may now. */
+  function waitMs (sentMs: readonly number[], share: number, windowMs: number): number {
+    if (share === 0) return Infinity
+    return Math.max(0, (sentMs.at(-share) ?? -Infinity) + windowMs - clock.now())
+  }
+
+  function coldWaitMs (backend: Backend): number {
+    const limit = cold.limit(backend.entry.service)
+    if (limit === 0) return 0
+    // The process before a restart may have used this VM's share within the window.
+    const sinceStartMs = createdMs + COLD_WINDOW_MS - clock.now()
+    return Math.max(sinceStartMs, waitMs(backend.recentSends, shareOf(Math.floor(limit * COLD_SAFETY_FACTOR), backend), COLD_WINDOW_MS))
+  }
+
+  /** At least one request in the window is permitted, because only an answer shows that the limit has ended. */
+  function namedWaitMs ({ entry: { id }, recentSends }: Backend, shareOfLimit: (limit: number) => number): number {
+    const limit = namedLimits.get(id)
+    if (!limit) return 0
+    const requests = Math.max(1, Math.floor(limit.rate * NAMED_LIMIT_WINDOW_MS / 1000))
+    return waitMs(recentSends.filter(sentMs => sentMs >= limit.sinceMs), shareOfLimit(requests), NAMED_LIMIT_WINDOW_MS)
+  }
+
   function reserve (backend: Backend, { running, prompt }: RequestLoad): Reservation {
     const reservedMs = clock.now()
     let promptLoad = prompt
@@ -198,13 +230,11 @@
     eligible: service => ofService(service).filter(({ entry, suspendedUntilMs }) =>
       !entry.leaving && !outOfService.has(entry.dataCentre) && suspendedUntilMs <= clock.now()),
     list: ofService,
-    hasColdCapacity (backend) {
-      if (cold.limit(backend.entry.service) === 0) return true
-      const windowStartMs = clock.now() - COLD_WINDOW_MS
-      // The process before a restart may have used this VM's share within the window.
-      if (windowStartMs < createdMs) return false
-      backend.recentSends = backend.recentSends.filter(sentMs => sentMs > windowStartMs)
-      return backend.recentSends.length < coldShare(backend)
+    namedLimits,
+    rateWaitMs (backend) {
+      const oldestMs = clock.now() - NAMED_LIMIT_WINDOW_MS
+      if (backend.recentSends.length > 0 && backend.recentSends[0]! < oldestMs) backend.recentSends = backend.recentSends.filter(sentMs => sentMs >= oldestMs)
+      return Math.max(coldWaitMs(backend), namedWaitMs(backend, requests => shareOf(requests, backend)))
     },
     reserve,
     recordConnectFailure (backend) {
--- a/src/core/backend-pool/types.ts
+++ b/src/core/backend-pool/types.ts
@@ -34,8 +34,8 @@
   /** Monotonic time until which it gets no requests from this VM. */
   suspendedUntilMs: number
   /**
-   * Monotonic times at which this VM reserved capacity for the requests that it sent; those older than COLD_WINDOW_MS
-   * are removed when the limit is checked.
+   * Monotonic times at which this VM reserved capacity for the requests that it sent; those older than
+   * NAMED_LIMIT_WINDOW_MS are removed when the limits are checked.
    */
   recentSends: number[]
   /** Whether its entry is missing during the grace period after a store outage. */
@@ -59,6 +59,6 @@
   endPrompt(): void
   /** Returns the capacity after the request was sent. */
   release(): void
-  /** Returns the capacity, and the request from the cold limit, because the request was not sent. */
+  /** Returns the capacity, and the request from the rate limits, because the request was not sent. */
   cancel(): void
 }
--- a/src/core/forwarding-vm/assignment.ts
+++ b/src/core/forwarding-vm/assignment.ts
@@ -28,7 +28,7 @@
     const affinityKey = route.kind === 'streaming' ? request.prompt.at(-2)?.id ?? request.prompt.at(-1)?.id : undefined
     return () => {
       const permitted = pool.eligible(service).filter(({ entry }) => rule.allows(entry.version))
-      const available = limitToShare(permitted, rule.backendShare).filter(backend => hasCapacity(backend) && pool.hasColdCapacity(backend))
+      const available = limitToShare(permitted, rule.backendShare).filter(backend => hasCapacity(backend) && pool.rateWaitMs(backend) === 0)
       const untried = available.filter(backend => !triedBackends.has(backend))
       return chooseBackend({
         candidates: untried.length > 0 ? untried : available,
@@ -44,7 +44,7 @@
   function hasAlternative ({ request, service }: ForwardedRequest, excluded: ReadonlySet<Backend>): boolean {
     const rule = trials.versionRule(service, request.session ?? request.id!, { version: undefined, hasFailed: true })
     return pool.eligible(service).some(backend =>
-      !excluded.has(backend) && rule.allows(backend.entry.version) && hasCapacity(backend) && pool.hasColdCapacity(backend))
+      !excluded.has(backend) && rule.allows(backend.entry.version) && hasCapacity(backend) && pool.rateWaitMs(backend) === 0)
   }
 
   /** Limits the candidates to a share of the backend servers; rendezvous hashing makes all VMs select the same ones. */
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -124,9 +124,14 @@
     },
     recentEvidence () {
       const promptParts = partQuarantine.recentEvidence()
-      return promptParts && { promptParts }
+      const limits = pool.namedLimits.report()
+      const hasLimits = Object.keys(limits).length > 0
+      return promptParts || hasLimits ? { ...promptParts && { promptParts }, ...hasLimits && { limits } } : undefined
+    },
+    onEvidence ({ promptParts, limits }) {
+      if (promptParts) partQuarantine.merge(promptParts)
+      if (limits) pool.namedLimits.merge(limits)
     },
-    onEvidence ({ promptParts }) { if (promptParts) partQuarantine.merge(promptParts) },
     collectors () {
       const { isRelay, relays } = chooseRelays(fleet.liveVms(), settings.vm)
       return { isCollector: isRelay, others: relays }
@@ -179,7 +184,7 @@
     codec: adapter,
     prepareAssignment: assignments.prepare,
     hasAlternative: assignments.hasAlternative,
-    mayGainCapacity: service => pool.eligible(service).length > 0,
+    mayGainCapacity: (service, withinMs) => pool.eligible(service).some(backend => pool.rateWaitMs(backend) <= withinMs),
     modelWeight: assignments.modelWeight,
     minConfidence: service => escalationConfidence(assignments.meanLoad(service)),
     capacityQueue,
@@ -191,6 +196,7 @@
     },
     partQuarantine,
     reserve: pool.reserve,
+    recordNamedLimit: (backend, rate) => pool.namedLimits.record(backend.entry.id, rate),
     recordConnectFailure: backend => pool.recordConnectFailure(backend),
     recordMisdirected: backend => pool.recordMisdirected(backend),
     observe (backend, { service, route }, isFirst) {
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -51,8 +51,8 @@
   prepareAssignment(forwarded: ForwardedRequest, earlier: EarlierSends): () => Backend | undefined
   /** Whether a backend server that is not excluded currently has capacity for a repeated request. */
   hasAlternative(forwarded: ForwardedRequest, excluded: ReadonlySet<Backend>): boolean
-  /** Whether waiting for capacity can succeed: at least one backend server is eligible for work, even if all are currently full. */
-  mayGainCapacity(service: ServiceId): boolean
+  /** Whether waiting for capacity can succeed: the rate limits of at least one eligible backend server permit a request within that time, even if all are currently full. */
+  mayGainCapacity(service: ServiceId, withinMs: number): boolean
   /** The allowance of retries that this VM may send to a service. */
   retryAllowance(service: ServiceId): RetryAllowance
   /** Checks access again right before a request is sent; the request is not sent if an error is returned. */
@@ -61,6 +61,8 @@
   partQuarantine: PartQuarantine
   /** Takes capacity of a backend server for one request. */
   reserve(backend: Backend, load: RequestLoad): Reservation
+  /** Records the request rate that a backend server named as its limit in an answer, or that it named none. */
+  recordNamedLimit(backend: Backend, rate: number | undefined): void
   recordConnectFailure(backend: Backend): void
   /** Records that another backend server answered at the address. */
   recordMisdirected(backend: Backend): void
@@ -288,10 +290,11 @@
       return backend && options.reserve(backend, load)
     }
     const reserved = options.capacityQueue.size(service) === 0 ? tryReserve() : undefined
-    if (reserved || !options.mayGainCapacity(service)) return reserved
+    const timeoutMs = Math.min(MAX_CAPACITY_WAIT_MS, remainingMs * CAPACITY_WAIT_SHARE)
+    if (reserved || !options.mayGainCapacity(service, timeoutMs)) return reserved
     return await options.capacityQueue.wait(service, {
       urgency: urgencyOf(route, team),
-      timeoutMs: Math.min(MAX_CAPACITY_WAIT_MS, remainingMs * CAPACITY_WAIT_SHARE),
+      timeoutMs,
       tryPlace: tryReserve,
       isCancelled: () => progress.isFinished
     })
@@ -316,6 +319,7 @@
   async function handleResponse (forwarded: ForwardedRequest, progress: RequestProgress, response: AttemptResponse): Promise<AttemptOutcome> {
     const { route, caller } = forwarded
     const { backend, exchange, head, recordEvent, endAttempt } = response
+    if (head.namedLimit !== undefined ? !head.misdirected : head.authentic && !head.notRun) options.recordNamedLimit(backend, head.namedLimit)
     if (head.notRun) {
       endAttempt('not_run')
       exchange.abort('not run')
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -115,6 +115,8 @@
   misdirected: boolean
   /** Whether the response belongs to this request and identifies itself as a backend server's. */
   authentic: boolean
+  /** Requests per second that the backend server takes from all VMs together, if it names such a limit. */
+  namedLimit: number | undefined
   /** The model's confidence in its response, from 0 to 100. */
   confidence: number | undefined
   /** Headers for the caller, with alternating names and values and without hop-by-hop headers. */
--- a/src/core/load-exchange/index.ts
+++ b/src/core/load-exchange/index.ts
@@ -6,6 +6,7 @@
  * totals with the other collectors and responds with the load of all other VMs; the number of messages of a VM that is
  * not a collector is then independent of the size of the fleet.
  */
+import type { ReportedLimits } from '../backend-pool/named-limits.ts'
 import type { Clock, TimerCancel } from '../clock/index.ts'
 import type { BackendServerId, VmId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
@@ -19,7 +20,7 @@
 export interface VmReport { loads: LoadReport, evidence?: FleetEvidence }
 
 /** Evidence that one VM has and all must know; receivers pass on what is new to them. */
-export interface FleetEvidence { promptParts?: PartEvidence }
+export interface FleetEvidence { promptParts?: PartEvidence, limits?: ReportedLimits }
 
 /** The VMs that sum the reports of a large fleet. */
 export interface Collectors {
