Keep a stopping VM registered until its sends no longer count

Cause: a stopping VM unregistered as soon as it accepted no more requests. The others took over its part of each divided limit at once, although its open requests could still be retried and what it had sent in the last second still counted.

The scenario, which now also checks the window after the last request, fails without the change.

Why this works: the entry is removed after the last request and one window of the limits, or shortly before the end of the grace period. A removal that the store does not answer delays the end by 300 ms at most.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -285,9 +285,11 @@
     Then the VM is ready
 
   # Guards against other VMs that take over the parts of limits that a leaving VM still uses.
-  Scenario: a leaving VM stays registered until it accepts no more requests
+  Scenario: a leaving VM stays registered until nothing that it has sent counts against a limit
     Given a forwarding VM with 1 backend servers that answer
     When the VM begins to stop
     Then the VM is registered
     When the VM accepts no more requests
+    Then the VM is registered
+    When the window of the rate limits has passed
     Then the VM is not registered
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -3,7 +3,7 @@
 import { brandId, type DataCentreId, type VmId } from '../../src/core/ids/index.ts'
 import { COLD_WINDOW_MS } from '../../src/core/backend-pool/constants.ts'
 import { FLEET_KIND } from '../../src/core/fleet/constants.ts'
-import { ACCEPT_AFTER_STOP_MS, BACKENDS_COALESCE_MS } from '../../src/core/forwarding-vm/constants.ts'
+import { ACCEPT_AFTER_STOP_MS, BACKENDS_COALESCE_MS, STOP_CHECK_PERIOD_MS } from '../../src/core/forwarding-vm/constants.ts'
 import { PART_KIND, QUARANTINE_DURATION_MS } from '../../src/core/quarantine/constants.ts'
 import { exchangeBytes, backendEntry, KINDS, startForwardingVmHarness, trafficConfig, type ForwardingVmHarness, type RawResponse } from '../support/forwarding-vm-harness.ts'
 import { createMemoryStore } from '../support/memory-store.ts'
@@ -95,6 +95,8 @@
   await sleep(1000)
 })
 
+When('the window of the rate limits has passed', async function (this: ForwardingWorld) { await sleep(COLD_WINDOW_MS + STOP_CHECK_PERIOD_MS) })
+
 When('the VM accepts no more requests', async function (this: ForwardingWorld) { await sleep(ACCEPT_AFTER_STOP_MS - 1000 + 200) })
 
 Then(/^the VM is (not )?registered$/, async function (this: ForwardingWorld, not: string | null) {
--- a/src/core/forwarding-vm/constants.ts
+++ b/src/core/forwarding-vm/constants.ts
@@ -22,3 +22,5 @@
 export const STOP_CHECK_PERIOD_MS = 200
 /** Loads below this are omitted from reports, because floating-point rounding leaves small remainders. */
 export const MIN_REPORTED_LOAD = 0.01
+/** Time for which a stopping VM waits for the store to remove its entry; leaves time to end before SIGKILL. */
+export const UNREGISTER_TIMEOUT_MS = 300
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -3,6 +3,7 @@
  * roll-outs current. Requests pass through access control, placement and forwarding. The directory lists the live VMs.
  */
 import { createServer, type Server } from 'node:http'
+import { COLD_WINDOW_MS } from '../backend-pool/constants.ts'
 import { createBackendPool, type BackendPool } from '../backend-pool/index.ts'
 import { systemClock, type Clock } from '../clock/index.ts'
 import { errorMessage, GatewayError, type ErrorName } from '../errors/index.ts'
@@ -28,7 +29,7 @@
 import { createFeedRelay, type FeedPoll } from '../feed-relay/index.ts'
 import { chooseRelays } from '../feed-relay/relay-choice.ts'
 import { createFleet } from '../fleet/index.ts'
-import { ACCEPT_AFTER_STOP_MS, ADDRESS_TTL_S, MAX_ADDRESSES, MIN_REPORTED_LOAD, RELIST_HISTORY_SHARE, STOP_CHECK_PERIOD_MS, STOP_GRACE_SHARE } from './constants.ts'
+import { ACCEPT_AFTER_STOP_MS, ADDRESS_TTL_S, MAX_ADDRESSES, MIN_REPORTED_LOAD, RELIST_HISTORY_SHARE, STOP_CHECK_PERIOD_MS, STOP_GRACE_SHARE, UNREGISTER_TIMEOUT_MS } from './constants.ts'
 import { createAssignments } from './assignment.ts'
 import { createFeeds } from './feeds.ts'
 import type { ForwardingVmSettings, PlatformAdapter } from './types.ts'
@@ -286,13 +287,15 @@
       stoppingSinceMs = clock.now()
       log.info('VM stops', { openRequests: callerServer.openRequests() })
       void fleet.leave()
-      clock.after(ACCEPT_AFTER_STOP_MS, () => void fleet.unregister())
       const endMs = stoppingSinceMs + settings.stopGraceMs * STOP_GRACE_SHARE
       while (clock.now() < endMs) {
         await clock.sleep(STOP_CHECK_PERIOD_MS)
         callerServer.server.closeIdleConnections()
         if (clock.now() - stoppingSinceMs > ACCEPT_AFTER_STOP_MS && callerServer.openRequests() === 0) break
       }
+      // What this VM has sent in the last window counts against the limits until its end.
+      await clock.sleep(Math.max(0, Math.min(COLD_WINDOW_MS, endMs - clock.now())))
+      await Promise.race([fleet.unregister(), clock.sleep(UNREGISTER_TIMEOUT_MS)])
       log.info('VM stopped', { openRequests: callerServer.openRequests() })
     },
     async close () {
