Hold a VM back from cold backend servers until the others know it

Cause: a VM used its part of a divided limit one second after its start. The others read its entry up to one second after the store has confirmed it, and until then divide the limit without it.

Evidence: the scenario "a VM sends nothing to a cold backend server before the others know it" fails without the change: the VM is ready too early.

Why this works: a VM may use its part only when its entry has been in the store for the time in which the others read it and one window of the limit more. It is not ready before that, so the directory names other VMs.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -284,6 +284,16 @@
     When the list of VMs can be read
     Then the VM is ready
 
+  # Guards against VMs that start together and each use the whole limit until they know each other.
+  Scenario: a VM sends nothing to a cold backend server before the others know it
+    Given a forwarding VM that has just started and knows a cold backend server
+    When a caller sends a request to /order/1
+    Then the caller gets status 503 with the body "-"
+    And the backend servers received 0 requests
+    And the VM is ready once the others have left its share for one window
+    When a caller sends a request to /order/1
+    Then the caller gets status 200 with the body "whole"
+
   # Guards against other VMs that take over the parts of limits that a leaving VM still uses.
   Scenario: a leaving VM stays registered until nothing that it has sent counts against a limit
     Given a forwarding VM with 1 backend servers that answer
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -2,7 +2,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { brandId, type DataCentreId, type VmId } from '../../src/core/ids/index.ts'
 import { COLD_WINDOW_MS } from '../../src/core/backend-pool/constants.ts'
-import { FLEET_KIND } from '../../src/core/fleet/constants.ts'
+import { FLEET_COALESCE_MS, FLEET_KIND } from '../../src/core/fleet/constants.ts'
 import { ACCEPT_AFTER_STOP_MS, BACKENDS_COALESCE_MS, STOP_CHECK_PERIOD_MS } from '../../src/core/forwarding-vm/constants.ts'
 import { PART_KIND, QUARANTINE_DURATION_MS } from '../../src/core/quarantine/constants.ts'
 import { exchangeBytes, backendEntry, KINDS, startForwardingVmHarness, trafficConfig, type ForwardingVmHarness, type RawResponse } from '../support/forwarding-vm-harness.ts'
@@ -13,6 +13,7 @@
   harness: ForwardingVmHarness
   backends: ScriptedBackend[]
   responses: RawResponse[]
+  startedMs: number
   /** Time from sending the last request to the end of its response. */
   lastResponseMs: number
 }
@@ -73,6 +74,22 @@
   await startVmWithBackends(this, 1, behaviours, {}, Number(slots))
 })
 
+Given('a forwarding VM that has just started and knows a cold backend server', async function (this: ForwardingWorld) {
+  const backend = await startScriptedBackend()
+  const store = createMemoryStore()
+  store.put(KINDS.backendServers, 'backend-0', backendEntry(backend.address))
+  this.backends = [backend]
+  this.startedMs = performance.now()
+  this.harness = await startForwardingVmHarness({ store, coldRate: 10 })
+  await sleep(100)
+})
+
+Then('the VM is ready once the others have left its share for one window', async function (this: ForwardingWorld) {
+  while (!await isReady(this)) await sleep(5)
+  const readyMs = performance.now() - this.startedMs
+  assert.ok(readyMs >= FLEET_COALESCE_MS + COLD_WINDOW_MS, `ready after ${readyMs} ms`)
+})
+
 Given('a forwarding VM without configuration', async function (this: ForwardingWorld) {
   this.harness = await startForwardingVmHarness({ configured: false })
   await sleep(50)
--- a/src/core/backend-pool/index.ts
+++ b/src/core/backend-pool/index.ts
@@ -20,6 +20,8 @@
   /** VMs that share the limit, this one included; returns the same array until they change. */
   vms(): readonly VmId[]
   self: VmId
+  /** Monotonic time from which this VM may use its share; by default one window after the pool is created. */
+  startMs?: () => number
 }
 
 export interface BackendPoolOptions {
@@ -72,6 +74,7 @@
   /** Recent sends to backend servers that were removed; the entry of such a one may be written again. */
   const departedSends = new Map<BackendServerId, number[]>()
   const createdMs = clock.now()
+  const { startMs: coldStartMs = () => createdMs + COLD_WINDOW_MS } = cold
   let outOfService: ReadonlySet<DataCentreId> = new Set()
   /** Monotonic time until which missing entries are kept. */
   let graceEndMs = -Infinity
@@ -157,9 +160,8 @@
   function coldWaitMs (backend: Backend): number {
     const limit = cold.limit(backend.entry.service)
     if (limit === 0) return 0
-    // The process before a restart may have used this VM's share within the window.
-    const sinceStartMs = createdMs + COLD_WINDOW_MS - clock.now()
-    return Math.max(sinceStartMs, waitMs(backend.recentSends, shareOf(Math.floor(limit * COLD_SAFETY_FACTOR), backend), COLD_WINDOW_MS))
+    // The other VMs, or the process before a restart, may have used this VM's share until shortly before the start.
+    return Math.max(coldStartMs() - clock.now(), waitMs(backend.recentSends, shareOf(Math.floor(limit * COLD_SAFETY_FACTOR), backend), COLD_WINDOW_MS))
   }
 
   /** At least one request in the window is permitted, because only an answer shows that the limit has ended. */
--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -41,6 +41,8 @@
   /** Monotonic time since which each absent VM has not been a live member. */
   const absentSinceMs = new Map<VmId, number>()
   const identity = { vm: settings.vm, boot, region: settings.region, dataCentre: settings.dataCentre }
+  /** Monotonic time at which the store confirmed the entry of this process. */
+  let registeredMs = Infinity
   let leaving = false
   let cancelCleanup: TimerCancel | undefined
 
@@ -100,13 +102,14 @@
   }
 
   async function register (): Promise<void> {
-    await retryUntilDone('register', async () => {
+    const registered = await retryUntilDone('register', async () => {
       const created = await store.create(FLEET_KIND, settings.vm, ownEntry)
       if (created) return created
       const existing = await store.get(FLEET_KIND, settings.vm)
       if ((existing?.spec as FleetEntry | undefined)?.boot === boot) return existing
       return existing && await store.replace(FLEET_KIND, settings.vm, ownEntry, existing.revision)
     })
+    if (registered) registeredMs = Math.min(registeredMs, clock.now())
   }
 
   async function joinPeers (): Promise<void> {
@@ -147,6 +150,8 @@
     peers,
     /** Whether the entries of the other VMs have been loaded; before that, this VM would take whole limits for its part of them. */
     isLoaded: followedEntries.isLoaded,
+    /** Monotonic time from which the other VMs have read the entry of this one, if they reach the store; Infinity before it is registered. */
+    knownSinceMs: () => registeredMs + FLEET_COALESCE_MS,
     start (): void {
       void register()
       joinPeers().catch((error: unknown) => log.error('the links to the other VMs could not be opened', { error: errorMessage(error) }))
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -87,12 +87,18 @@
         return rate === 0 ? 0 : rate * settings.coldOvershoot + settings.coldSlack
       },
       vms: () => fleet.vms(),
-      self: settings.vm
+      self: settings.vm,
+      startMs: coldLimitStartMs
     },
     clock,
     log,
     metrics
   })
+  /** Time from which this VM may use its share of a limit for cold backend servers: the others have given it up one window before. */
+  function coldLimitStartMs (): number {
+    return fleet.knownSinceMs() + COLD_WINDOW_MS
+  }
+
   const allowances = new Map<ServiceId, RetryAllowance>()
 
   function retryAllowance (service: ServiceId): RetryAllowance {
@@ -254,7 +260,8 @@
   }
 
   function isReady (): boolean {
-    return isLoaded() && stoppingSinceMs === undefined
+    const isHeldBack = clock.now() < coldLimitStartMs() && table?.services().some(({ coldRate }) => coldRate > 0)
+    return isLoaded() && !isHeldBack && stoppingSinceMs === undefined
   }
 
   const readiness = adapter.serveReadiness(isReady)
