Quarantine messages that crash engines in the gateway, too

Callers would see the same as with forwarded requests: chats that share one message, for example the system message of an application, crash one engine after the other, two for each request that is otherwise new.

Cause: the gateway's quarantine counts crashes by a hash of the whole body.

Evidence: the scenario "a message that crashed two engines is refused in other gateway requests" fails without the change: the second chat is sent.

Why this works: the hash of each message but the last is a prompt part of the quarantine that forwarding uses. An engine that is lost before the first token is the evidence, a later first token clears. The VMs notify each other as they do of crashes by whole requests.

Not covered: these quarantines are not stored, so a VM that starts later learns them from its own crashes only.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -58,6 +58,13 @@
     Then the gateway answer is 422 with the error "request_quarantined" and run "not_run"
     And the gateway's engines received 2 requests
 
+  # Guards against requests that are otherwise unlike and share a message that crashes one engine after the other.
+  Scenario: a message that crashed two engines is refused in other gateway requests
+    When a gateway caller streams a chat with the messages "[crash] rules, first question"
+    And a gateway caller streams a chat with the messages "[crash] rules, second question"
+    Then the gateway answer is 422 with the error "request_quarantined" and run "not_run"
+    And the gateway's engines received 2 requests
+
   Scenario: a gateway resend that joins a failing request does not get the run state not_run
     Given the gateway's engines take 20 ms for a token
     And the gateway's engine "e1" has the fault "dieBeforeFirstToken"
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -72,6 +72,15 @@
       | {"lift":7}            |
       | {"crashes":[{"fingerprint":"x"}],"remainingMs":1} |
 
+  Scenario: crashes by one message that different VMs have seen are known on all VMs, and so is the end of its quarantine
+    Given a quarantine on 3 VMs with the object API down
+    When the quarantine gets a crash by the message deadly at a1 by vm-1
+    Then the message deadly is accepted on all quarantine VMs
+    When the quarantine gets a crash by the message deadly at b1 by vm-2
+    Then the message deadly is refused on all quarantine VMs
+    When vm-3 gets the first token of an answer to the message deadly
+    Then the message deadly is accepted on all quarantine VMs
+
   # Guards against a deadly prompt part of which each VM has seen too few crashes.
   Scenario Outline: a prompt part that crashes backend servers is refused on all of <vms> VMs, and its sound companions are not
     Given <vms> VMs that exchange evidence about prompt parts
--- a/features/steps/gateway.ts
+++ b/features/steps/gateway.ts
@@ -144,6 +144,11 @@
   this.result = await chat(this.vm.url, { prompt })
 })
 
+When('a gateway caller streams a chat with the messages {string}', async function (this: GatewayWorld, contents: string) {
+  const messages = contents.split(', ').map((content, index) => ({ role: index === 0 ? 'system' : 'user', content }))
+  this.result = await chat(this.vm.url, { body: JSON.stringify({ model: 'kit', stream: true, max_tokens: 100, messages }) })
+})
+
 When('a gateway caller streams a chat with a deadline of {int} ms', async function (this: GatewayWorld, ms: number) {
   this.result = await chat(this.vm.url, { headers: { 'x-deadline-ms': String(ms) } })
 })
--- a/features/steps/prompt-parts.ts
+++ b/features/steps/prompt-parts.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import type { Backend } from '../../src/core/backend-pool/index.ts'
-import { brandId, type VmId } from '../../src/core/ids/index.ts'
+import { brandId, type BackendServerId, type VmId } from '../../src/core/ids/index.ts'
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
 import { chooseRelays } from '../../src/core/feed-relay/relay-choice.ts'
 import { createLoadExchange, type LoadExchange, type VmReport } from '../../src/core/load-exchange/index.ts'
@@ -14,7 +13,6 @@
   vms: { exchange: LoadExchange, quarantine: PartQuarantine }[]
 }
 
-const backend = (id: string) => ({ entry: { id, startedWallMs: 1 } }) as Backend
 const partsOf = (prompt: string) => prompt.split(',').slice(0, -1)
 
 Given(/^(\d+) VMs that exchange evidence about prompt parts$/, function (this: PartsWorld, count: string) {
@@ -51,7 +49,7 @@
 When(/^each of these crashes is seen by another VM: (.*)$/, function (this: PartsWorld, crashes: string) {
   crashes.split(' ').forEach((crash, index) => {
     const [prompt, id] = crash.split('@') as [string, string]
-    this.vms[index]!.quarantine.recordCrash(backend(id), partsOf(prompt))
+    this.vms[index]!.quarantine.recordCrash({ backendServer: brandId<BackendServerId>(id), instance: '1' }, partsOf(prompt))
   })
 })
 
--- a/features/steps/quarantine.ts
+++ b/features/steps/quarantine.ts
@@ -94,6 +94,20 @@
   }
 })
 
+When(/^the quarantine gets a crash by the message (\w+) at (\S+) by (\S+)$/, async function (this: QuarantineWorld, message: string, instance: string, vm: string) {
+  this.quarantines.get(vm)!.parts.recordCrash({ backendServer: `server-${instance[0]}` as BackendServerId, instance }, [message])
+  await this.network.clock.advance(10)
+})
+
+When(/^(\S+) gets the first token of an answer to the message (\w+)$/, async function (this: QuarantineWorld, vm: string, message: string) {
+  this.quarantines.get(vm)!.parts.recordSurvival([message], this.network.clock.now())
+  await this.network.clock.advance(10)
+})
+
+Then(/^the message (\w+) is (refused|accepted) on all quarantine VMs$/, function (this: QuarantineWorld, message: string, expected: string) {
+  for (const [vm, { parts }] of this.quarantines) assert.equal(parts.remainingMs([message]) > 0, expected === 'refused', vm)
+})
+
 When('the quarantine gets {int} suspects by {word} with a limit of {int} fingerprints', function (this: QuarantineWorld, count: number, vm: string, limit: number) {
   assert.equal(limit, MAX_ENTRIES)
   for (let i = 0; i < count; i++) {
--- a/features/support/fakes.ts
+++ b/features/support/fakes.ts
@@ -3,13 +3,17 @@
 import type { Permit, PermitAnswer, PermitClient, PermitRelease, PermitRequest } from '../../src/core/admission/types.ts'
 import type { Billing, BillingRecord } from '../../src/core/billing/types.ts'
 import type { Budget } from '../../src/core/budget/types.ts'
+import { systemClock } from '../../src/core/clock/index.ts'
 import { CONFIG_SCHEMAS, type ConfigEntry, type ConfigRecord, type ConfigSpecs, type ConfigView, type Contract } from '../../src/core/config/types.ts'
 import { BillingError, BudgetError, PeerError, RoutingError } from '../../src/core/errors/index.ts'
 import type { Explain, ExplainTrace } from '../../src/core/explain/types.ts'
 import { brandId, randomId, type BootId, type DataCentreId, type ModelId, type PermitId, type RegionId, type RequestId, type VersionId, type VmId } from '../../src/core/ids/index.ts'
+import { silentLog } from '../../src/core/logging/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
 import type { Member, Membership } from '../../src/core/membership/types.ts'
 import type { ConfigKind } from '../../src/core/object-api/types.ts'
 import type { PeerHandler, PeerLinks, PeerMessageType } from '../../src/core/peer/types.ts'
+import { createPartQuarantine } from '../../src/core/quarantine/prompt-parts.ts'
 import type { CrashReport, Quarantine } from '../../src/core/quarantine/types.ts'
 import type { VersionChoice, VersionOutcome, VersionRouter } from '../../src/core/routing/types.ts'
 
@@ -130,6 +134,7 @@
   const reports: CrashReport[] = []
   const fake = { reports, quarantined: new Set<string>() }
   const quarantine: Quarantine = {
+    parts: createPartQuarantine({ clock: systemClock, log: silentLog, metrics: createMetrics() }),
     isQuarantined: fingerprint => fake.quarantined.has(fingerprint),
     isSuspect: fingerprint => reports.some(report => report.fingerprint === fingerprint),
     reportCrash (report) {
--- a/src/bench/relay-fixture.ts
+++ b/src/bench/relay-fixture.ts
@@ -42,7 +42,16 @@
       reserve: async () => ({ settle () {} }),
       returnChunks: async () => {}
     },
-    quarantine: { isQuarantined: () => false, isSuspect: () => false, reportCrash () {}, remainingMs: () => 0, lift: async () => {}, start: async () => {}, stop () {} },
+    quarantine: {
+      parts: { recordCrash: () => false, recordSurvival: () => false, remainingMs: () => 0 },
+      isQuarantined: () => false,
+      isSuspect: () => false,
+      reportCrash () {},
+      remainingMs: () => 0,
+      lift: async () => {},
+      start: async () => {},
+      stop () {}
+    },
     engine: createEngineClient({ clock, metrics }),
     services: createServiceClient({ clock, metrics }),
     explain: { begin () {}, add () {}, setCost () {}, find: async () => undefined },
--- a/src/core/engine/index.ts
+++ b/src/core/engine/index.ts
@@ -15,7 +15,7 @@
 
 export type * from './types.ts'
 export { EngineFailure } from './errors.ts'
-export { prefixHashes } from './prefix.ts'
+export { prefixHashes, sharedMessageHashes } from './prefix.ts'
 
 export interface ClientOptions {
   clock: Clock
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -10,7 +10,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import { requestLoad } from '../placement/index.ts'
 import type { CapacityQueue } from '../placement/capacity-queue.ts'
-import type { PartQuarantine } from '../quarantine/prompt-parts.ts'
+import type { EngineCrash, PartQuarantine } from '../quarantine/prompt-parts.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
 import { CAPACITY_WAIT_SHARE, DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, FIRST_EVENT_TIMEOUT_FACTOR, MAX_CAPACITY_WAIT_MS, MAX_CONNECT_ATTEMPTS, MIN_ATTEMPT_MS, RESPONSE_TIMEOUT_FACTOR, RETRY_AFTER_JITTER_S, RETRY_AFTER_S, STALL_CHECK_PERIOD_MS } from './constants.ts'
 import { startExchange, type Codec, type Exchange } from './exchange.ts'
@@ -351,7 +351,7 @@
       }
       const relayed = await relayEvents({ ...response, caller, route, lastEventId: progress.lastEventId, clock })
       progress.lastEventId = relayed.lastEventId
-      if (relayed.endedBeforeFirstEvent) partQuarantine.recordCrash(backend, sharedParts(forwarded.request))
+      if (relayed.endedBeforeFirstEvent) partQuarantine.recordCrash(crashOf(backend), sharedParts(forwarded.request))
       endAttempt(relayed.kind === 'broken' ? 'failed' : 'completed')
       if (relayed.kind === 'complete') {
         metrics.count('requests', 'answered')
@@ -405,6 +405,10 @@
   return { kind: 'failed', error: mayHaveRun ? 'backend_failed' : 'prompt_quarantined', reason: QUARANTINE_REASON }
 }
 
+function crashOf ({ entry: { id, startedWallMs } }: Backend): EngineCrash {
+  return { backendServer: id, instance: String(startedWallMs ?? 'unknown') }
+}
+
 /** Parts of the prompt that other requests may have, too; the last part belongs to the request itself or to its session. */
 function sharedParts ({ prompt }: CallerRequest): string[] {
   return prompt.slice(0, -1).map(({ id }) => id)
--- a/src/core/gateway/chat.ts
+++ b/src/core/gateway/chat.ts
@@ -1,5 +1,6 @@
 /** Filter chain of chat requests, from the parsed request to the billed answer. */
 import type { Billing } from '../billing/types.ts'
+import { sharedMessageHashes } from '../engine/index.ts'
 import { GatewayError } from '../errors/index.ts'
 import type { VersionChoice } from '../routing/types.ts'
 import { chatBillingLine, recordBill, type BillDependencies } from './bill.ts'
@@ -16,7 +17,7 @@
 /** Creates a function that produces `call.answer`. The function never rejects: errors fail the answer. */
 export function createChatRun (deps: ChatDependencies): (call: ChatCall) => Promise<void> {
   const chain = compose<ChatCall>([
-    traceCall(deps), refuseQuarantined(deps), chooseVersion(deps), withBudget(deps), withBilling(deps), produceAnswer(deps)
+    traceCall(deps), refuseQuarantined(deps), refuseQuarantinedMessages(deps), chooseVersion(deps), withBudget(deps), withBilling(deps), produceAnswer(deps)
   ])
   return async call => {
     try {
@@ -51,6 +52,15 @@
   }
 }
 
+/** Refuses prompts with messages that have crashed engines in other requests. */
+function refuseQuarantinedMessages ({ quarantine }: ChatDependencies): Filter<ChatCall> {
+  return async (call, next) => {
+    const retryAfterMs = quarantine.parts.remainingMs(sharedMessageHashes(call.body.messages))
+    if (retryAfterMs > 0) throw new GatewayError('request_quarantined', { retryAfterMs })
+    await next()
+  }
+}
+
 function chooseVersion (deps: ChatDependencies): Filter<ChatCall> {
   const { routing, explain } = deps
   return async (call, next) => {
--- a/src/core/gateway/run.ts
+++ b/src/core/gateway/run.ts
@@ -4,7 +4,7 @@
  * resumes from the received text.
  */
 import type { Permit, PermitOutcome } from '../admission/types.ts'
-import { EngineFailure, prefixHashes } from '../engine/index.ts'
+import { EngineFailure, prefixHashes, sharedMessageHashes } from '../engine/index.ts'
 import type { CompletionEvent, CompletionRequest, CompletionUsage, EngineClient } from '../engine/types.ts'
 import { GatewayError } from '../errors/index.ts'
 import type { VersionChoice, VersionRouter, VersionOutcome } from '../routing/types.ts'
@@ -159,12 +159,13 @@
 }
 
 async function attempt (deps: RunDependencies, call: ChatCall, tier: TierRun, permit: Permit): Promise<void> {
-  const { permits, engine, clock, explain } = deps
+  const { permits, engine, quarantine, clock, explain } = deps
   const tokensBefore = tier.tokens
   const startedAt = clock.now()
   let firstTokenMs: number | undefined
   let outcome: PermitOutcome = 'failed'
   let instance: string | undefined
+  let begunMs = startedAt
   call.attempts++
   explain.add(call.request, tokensBefore > 0 ? 'resume' : 'dispatch', `${permit.backendServer} runs ${tier.choice.version}`)
   try {
@@ -172,8 +173,10 @@
       markSent(call, tier)
       if (event.type === 'started') {
         instance = event.instance
+        begunMs = clock.now()
         permits.reportFirstByte(permit, instance)
       } else if (event.type === 'delta') {
+        if (firstTokenMs === undefined) quarantine.parts.recordSurvival(sharedMessageHashes(call.body.messages), begunMs)
         firstTokenMs ??= clock.now() - startedAt
         tier.firstTokenMs ??= clock.now() - call.startedAt
         await deliver(deps, call, tier, event)
@@ -185,7 +188,7 @@
   } catch (error) {
     if (!(error instanceof EngineFailure) || error.sent) markSent(call, tier)
     outcome = permitOutcomeOf(error)
-    reportCrash(deps, call, permit, error, instance)
+    reportCrash(deps, call, { permit, error, instance, hasToken: firstTokenMs !== undefined })
     throw error
   } finally {
     permits.release(permit, { outcome, instance, firstTokenMs, tokens: tier.tokens - tokensBefore })
@@ -198,11 +201,15 @@
   call.unbilledVersion = tier.choice.version
 }
 
+interface FailedAttempt { permit: Permit, error: unknown, instance: string | undefined, hasToken: boolean }
+
 /** Reports a lost connection to the quarantine, which decides whether this request causes crashes. */
-function reportCrash ({ quarantine, metrics }: RunDependencies, call: ChatCall, permit: Permit, error: unknown, instance = 'unknown'): void {
+function reportCrash ({ quarantine, metrics }: RunDependencies, call: ChatCall, { permit, error, instance = 'unknown', hasToken }: FailedAttempt): void {
   if (!(error instanceof EngineFailure) || !error.connectionLost) return
   metrics.count('backend_crashes', permit.backendServer)
-  quarantine.reportCrash({ fingerprint: call.fingerprint, backendServer: permit.backendServer, instance: error.instance ?? instance })
+  const crash = { backendServer: permit.backendServer, instance: error.instance ?? instance }
+  quarantine.reportCrash({ fingerprint: call.fingerprint, ...crash })
+  if (!hasToken) quarantine.parts.recordCrash(crash, sharedMessageHashes(call.body.messages))
 }
 
 function completionRequest (call: ChatCall, tier: TierRun, permit: Permit): CompletionRequest {
@@ -264,7 +271,8 @@
   if (isResume) call.deadline = Math.max(call.deadline, clock.now() + RESUME_WAIT_MS)
   metrics.count(isResume ? 'resumes' : 'retries', failure.reason)
   explain.add(call.request, 'retry', `${permit.backendServer}: ${failure.message}`)
-  if (quarantine.isQuarantined(call.fingerprint)) throw new GatewayError('request_quarantined', { cause: failure })
+  const isQuarantined = quarantine.isQuarantined(call.fingerprint) || quarantine.parts.remainingMs(sharedMessageHashes(call.body.messages)) > 0
+  if (isQuarantined) throw new GatewayError('request_quarantined', { cause: failure })
 }
 
 /**
--- a/src/core/peer/types.ts
+++ b/src/core/peer/types.ts
@@ -8,7 +8,7 @@
   | 'billing.witness' | 'billing.drop'
   | 'rollout.outcomes'
   | 'load.report' | 'feeds.poll'
-  | 'quarantine.report' | 'explain.get' | 'answer.join'
+  | 'quarantine.report' | 'quarantine.parts' | 'explain.get' | 'answer.join'
 
 /** Handles one message. The returned value is sent as the answer to a request and ignored for a notification. */
 export type PeerHandler = (body: unknown, from: VmId) => unknown
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -13,7 +13,8 @@
 import type { PeerLinks } from '../peer/index.ts'
 import { createCrashRegistry, type CrashEntry } from './crash-registry.ts'
 import { CRASH_LIMIT, QUARANTINE_DURATION_MS, REFRESH_PERIOD_MS } from './constants.ts'
-import { notificationSchema, type QuarantineNotification } from './messages.ts'
+import { notificationSchema, partEvidenceSchema, type QuarantineNotification } from './messages.ts'
+import { createPartQuarantine, type PartEvidence } from './prompt-parts.ts'
 import { createQuarantineStore } from './store.ts'
 import type { Quarantine } from './types.ts'
 
@@ -50,19 +51,31 @@
       log.warn('request quarantined', { fingerprint, crashes: [...crashes.values()].map(({ backendServer }) => backendServer) })
     }
   })
+  const parts = createPartQuarantine({ clock, log, metrics })
   const store = createQuarantineStore({ objectApi, registry, clock, metrics, isCleaner })
 
   function isCleaner (): boolean {
     return membership.members()[0]?.vm === membership.self().vm
   }
 
-  function broadcast (notification: QuarantineNotification): void {
+  function notifyPeers (type: 'quarantine.report' | 'quarantine.parts', body: QuarantineNotification | PartEvidence): void {
     const self = membership.self().vm
     for (const { vm } of membership.members()) {
-      if (vm !== self) peers.notify(vm, 'quarantine.report', notification)
+      if (vm !== self) peers.notify(vm, type, body)
     }
   }
 
+  function broadcast (notification: QuarantineNotification): void {
+    notifyPeers('quarantine.report', notification)
+  }
+
+  /** Sends all recent evidence, so that a VM that missed an earlier message has it as well. */
+  function broadcastParts (isNew: boolean): boolean {
+    const evidence = parts.recentEvidence()
+    if (isNew && evidence) notifyPeers('quarantine.parts', evidence)
+    return isNew
+  }
+
   function remainingMs (entry: CrashEntry | undefined): number {
     return entry ? entry.expiresMs - clock.now() : 0
   }
@@ -83,7 +96,21 @@
     registry.add(parsed.data.crashes, parsed.data.remainingMs)
   })
 
+  peers.handle('quarantine.parts', body => {
+    const parsed = partEvidenceSchema.safeParse(body)
+    if (!parsed.success) {
+      metrics.count('bad_input', 'quarantine_malformed')
+      throw new PeerError('peer_rejected', { detail: 'not evidence about prompt parts' })
+    }
+    parts.merge(parsed.data)
+  })
+
   return {
+    parts: {
+      recordCrash: (crash, partNames) => broadcastParts(parts.recordCrash(crash, partNames)),
+      recordSurvival: (partNames, begunMs) => broadcastParts(parts.recordSurvival(partNames, begunMs)),
+      remainingMs: parts.remainingMs
+    },
     isQuarantined: fingerprint => registry.get(fingerprint)?.isQuarantined ?? false,
     isSuspect: fingerprint => registry.get(fingerprint) !== undefined,
     reportCrash (report) {
--- a/src/core/quarantine/messages.ts
+++ b/src/core/quarantine/messages.ts
@@ -1,7 +1,7 @@
 /** Schemas of quarantine messages from other VMs and of quarantine objects in the object API. */
 import { z } from 'zod'
 import type { BackendServerId } from '../ids/index.ts'
-import { MAX_CRASHES } from './constants.ts'
+import { MAX_CRASHES, MAX_PART_CRASHES } from './constants.ts'
 
 const fingerprintSchema = z.string().min(1).max(200)
 const crashSchema = z.object({
@@ -17,6 +17,12 @@
   parts: z.array(fingerprintSchema).min(1)
 })
 
+/** Recent evidence of a VM about prompt parts. */
+export const partEvidenceSchema = z.object({
+  crashes: z.array(partCrashSchema.extend({ ageMs: z.number().nonnegative() })).max(MAX_PART_CRASHES),
+  survivals: z.record(fingerprintSchema, z.number().nonnegative())
+})
+
 /** Reports the crashes of one fingerprint, or lifts its quarantine. */
 export const notificationSchema = z.union([
   z.object({ crashes: z.array(crashSchema).min(1).max(MAX_CRASHES), remainingMs: z.number().positive() }),
--- a/src/core/quarantine/prompt-parts.ts
+++ b/src/core/quarantine/prompt-parts.ts
@@ -4,7 +4,6 @@
  * that ends a response to it before its first event; a later first event of a response to it clears the part. The VMs
  * exchange both, because each of them sees only a few of the crashes.
  */
-import type { Backend } from '../backend-pool/types.ts'
 import type { Clock } from '../clock/index.ts'
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
@@ -12,6 +11,12 @@
 import { CRASH_LIMIT, EVIDENCE_REPORT_MS, MAX_PART_CRASHES, QUARANTINE_DURATION_MS } from './constants.ts'
 import { findSuspects, type PartCrash } from './part-suspects.ts'
 
+export interface EngineCrash {
+  backendServer: BackendServerId
+  /** Tells the runs of the backend server apart. */
+  instance: string
+}
+
 /** A crash as VMs report it to each other; ages replace times, because VMs have no common monotonic clock. */
 export interface ReportedPartCrash { backendServer: BackendServerId, instance: string, parts: string[], ageMs: number }
 
@@ -23,10 +28,13 @@
 }
 
 export interface PartQuarantine {
-  /** Records that a backend server ended a response before its first event; `parts` are the parts of the prompt that may be at fault. */
-  recordCrash(backend: Backend, parts: readonly string[]): void
-  /** Records the first event of a response that began at `begunMs` on the monotonic clock. */
-  recordSurvival(parts: readonly string[], begunMs: number): void
+  /**
+   * Records that a backend server ended a response before its first event; `parts` are the parts of the prompt that may be
+   * at fault. Returns whether this is new.
+   */
+  recordCrash(crash: EngineCrash, parts: readonly string[]): boolean
+  /** Records the first event of a response that began at `begunMs` on the monotonic clock. Returns whether it clears a part. */
+  recordSurvival(parts: readonly string[], begunMs: number): boolean
   /** Time for which requests with these parts are refused, in milliseconds; 0 if they are not. */
   remainingMs(parts: readonly string[]): number
   /** Calls `onQuarantined` as soon as requests with these parts are refused; returns a function that cancels this. */
@@ -110,12 +118,16 @@
   const isRecent = ({ learnedMs }: { learnedMs: number }) => clock.now() - learnedMs < EVIDENCE_REPORT_MS
 
   return {
-    recordCrash ({ entry: { id, startedWallMs } }, parts) {
-      if (add({ backendServer: id, instance: `${id}/${startedWallMs ?? ''}`, parts, atMs: clock.now() }, true)) update()
+    recordCrash ({ backendServer, instance }, parts) {
+      const isNew = add({ backendServer, instance: `${backendServer}/${instance}`, parts, atMs: clock.now() }, true)
+      if (isNew) update()
+      return isNew
     },
     recordSurvival (parts, begunMs) {
-      if (crashes.size === 0) return
-      if (parts.filter(part => addSurvival(part, begunMs)).length > 0) update()
+      if (crashes.size === 0) return false
+      const isNew = parts.filter(part => addSurvival(part, begunMs)).length > 0
+      if (isNew) update()
+      return isNew
     },
     remainingMs (parts) {
       const matching = suspects.filter(suspect => suspect.parts.every(part => parts.includes(part)))
--- a/src/core/quarantine/types.ts
+++ b/src/core/quarantine/types.ts
@@ -1,5 +1,6 @@
 /** Types of the quarantine of requests that crash backend servers. */
 import type { BackendServerId } from '../ids/index.ts'
+import type { PartQuarantine } from './prompt-parts.ts'
 
 export interface CrashReport {
   fingerprint: string
@@ -23,6 +24,8 @@
   reportCrash(report: CrashReport): void
   /** Milliseconds until the quarantine ends; 0 when there is none. */
   remainingMs(fingerprint: string): number
+  /** Quarantine of the parts that prompts share; what is recorded is sent to the peers. */
+  parts: Pick<PartQuarantine, 'recordCrash' | 'recordSurvival' | 'remainingMs'>
   /** Lifts a quarantine on all VMs and removes its recorded crashes. */
   lift(fingerprint: string): Promise<void>
   /** Loads the objects and starts the periodic refresh; also resolves if the object API is unavailable. */
