Forget the limit of a backend server that has left

By reading: a VM forgets the named limit of a removed backend server four seconds after the removal, at another moment than the other VMs, and then learned it again from their load reports. The limits of all backend servers that ever named one would have stayed in the reports for good.

The scenario "all VMs forget the limit of a backend server that has left" fails without the change. Reported limits now count only for backend servers in the pool; they are reported for as long as they last, so a VM that finds the backend server later learns them then.

--- a/features/steps/named-limits.ts
+++ b/features/steps/named-limits.ts
@@ -84,6 +84,14 @@
   await this.clock.advance(2000)
 })
 
+When('the entry of the backend server is removed, later at each VM', async function (this: LimitWorld) {
+  for (const { pool } of this.vms) {
+    pool.remove(BACKEND)
+    await this.clock.advance(300)
+  }
+  await this.clock.advance(10_000)
+})
+
 Then(/^from 2 s later on the backend server gets at least (\d+) and at most (\d+) requests in any 4 s$/, function (this: LimitWorld, min: string, max: string) {
   const counts = Array.from({ length: (12_000 - 2000) / STEP_MS }, (_, index) => 2000 + index * STEP_MS)
     .map(startMs => this.sentMs.filter(ms => ms >= startMs && ms < startMs + 4000).length)
--- a/features/traffic-decisions.feature
+++ b/features/traffic-decisions.feature
@@ -106,6 +106,12 @@
     And one of them gets an answer that names no limit
     Then none of them has a limit for the backend server
 
+  Scenario: all VMs forget the limit of a backend server that has left
+    Given 9 VMs that send to a backend server as often as they may, and 0 more after 6 s
+    When one of them gets an answer that names a limit of 1 requests a second
+    And the entry of the backend server is removed, later at each VM
+    Then none of them has a limit for the backend server
+
   # Guards against a VM that uses its share twice because it was restarted within the window of the limit.
   Scenario: a restart does not reset the count of a cold limit
     Given a VM that has just started and may send 3 requests to a in a second
--- a/src/core/backend-pool/index.ts
+++ b/src/core/backend-pool/index.ts
@@ -68,7 +68,7 @@
 
 export function createBackendPool ({ cold, clock, log, metrics }: BackendPoolOptions): BackendPool {
   const backends = new Map<BackendServerId, Backend>()
-  const namedLimits = createNamedLimits({ clock, log })
+  const namedLimits = createNamedLimits({ isKnown: id => backends.has(id), clock, log })
   /** Rank of this VM among the VMs in the rendezvous order of a backend server, cached with the VMs that it was computed for. */
   const ranks = new WeakMap<Backend, { vms: readonly VmId[], rank: number }>()
   /** Recent sends to backend servers that were removed; the entry of such a one may be written again. */
--- a/src/core/backend-pool/named-limits.ts
+++ b/src/core/backend-pool/named-limits.ts
@@ -32,7 +32,14 @@
 
 interface Observation { limit: NamedLimit | undefined, answeredMs: number }
 
-export function createNamedLimits ({ clock, log }: { clock: Clock, log: Log }): NamedLimits {
+export interface NamedLimitsOptions {
+  /** Whether the backend server is in the pool. */
+  isKnown(backend: BackendServerId): boolean
+  clock: Clock
+  log: Log
+}
+
+export function createNamedLimits ({ isKnown, clock, log }: NamedLimitsOptions): NamedLimits {
   const observations = new Map<BackendServerId, Observation>()
 
   function apply (backend: BackendServerId, rate: number | undefined, answeredMs: number): void {
@@ -60,6 +67,8 @@
       for (const [id, [rate, ageMs]] of Object.entries(reported)) {
         const backend = id as BackendServerId
         const known = observations.get(backend)
+        // Otherwise two VMs that forget a backend server at different times would remind each other of it.
+        if (!isKnown(backend)) continue
         const isUnchanged = known ? (known.limit?.rate ?? null) === rate : rate === null
         // An unchanged rate keeps its time: each hop makes an answer look newer than it is.
         if (isUnchanged || (known && clock.now() - ageMs <= known.answeredMs)) continue
