Split the outcomes of an attempt from the forwarder

The outcome type and the functions that build outcomes move to attempt-outcome.ts, unchanged; two test files share the code that connects load exchanges.

--- a/features/steps/named-limits.ts
+++ b/features/steps/named-limits.ts
@@ -2,12 +2,12 @@
 import { Given, Then, When } from '@cucumber/cucumber'
 import { createBackendPool, type BackendPool } from '../../src/core/backend-pool/index.ts'
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
-import { chooseRelays } from '../../src/core/feed-relay/relay-choice.ts'
 import { brandId, type BackendServerId, type ServiceId, type VmId } from '../../src/core/ids/index.ts'
-import { createLoadExchange, type LoadExchange, type VmReport } from '../../src/core/load-exchange/index.ts'
+import type { LoadExchange } from '../../src/core/load-exchange/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { backendEntry } from '../support/forwarding-vm-harness.ts'
+import { startConnectedExchange } from '../support/load-exchange.ts'
 
 interface LimitWorld {
   clock: ManualClock
@@ -29,24 +29,15 @@
     names.push(self)
     const pool = createBackendPool({ cold: { limit: () => 0, vms: () => names, self }, clock, log: silentLog, metrics: createMetrics() })
     pool.apply({ ...backendEntry('127.0.0.1:1'), id: BACKEND })
-    const deliver = (to: VmId, report: VmReport) => world.vms[names.indexOf(to)]!.exchange.accept(self, structuredClone(report))
-    const exchange = createLoadExchange({
-      vms: () => names,
+    const exchange = startConnectedExchange({
       self,
-      ownLoad: () => ({}),
+      names,
+      exchangeOf: vm => world.vms[names.indexOf(vm)]!.exchange,
       recentEvidence: () => ({ limits: pool.namedLimits.report() }),
       onEvidence: ({ limits }) => { if (limits) pool.namedLimits.merge(limits) },
-      collectors () {
-        const { isRelay, relays } = chooseRelays(names, self)
-        return { isCollector: isRelay, others: relays }
-      },
-      send: deliver,
-      collect: async (to, report) => deliver(to, report),
-      clock,
-      metrics: createMetrics()
+      clock
     })
     world.vms.push({ pool, exchange })
-    exchange.start()
   }
 }
 
--- a/features/steps/prompt-parts.ts
+++ b/features/steps/prompt-parts.ts
@@ -2,11 +2,11 @@
 import { Given, Then, When } from '@cucumber/cucumber'
 import { brandId, type BackendServerId, type VmId } from '../../src/core/ids/index.ts'
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
-import { chooseRelays } from '../../src/core/feed-relay/relay-choice.ts'
-import { createLoadExchange, type LoadExchange, type VmReport } from '../../src/core/load-exchange/index.ts'
+import type { LoadExchange } from '../../src/core/load-exchange/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { createPartQuarantine, type PartQuarantine } from '../../src/core/quarantine/prompt-parts.ts'
+import { startConnectedExchange } from '../support/load-exchange.ts'
 
 interface PartsWorld {
   clock: ManualClock
@@ -21,26 +21,17 @@
   this.clock = clock
   this.vms = names.map(self => {
     const quarantine = createPartQuarantine({ clock, log: silentLog, metrics: createMetrics() })
-    const deliver = (to: VmId, report: VmReport) => this.vms[names.indexOf(to)]!.exchange.accept(self, structuredClone(report))
-    const exchange = createLoadExchange({
-      vms: () => names,
+    const exchange = startConnectedExchange({
       self,
-      ownLoad: () => ({}),
+      names,
+      exchangeOf: vm => this.vms[names.indexOf(vm)]!.exchange,
       recentEvidence () {
         const promptParts = quarantine.recentEvidence()
         return promptParts && { promptParts }
       },
       onEvidence ({ promptParts }) { if (promptParts) quarantine.merge(promptParts) },
-      collectors () {
-        const { isRelay, relays } = chooseRelays(names, self)
-        return { isCollector: isRelay, others: relays }
-      },
-      send: deliver,
-      collect: async (to, report) => deliver(to, report),
-      clock,
-      metrics: createMetrics()
+      clock
     })
-    exchange.start()
     return { exchange, quarantine }
   })
 })
--- /dev/null
+++ b/features/support/load-exchange.ts
@@ -0,0 +1,37 @@
+/** Connects the load exchanges of VMs in this process; reports are copied, as the network would. */
+import type { Clock } from '../../src/core/clock/index.ts'
+import { chooseRelays } from '../../src/core/feed-relay/relay-choice.ts'
+import type { VmId } from '../../src/core/ids/index.ts'
+import { createLoadExchange, type FleetEvidence, type LoadExchange, type VmReport } from '../../src/core/load-exchange/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+
+export interface ConnectedExchangeOptions {
+  self: VmId
+  /** All VMs; more may be added later. */
+  names: readonly VmId[]
+  exchangeOf(vm: VmId): LoadExchange
+  recentEvidence(): FleetEvidence | undefined
+  onEvidence(evidence: FleetEvidence): void
+  clock: Clock
+}
+
+export function startConnectedExchange ({ self, names, exchangeOf, recentEvidence, onEvidence, clock }: ConnectedExchangeOptions): LoadExchange {
+  const deliver = (to: VmId, report: VmReport) => exchangeOf(to).accept(self, structuredClone(report))
+  const exchange = createLoadExchange({
+    vms: () => names,
+    self,
+    ownLoad: () => ({}),
+    recentEvidence,
+    onEvidence,
+    collectors () {
+      const { isRelay, relays } = chooseRelays(names, self)
+      return { isCollector: isRelay, others: relays }
+    },
+    send: deliver,
+    collect: async (to, report) => deliver(to, report),
+    clock,
+    metrics: createMetrics()
+  })
+  exchange.start()
+  return exchange
+}
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -10,9 +10,10 @@
 import type { Metrics } from '../metrics/index.ts'
 import { requestLoad } from '../placement/index.ts'
 import type { CapacityQueue } from '../placement/capacity-queue.ts'
-import type { EngineCrash, PartQuarantine } from '../quarantine/prompt-parts.ts'
+import type { PartQuarantine } from '../quarantine/prompt-parts.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
-import { CAPACITY_WAIT_SHARE, DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, FIRST_EVENT_TIMEOUT_FACTOR, MAX_CAPACITY_WAIT_MS, MAX_CONNECT_ATTEMPTS, MIN_ATTEMPT_MS, RESPONSE_TIMEOUT_FACTOR, RETRY_AFTER_JITTER_S, RETRY_AFTER_S, STALL_CHECK_PERIOD_MS } from './constants.ts'
+import { CAPACITY_WAIT_SHARE, DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CAPACITY_WAIT_MS, MAX_CONNECT_ATTEMPTS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S, STALL_CHECK_PERIOD_MS } from './constants.ts'
+import { crashOf, errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, QUARANTINE_REASON, quarantineOutcome, sharedParts, type AttemptOutcome } from './attempt-outcome.ts'
 import { startExchange, type Codec, type Exchange } from './exchange.ts'
 import { isFramed, readResponse, relayEvents } from './relay.ts'
 import type { RetryAllowance } from './retry-allowance.ts'
@@ -75,13 +76,6 @@
 }
 
 const NONE_EXCLUDED: ReadonlySet<Backend> = new Set()
-const QUARANTINE_REASON = 'prompt quarantined'
-
-/** Outcome of one attempt; `next` requests another attempt. */
-type AttemptOutcome =
-  | { kind: 'done' }
-  | { kind: 'next', reason: string, backend: Backend }
-  | { kind: 'failed', error: ErrorName, reason: string }
 
 interface RequestProgress extends EarlierSends {
   /** Number of times that the request was sent to a backend server, including the current attempt. */
@@ -396,28 +390,3 @@
 }
 
 export type Forwarder = ReturnType<typeof createForwarder>
-
-function errorWithoutAttempt ({ mayHaveRun }: RequestProgress): ErrorName {
-  return mayHaveRun ? 'backend_failed' : 'permit_refused'
-}
-
-function quarantineOutcome ({ mayHaveRun }: RequestProgress): AttemptOutcome {
-  return { kind: 'failed', error: mayHaveRun ? 'backend_failed' : 'prompt_quarantined', reason: QUARANTINE_REASON }
-}
-
-function crashOf ({ entry: { id, startedWallMs } }: Backend): EngineCrash {
-  return { backendServer: id, instance: String(startedWallMs ?? 'unknown') }
-}
-
-/** Parts of the prompt that other requests may have, too; the last part belongs to the request itself or to its session. */
-function sharedParts ({ prompt }: CallerRequest): string[] {
-  return prompt.slice(0, -1).map(({ id }) => id)
-}
-
-function outOfTime ({ mayHaveRun }: RequestProgress): AttemptOutcome {
-  return { kind: 'failed', error: mayHaveRun ? 'backend_timeout' : 'overloaded', reason: 'no time left' }
-}
-
-function firstResponseTimeoutMs ({ kind, targetLatencyMs }: Route): number {
-  return targetLatencyMs * (kind === 'streaming' ? FIRST_EVENT_TIMEOUT_FACTOR : RESPONSE_TIMEOUT_FACTOR)
-}
