Say in comments what the load reports carry and when a VM unregisters

Comments only: the reports also carry evidence, the store of quarantines is created before the quarantine that it adds to, and a VM gives up its parts of the limits when its sends no longer count.

--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -187,7 +187,7 @@
       cancelCleanup?.()
       await membership.leave()
     },
-    /** Gives up this VM's parts of the limits; called when it accepts no more requests. */
+    /** Gives up this VM's parts of the limits; called when nothing that it has sent counts against them any more. */
     async unregister (): Promise<void> {
       try {
         await store.delete(FLEET_KIND, settings.vm)
--- a/src/core/load-exchange/index.ts
+++ b/src/core/load-exchange/index.ts
@@ -1,10 +1,10 @@
 /**
- * Exchanges between VMs the load that each of them has placed on each backend server, and evidence about requests and
- * backend servers that only some of them have seen. Without it, several VMs would
+ * Exchanges between VMs the load that each of them has placed on each backend server. Without it, several VMs would
  * place long prompts on the same backend server, because each would see only its own load. In a small fleet each VM
  * reports to every other one. In a large fleet each VM reports to a collector, which sums the reports, exchanges the
  * totals with the other collectors and responds with the load of all other VMs; the number of messages of a VM that is
- * not a collector is then independent of the size of the fleet.
+ * not a collector is then independent of the size of the fleet. The reports also carry evidence about prompts and
+ * backend servers that only some VMs have seen.
  */
 import type { ReportedLimits } from '../backend-pool/named-limits.ts'
 import type { Clock, TimerCancel } from '../clock/index.ts'
--- a/src/core/quarantine/part-store.ts
+++ b/src/core/quarantine/part-store.ts
@@ -20,6 +20,7 @@
   store: Pick<ObjectStore, 'create' | 'delete'>
   /** Subscribes to the stored quarantines. */
   follow(subscription: KindSubscription): FollowedKind
+  /** The quarantine that stored crashes are added to; it is created after this store, which it writes to. */
   quarantine: () => Pick<PartQuarantine, 'merge'>
   self: VmId
   /** Live VMs, including this one; one of them deletes expired objects. */
