Quarantine whole requests that crash backend servers

What callers saw: a request that crashes each backend server that runs it came again under other ids at any VM, and ended 20 to 32 of them in 22 s. In between, up to 8 % of all requests were refused, because the service had no backend server left.

Cause: the quarantine of the forwarding path identified a request by the parts of its prompt, which these requests do not have, so no crash left evidence.

Why this works: the whole request is one more part in the same quarantine, which exchanges and stores the evidence already. A lost response counts only if the backend server refuses the next connection. As sound requests are open at the same crashes, two of them refuse a request for 5 s only; a third one decides, and any response clears it. In streams, parts and whole request are refused only together.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -76,6 +76,35 @@
     Then the caller is told to come back when the quarantine ends
     And the backend servers received 3 requests
 
+  # Guards against a request that crashes each backend server that runs it and comes again under other ids.
+  Scenario Outline: a request to <path> that crashes backend servers is refused when it comes again, and others of its route are served
+    Given a forwarding VM with 5 backend servers that crash
+    When a caller sends a request to <path> until it is refused
+    Then the backend servers received 2 requests
+    When a caller sends a request to <other>
+    Then the caller gets status 200
+    When the request to <path> comes again after its first quarantine
+    Then the backend servers received <received> requests
+    When a caller sends a request to <path>
+    Then the caller is told to come back when the quarantine ends
+    And the backend servers received <received> requests
+    And the store holds 1 quarantine
+    When a caller sends a request to <other>
+    Then the caller gets status 200
+
+    Examples:
+      | path           | other     | received |
+      | /read/deadly   | /read/1   | 4        |
+      | /order/deadly  | /order/1  | 4        |
+      | /stream/deadly | /stream/1 | 3        |
+
+  # Guards against sound requests that are refused because a backend server has reset their connections.
+  Scenario: a request whose connections backend servers reset without a crash is not quarantined
+    Given a forwarding VM with 4 backend servers that reset, reset, reset, reset, answer
+    When 2 callers send a request to /order/1 and 3 more after 300 ms
+    Then the caller gets status 200 with the body "whole"
+    And the backend servers received 5 requests
+
   # Guards against sending more to a backend server in need than the limit that its answers name.
   Scenario: a backend server that names a limit of 2 requests a second gets 8 in 4 s
     Given a forwarding VM with a backend server that answer-limited and has 64 slots
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -129,3 +129,47 @@
     Then the prompt c,deadly,3 is refused on all VMs
     When the VMs exchange evidence for 20000 ms
     Then the prompt c,deadly,3 is accepted on all VMs
+
+  # Guards against a deadly request of which each VM has seen too few crashes, and against the loss of sound ones that were open beside it.
+  Scenario Outline: a request that crashes backend servers is refused on all of <vms> VMs, and one that was open beside it is not
+    Given <vms> VMs that exchange evidence about prompt parts
+    When each of these crashes with open requests is seen by another VM: deadly@s1 deadly@s2 sound@s1 sound@s2
+    And the VMs exchange evidence for 2000 ms
+    Then the request deadly is refused on all VMs
+    When the VMs exchange evidence for 5000 ms
+    Then the request deadly is accepted on all VMs
+    And the request sound is accepted on all VMs
+    When each of these crashes with open requests is seen by another VM: deadly@s3
+    And the VMs exchange evidence for 60000 ms
+    Then the request deadly is refused on all VMs
+    And the request sound is accepted on all VMs
+
+    Examples:
+      | vms |
+      | 9   |
+      | 89  |
+
+  Scenario Outline: after crashes with the open requests <crashes>, the request <request> is <state>
+    Given 9 VMs that exchange evidence about prompt parts
+    When each of these crashes with open requests is seen by another VM: <crashes>
+    And the VMs exchange evidence for <ms> ms
+    Then the request <request> is <state> on all VMs
+
+    Examples:
+      | crashes                                  | ms     | request | state    |
+      | deadly@s1 deadly@s1                      | 2000   | deadly  | accepted |
+      | deadly@s1 deadly@s2 other@s1             | 2000   | other   | accepted |
+      | deadly@s1 deadly@s2                      | 2000   | deadly  | refused  |
+      | deadly@s1 deadly@s2                      | 6000   | deadly  | accepted |
+      | deadly@s1 deadly@s2 deadly@s3            | 590000 | deadly  | refused  |
+      | deadly@s1 deadly@s2 deadly@s3            | 601000 | deadly  | accepted |
+      | a@s1 a@s2 deadly@s1 deadly@s2 deadly@s3  | 2000   | a       | accepted |
+
+  Scenario: a response to a request ends its quarantine
+    Given 9 VMs that exchange evidence about prompt parts
+    When each of these crashes with open requests is seen by another VM: common@s1 common@s2 common@s3
+    And the VMs exchange evidence for 2000 ms
+    Then the request common is refused on all VMs
+    When one VM gets a response to the request common
+    And the VMs exchange evidence for 2000 ms
+    Then the request common is accepted on all VMs
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -4,7 +4,7 @@
 import { COLD_WINDOW_MS } from '../../src/core/backend-pool/constants.ts'
 import { FLEET_COALESCE_MS, FLEET_KIND } from '../../src/core/fleet/constants.ts'
 import { ACCEPT_AFTER_STOP_MS, BACKENDS_COALESCE_MS, STOP_CHECK_PERIOD_MS } from '../../src/core/forwarding-vm/constants.ts'
-import { PART_KIND, QUARANTINE_DURATION_MS } from '../../src/core/quarantine/constants.ts'
+import { PART_KIND, QUARANTINE_DURATION_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from '../../src/core/quarantine/constants.ts'
 import { exchangeBytes, backendEntry, KINDS, startForwardingVmHarness, trafficConfig, type ForwardingVmHarness, type RawResponse } from '../support/forwarding-vm-harness.ts'
 import { createMemoryStore } from '../support/memory-store.ts'
 import { startScriptedBackend, STREAM_EVENTS, type BackendBehaviour, type ScriptedBackend } from '../support/scripted-backend.ts'
@@ -158,6 +158,18 @@
   await send(this, requestBytes('/stream/1', { extra: `x-test-prompt: ${prompt}` }))
 })
 
+When(/^a caller sends a request to (\S+) until it is refused$/, async function (this: ForwardingWorld, path: string) {
+  for (let attempts = 0; this.responses?.at(-1)?.status !== 503; attempts++) {
+    assert.ok(attempts < 4, 'the request is never refused')
+    await send(this, requestBytes(path))
+  }
+})
+
+When(/^the request to (\S+) comes again after its first quarantine$/, async function (this: ForwardingWorld, path: string) {
+  await sleep(UNCERTAIN_QUARANTINE_DURATION_MS)
+  await send(this, requestBytes(path))
+})
+
 Then('the store holds {int} quarantine(s)', async function (this: ForwardingWorld, count: number) {
   await sleep(50)
   assert.equal((await this.harness.store.list(PART_KIND)).objects.length, count)
@@ -258,6 +270,8 @@
   if (body !== '-') assert.equal(response.body, body)
 })
 
+Then('the caller gets status {int}', function (this: ForwardingWorld, status: number) { assert.equal(this.responses.at(-1)!.status, status) })
+
 Then('every caller gets status {int}', function (this: ForwardingWorld, status: number) {
   assert.deepEqual([...new Set(this.responses.map(response => response.status))], [status])
 })
--- a/features/steps/prompt-parts.ts
+++ b/features/steps/prompt-parts.ts
@@ -36,12 +36,18 @@
   })
 })
 
-// A crash is written as PROMPT@BACKEND-SERVER.
-When(/^each of these crashes is seen by another VM: (.*)$/, function (this: PartsWorld, crashes: string) {
+// A crash is written as REQUEST@BACKEND-SERVER.
+function recordCrashes ({ vms }: PartsWorld, crashes: string, partsOfRequest: (request: string) => string[], wasRunning: boolean): void {
   crashes.split(' ').forEach((crash, index) => {
-    const [prompt, id] = crash.split('@') as [string, string]
-    this.vms[index]!.quarantine.recordCrash({ backendServer: brandId<BackendServerId>(id), instance: '1' }, partsOf(prompt))
+    const [request, id] = crash.split('@') as [string, string]
+    vms[index]!.quarantine.recordCrash({ backendServer: brandId<BackendServerId>(id), instance: '1' }, partsOfRequest(request), { wasRunning })
   })
+}
+
+When(/^each of these crashes is seen by another VM: (.*)$/, function (this: PartsWorld, crashes: string) { recordCrashes(this, crashes, partsOf, true) })
+
+When(/^each of these crashes with open requests is seen by another VM: (.*)$/, function (this: PartsWorld, crashes: string) {
+  recordCrashes(this, crashes, request => [request], false)
 })
 
 When(/^the VMs exchange evidence for (\d+) ms$/, async function (this: PartsWorld, ms: string) { await this.clock.advance(Number(ms)) })
@@ -50,7 +56,12 @@
   this.vms.at(-1)!.quarantine.recordSurvival(partsOf(prompt), this.clock.now())
 })
 
-Then(/^the prompt (\S+) is (refused|accepted) on all VMs$/, function (this: PartsWorld, prompt: string, expected: string) {
-  const states = this.vms.map(({ quarantine }) => (quarantine.remainingMs(partsOf(prompt)) > 0 ? 'refused' : 'accepted'))
+When(/^one VM gets a response to the request (\S+)$/, function (this: PartsWorld, request: string) {
+  this.vms.at(-1)!.quarantine.recordSurvival([request], this.clock.now())
+})
+
+Then(/^the (prompt|request) (\S+) is (refused|accepted) on all VMs$/, function (this: PartsWorld, what: string, name: string, expected: string) {
+  const parts = what === 'prompt' ? partsOf(name) : [name]
+  const states = this.vms.map(({ quarantine }) => (quarantine.remainingMs(parts) > 0 ? 'refused' : 'accepted'))
   assert.deepEqual([...new Set(states)], [expected])
 })
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -3,7 +3,7 @@
 
 /** How a backend server responds to one request. */
 export type BackendBehaviour =
-  | 'answer' | 'answer-limited' | 'answer-500' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
+  | 'answer' | 'crash' | 'answer-limited' | 'answer-500' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
   | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
@@ -58,9 +58,15 @@
       backend.receivedAtMs.push(performance.now())
       backend.maxOpen = Math.max(backend.maxOpen, ++open)
       const behaviour = script.behaviours.length > 1 ? script.behaviours.shift()! : script.behaviours[0]!
-      respond(behaviour, text, socket, () => { isComplete = true }, bytes => { backend.endlessBytes += bytes })
+      respond(behaviour, text, socket, { onComplete: () => { isComplete = true }, onEndlessBytes: bytes => { backend.endlessBytes += bytes }, crash })
     })
   })
+  /** Ends like a process: with its listener and all of its connections. */
+  function crash (): void {
+    server.close()
+    for (const socket of sockets) socket.destroy()
+  }
+
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   return Object.assign(backend, {
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
@@ -71,7 +77,13 @@
   })
 }
 
-function respond (behaviour: BackendBehaviour, head: string, socket: Socket, onComplete: () => void, onEndlessBytes: (bytes: number) => void): void {
+interface Effects {
+  onComplete(): void
+  onEndlessBytes(bytes: number): void
+  crash(): void
+}
+
+function respond (behaviour: BackendBehaviour, head: string, socket: Socket, { onComplete, onEndlessBytes, crash }: Effects): void {
   const id = /^x-test-id: (.*)$/im.exec(head)?.[1]?.trim() ?? ''
   const after = Number(/^last-event-id: (\d+)$/im.exec(head)?.[1] ?? 0)
   const identityHeaders = `x-test-mark: m\r\nx-test-id: ${id}\r\n`
@@ -99,6 +111,13 @@
   const filler = 'x'.repeat(16 * 1024)
   const behaviours: Record<BackendBehaviour, () => void> = {
     answer: () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
+    // Ends the backend server at requests to a path with "deadly": a stream after its head, others without a response.
+    crash: () => {
+      const isStream = head.includes('/stream/')
+      if (!/^\S+ \S*deadly/.test(head)) return isStream ? behaviours.stream() : behaviours.answer()
+      if (isStream) socket.write(chunked)
+      setTimeout(crash, 20)
+    },
     'answer-limited': () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}x-test-limit: 2\r\ncontent-length: 5\r\n\r\nwhole`),
     'answer-500': () => finish(`HTTP/1.1 500 Internal Server Error\r\n${identityHeaders}content-length: 6\r\n\r\nfailed`),
     'not-run': () => finish('HTTP/1.1 503 Service Unavailable\r\nx-test-not-run: 1\r\ncontent-length: 0\r\n\r\n'),
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -26,7 +26,7 @@
   outcome_unknown: entry(409, 'may_have_run', 'The request was sent once and its outcome is unknown; it will not be sent again.', 'Check in the application whether it took effect.'),
   claim_unavailable: entry(503, 'not_run', 'The claim that prevents this call from running twice cannot be written now.', 'Send the same request with the same key again later.'),
   request_quarantined: entry(422, 'not_run', 'The request crashed several backend servers and is refused for now.', 'Change the request, or ask your operators to lift the quarantine.'),
-  prompt_quarantined: entry(503, 'not_run', 'A part of the prompt crashed several backend servers and is refused for now.', 'Leave out the part, or ask your operators which part it is.'),
+  prompt_quarantined: entry(503, 'not_run', 'The request or a part of its prompt crashed several backend servers and is refused for now.', 'Change the request, or ask your operators which part of it is refused.'),
   rate_limited: entry(429, 'not_run', 'The team has reached the share of capacity its contract grants.', 'Retry after the time given in Retry-After.'),
   overloaded: entry(503, 'not_run', 'There is not enough capacity to answer in time.', 'Retry after the time given in Retry-After.'),
   deadline_exceeded: entry(504, 'not_run', 'The deadline passed before the request could start.', 'Retry later or allow more time.'),
--- a/src/core/forwarding/constants.ts
+++ b/src/core/forwarding/constants.ts
@@ -4,6 +4,8 @@
 export const CONNECT_TIMEOUT_MS = 400
 /** Connections that may fail for one request before any byte is sent; they do not count as attempts. */
 export const MAX_CONNECT_ATTEMPTS = 4
+/** Timeout of the connection that shows whether a backend server has crashed. A refusal takes one round trip; a retry waits for it. */
+export const CRASH_CHECK_TIMEOUT_MS = 100
 /** Largest response that is buffered until it is complete. A small VM could not hold many larger ones at the same time. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 4 * 1024 * 1024
 /** Largest event of a stream; a larger one cannot be told from bytes without end. */
--- /dev/null
+++ b/src/core/forwarding/crash-evidence.ts
@@ -0,0 +1,95 @@
+/**
+ * What a request shows about crashes of backend servers. The quarantine knows a request by its parts: those of its prompt
+ * that other requests may share, and the whole request, which comes again under other ids.
+ */
+import { createHash } from 'node:crypto'
+import { connect } from 'node:net'
+import type { Backend } from '../backend-pool/types.ts'
+import type { DecisionLog } from '../logging/decision-log.ts'
+import type { EngineCrash, PartQuarantine } from '../quarantine/prompt-parts.ts'
+import { CRASH_CHECK_TIMEOUT_MS } from './constants.ts'
+import type { AttemptOutcome } from './attempt-outcome.ts'
+import type { CallerRequest, Team } from './types.ts'
+
+export const QUARANTINE_REASON = 'request quarantined'
+
+/** Request, team and body as a backend server sees them. */
+export interface IdentifiedRequest {
+  request: CallerRequest
+  team: Team | undefined
+  body: Buffer | undefined
+}
+
+/** Evidence about one request in the quarantine of its VM. */
+export interface CrashEvidence {
+  /** Time for which the request is refused, in milliseconds; 0 if it is not. */
+  remainingMs(): number
+  /** Calls `onQuarantined` as soon as the request is refused; returns a function that cancels this. */
+  watch(onQuarantined: () => void): () => void
+  /** Records that a backend server ended a stream between its head and its first event. */
+  recordBrokenStream(backend: Backend): void
+  /** Records a connection that ended without a response, if the process of the backend server has ended. */
+  recordLostResponse(backend: Backend): Promise<void>
+  /** Records that a backend server got through the point at which others crashed; `begunMs` is the monotonic time at which it began. */
+  recordSurvival(begunMs: number): void
+}
+
+export interface CrashEvidenceOptions {
+  quarantine: PartQuarantine
+  log: DecisionLog
+}
+
+export function createCrashEvidence ({ request, team, body }: IdentifiedRequest, { quarantine, log }: CrashEvidenceOptions): CrashEvidence {
+  const wholeRequest = fingerprint(request, team, body)
+  const parts = [...sharedParts(request), wholeRequest]
+
+  function record (backend: Backend, crashedParts: readonly string[], wasRunning: boolean): void {
+    log.request('open_at_crash', { id: request.id, backendServer: backend.entry.id, parts: crashedParts, wasRunning })
+    quarantine.recordCrash(crashOf(backend), crashedParts, { wasRunning })
+  }
+
+  return {
+    remainingMs: () => quarantine.remainingMs(parts),
+    watch: onQuarantined => quarantine.watch(parts, onQuarantined),
+    recordBrokenStream (backend) { record(backend, parts, true) },
+    async recordLostResponse (backend) {
+      // A backend server that is still there has reset a single connection.
+      if (await refusesConnections(backend.entry.address)) record(backend, [wholeRequest], false)
+    },
+    recordSurvival (begunMs) { quarantine.recordSurvival(parts, begunMs) }
+  }
+}
+
+export function quarantineOutcome ({ mayHaveRun }: { mayHaveRun: boolean }): AttemptOutcome {
+  return { kind: 'failed', error: mayHaveRun ? 'backend_failed' : 'prompt_quarantined', reason: QUARANTINE_REASON }
+}
+
+function crashOf ({ entry: { id, startedWallMs } }: Backend): EngineCrash {
+  return { backendServer: id, instance: String(startedWallMs ?? 'unknown') }
+}
+
+/** Parts of the prompt that other requests may have, too; the last part belongs to the request itself or to its session. */
+function sharedParts ({ prompt }: CallerRequest): string[] {
+  return prompt.slice(0, -1).map(({ id }) => id)
+}
+
+function fingerprint ({ method, host, target }: CallerRequest, team: Team | undefined, body: Buffer | undefined): string {
+  const hash = createHash('sha256').update(JSON.stringify([method, host, target, team?.id]))
+  if (body) hash.update(body)
+  return `request-${hash.digest('hex').slice(0, 32)}`
+}
+
+/** Whether nothing listens at an address any more, because the process that did has ended. */
+function refusesConnections (address: string): Promise<boolean> {
+  const [host, port] = address.split(':')
+  return new Promise(resolve => {
+    const socket = connect({ host: host!, port: Number(port), timeout: CRASH_CHECK_TIMEOUT_MS })
+    const settle = (isRefused: boolean) => {
+      socket.destroy()
+      resolve(isRefused)
+    }
+    socket.once('connect', () => settle(false))
+    socket.once('timeout', () => settle(false))
+    socket.once('error', (error: NodeJS.ErrnoException) => settle(error.code === 'ECONNREFUSED'))
+  })
+}
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -13,7 +13,8 @@
 import type { PartQuarantine } from '../quarantine/prompt-parts.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
 import { CAPACITY_WAIT_SHARE, DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CAPACITY_WAIT_MS, MAX_CONNECT_ATTEMPTS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S, STALL_CHECK_PERIOD_MS } from './constants.ts'
-import { crashOf, errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, QUARANTINE_REASON, quarantineOutcome, sharedParts, type AttemptOutcome } from './attempt-outcome.ts'
+import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, type AttemptOutcome } from './attempt-outcome.ts'
+import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome, type CrashEvidence } from './crash-evidence.ts'
 import { startExchange, type Codec, type Exchange } from './exchange.ts'
 import { isFramed, readResponse, relayEvents } from './relay.ts'
 import type { RetryAllowance } from './retry-allowance.ts'
@@ -58,7 +59,7 @@
   retryAllowance(service: ServiceId): RetryAllowance
   /** Checks access again right before a request is sent; the request is not sent if an error is returned. */
   recheckAccess(forwarded: ForwardedRequest): ErrorName | undefined
-  /** Refuses prompts with parts that crash engines. */
+  /** Refuses requests that crash backend servers. */
   partQuarantine: PartQuarantine
   /** Takes capacity of a backend server for one request. */
   reserve(backend: Backend, load: RequestLoad): Reservation
@@ -89,6 +90,7 @@
   /** Whether the retry for the next attempt has already been taken from the allowance. */
   retryReserved: boolean
   isAbandoned: boolean
+  crashEvidence: CrashEvidence
   currentExchange: Exchange | undefined
   isFinished: boolean
 }
@@ -110,6 +112,7 @@
       hasFailed: false,
       retryReserved: false,
       isAbandoned: false,
+      crashEvidence: createCrashEvidence(forwarded, { quarantine: partQuarantine, log }),
       currentExchange: undefined,
       isFinished: false
     }
@@ -131,7 +134,7 @@
       progress.isFinished = true
       progress.currentExchange?.abort(reason)
       log.request('failed', { id: request.id, route: route.name, error, reason, attempts: progress.attempts, afterMs: Math.round(clock.now() - receivedMs) })
-      const retryAfterMs = error === 'prompt_quarantined' ? partQuarantine.remainingMs(sharedParts(request)) : (RETRY_AFTER_S + random() * RETRY_AFTER_JITTER_S) * 1000
+      const retryAfterMs = error === 'prompt_quarantined' ? progress.crashEvidence.remainingMs() : (RETRY_AFTER_S + random() * RETRY_AFTER_JITTER_S) * 1000
       caller.fail(new GatewayError(error, { retryAfterMs }))
     }
 
@@ -152,7 +155,7 @@
     const { route, service } = forwarded
     const noAttemptError = errorWithoutAttempt(progress)
     if (deadlineMs - clock.now() < MIN_ATTEMPT_MS) return outOfTime(progress)
-    if (isQuarantined(forwarded)) return quarantineOutcome(progress)
+    if (isQuarantined(progress)) return quarantineOutcome(progress)
     if (progress.attempts >= route.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
     if (progress.connectAttempts >= MAX_CONNECT_ATTEMPTS) return { kind: 'failed', error: noAttemptError, reason: 'connection attempt limit reached' }
     const reservation = await reserveBackend(forwarded, progress, deadlineMs - clock.now())
@@ -172,7 +175,7 @@
   function findObstacle (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, reservation: Reservation | undefined): AttemptOutcome | undefined {
     if (progress.isFinished) return { kind: 'done' }
     if (deadlineMs - clock.now() < MIN_ATTEMPT_MS) return outOfTime(progress)
-    if (isQuarantined(forwarded)) return quarantineOutcome(progress)
+    if (isQuarantined(progress)) return quarantineOutcome(progress)
     // Only the first attempt is checked: a request that was sent with a valid key is completed even if the key is withdrawn later.
     const accessError = progress.attempts === 0 ? recheckAccess(forwarded) : undefined
     if (accessError) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : accessError, reason: 'may not run any more' }
@@ -180,8 +183,8 @@
     return { kind: 'failed', error: errorWithoutAttempt(progress), reason: 'retry budget exhausted' }
   }
 
-  function isQuarantined ({ request }: ForwardedRequest): boolean {
-    const isRefused = partQuarantine.remainingMs(sharedParts(request)) > 0
+  function isQuarantined ({ crashEvidence }: RequestProgress): boolean {
+    const isRefused = crashEvidence.remainingMs() > 0
     if (isRefused) metrics.count('refusals', 'prompt_quarantined')
     return isRefused
   }
@@ -208,7 +211,9 @@
     const reserveRepeat = (fraction = 1) => reserveRetry(forwarded, progress, deadlineMs, NONE_EXCLUDED, fraction)
     const onBackendRemoved = () => { if (reserveFailover()) exchange.abort('backend server gone') }
     backend.onRemoved.add(onBackendRemoved)
-    const cancelQuarantineWatch = partQuarantine.watch(sharedParts(request), () => exchange.abort(QUARANTINE_REASON))
+    const sentMs = clock.now()
+    // A request that must run once and is already running is not given up on a suspicion.
+    const cancelQuarantineWatch = route.kind === 'non_idempotent' ? () => {} : progress.crashEvidence.watch(() => exchange.abort(QUARANTINE_REASON))
     const cancelResponseTimer = pollAfter(firstResponseTimeoutMs(route), () => {
       const reserved = reserveFailover()
       if (reserved) exchange.abort('no response in time')
@@ -228,15 +233,16 @@
         }
         progress.mayHaveRun = true
         endAttempt('failed')
+        if (route.kind !== 'streaming' && !exchange.isAborted()) await progress.crashEvidence.recordLostResponse(backend)
         return retryOrFail(route, backend, result.reason)
       }
-      const begunMs = clock.now()
-      backend.lastReceivedMs = begunMs
-      const onFirstEvent = () => {
+      const headMs = clock.now()
+      backend.lastReceivedMs = headMs
+      const recordSurvival = () => {
         cancelQuarantineWatch()
-        partQuarantine.recordSurvival(sharedParts(request), begunMs)
+        progress.crashEvidence.recordSurvival(route.kind === 'streaming' ? headMs : sentMs)
       }
-      return await handleResponse(forwarded, progress, { backend, exchange, head: result.head, body: result.body, onFirstEvent, recordEvent: observation.recordEvent, endAttempt, reserveFailover, reserveRepeat, endPrompt: reservation.endPrompt, cancelResponseTimer })
+      return await handleResponse(forwarded, progress, { backend, exchange, head: result.head, body: result.body, recordSurvival, recordEvent: observation.recordEvent, endAttempt, reserveFailover, reserveRepeat, endPrompt: reservation.endPrompt, cancelResponseTimer })
     } finally {
       cancelResponseTimer()
       cancelQuarantineWatch()
@@ -299,7 +305,8 @@
     exchange: Exchange
     head: BackendResponseHead
     body: Parameters<typeof readResponse>[0]
-    onFirstEvent(): void
+    /** Records that the request has not crashed the backend server: at the first event of a stream, or at the head of another response. */
+    recordSurvival(): void
     recordEvent(): void
     endAttempt(end: RequestEnd): void
     /** Takes a retry from the allowance if a backend server that the request was not sent to yet has capacity. */
@@ -327,6 +334,7 @@
       endAttempt('failed')
       return retryOrFail(route, backend, 'response is not authentic')
     }
+    if (route.kind !== 'streaming') response.recordSurvival()
     const failed = head.status >= 500
     if (failed && !caller.hasStarted() && response.reserveRepeat()) {
       exchange.abort('failed')
@@ -343,9 +351,9 @@
         progress.model = models[models.length - 1]
         return { kind: 'next', reason: `confidence ${head.confidence}`, backend }
       }
-      const relayed = await relayEvents({ ...response, caller, route, lastEventId: progress.lastEventId, clock })
+      const relayed = await relayEvents({ ...response, onFirstEvent: response.recordSurvival, caller, route, lastEventId: progress.lastEventId, clock })
       progress.lastEventId = relayed.lastEventId
-      if (relayed.endedBeforeFirstEvent) partQuarantine.recordCrash(crashOf(backend), sharedParts(forwarded.request))
+      if (relayed.endedBeforeFirstEvent) progress.crashEvidence.recordBrokenStream(backend)
       endAttempt(relayed.kind === 'broken' ? 'failed' : 'completed')
       if (relayed.kind === 'complete') {
         metrics.count('requests', 'answered')
--- a/src/core/quarantine/constants.ts
+++ b/src/core/quarantine/constants.ts
@@ -2,6 +2,10 @@
 
 export const CRASH_LIMIT = 2
 export const QUARANTINE_DURATION_MS = 600_000
+/** Crashes from which on a request that backend servers only held is at fault; sound requests beside it rarely meet as many. */
+export const UNCERTAIN_CRASH_LIMIT = 3
+/** Quarantine of such a request after fewer crashes; longer than a crashed backend server is away, so that the next attempt shows who was at fault. */
+export const UNCERTAIN_QUARANTINE_DURATION_MS = 5000
 /** Maximum number of recorded fingerprints; suspect ones are evicted before quarantined ones. */
 export const MAX_ENTRIES = 10_000
 /** Maximum number of crashes recorded for one fingerprint. */
@@ -10,11 +14,11 @@
 export const REFRESH_PERIOD_MS = 30_000
 /** Attempts to merge crashes into an object that other VMs also write. */
 export const MAX_WRITE_ATTEMPTS = 4
-/** Time for which a VM reports new evidence about prompt parts to the others; several periods of the reports, as some are lost. */
+/** Time for which a VM reports new evidence about parts of requests to the others; several periods of the reports, as some are lost. */
 export const EVIDENCE_REPORT_MS = 3000
-/** Maximum number of recorded crashes of prompt parts; the oldest are evicted first. */
+/** Maximum number of recorded crashes by parts of requests; the oldest are evicted first. */
 export const MAX_PART_CRASHES = 1000
-/** Kind of the stored quarantines of prompt parts. */
+/** Kind of the stored quarantines of parts of requests. */
 export const PART_KIND = 'lacewingstage-quarantines'
 /** Maximum wait of a long poll for them; long, because the VMs also tell each other. */
 export const PART_POLL_WAIT_MS = 5000
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -100,7 +100,7 @@
     const parsed = partEvidenceSchema.safeParse(body)
     if (!parsed.success) {
       metrics.count('bad_input', 'quarantine_malformed')
-      throw new PeerError('peer_rejected', { detail: 'not evidence about prompt parts' })
+      throw new PeerError('peer_rejected', { detail: 'not evidence about parts of requests' })
     }
     parts.merge(parsed.data)
   })
--- a/src/core/quarantine/messages.ts
+++ b/src/core/quarantine/messages.ts
@@ -10,14 +10,16 @@
   instance: z.string().min(1).max(200)
 })
 
-/** Crash of an engine by a request with these prompt parts. */
+/** Crash of a backend server at which a request with these parts was open. */
 export const partCrashSchema = z.object({
   backendServer: crashSchema.shape.backendServer,
   instance: crashSchema.shape.instance,
-  parts: z.array(fingerprintSchema).min(1)
+  parts: z.array(fingerprintSchema).min(1),
+  // Absent in what earlier versions of the program report, which know only requests that were running.
+  wasRunning: z.boolean().default(true)
 })
 
-/** Recent evidence of a VM about prompt parts. */
+/** Recent evidence of a VM about parts of requests. */
 export const partEvidenceSchema = z.object({
   crashes: z.array(partCrashSchema.extend({ ageMs: z.number().nonnegative() })).max(MAX_PART_CRASHES),
   survivals: z.record(fingerprintSchema, z.number().nonnegative())
--- a/src/core/quarantine/part-store.ts
+++ b/src/core/quarantine/part-store.ts
@@ -1,5 +1,5 @@
 /**
- * Stores the evidence behind each quarantine of prompt parts, so that VMs that start later, restart or are cut off from
+ * Stores the evidence behind each certain quarantine of parts of requests, so that VMs that start later, restart or are cut off from
  * the others know it as well. A VM writes the quarantines whose crashes it has seen and deletes them when they end.
  */
 import { createHash } from 'node:crypto'
@@ -59,7 +59,7 @@
   })
 
   function deleteObject (name: string): void {
-    store.delete(PART_KIND, name).catch((error: unknown) => log.warn('a quarantine of prompt parts could not be deleted', { name, error: errorMessage(error) }))
+    store.delete(PART_KIND, name).catch((error: unknown) => log.warn('a quarantine of parts of requests could not be deleted', { name, error: errorMessage(error) }))
   }
 
   function deleteExpired (): void {
@@ -80,7 +80,7 @@
           return
         } catch (error) {
           metrics.count('retries', 'quarantine_write')
-          log.warn('a quarantine of prompt parts could not be stored; the write is repeated', { parts, error: errorMessage(error) })
+          log.warn('a quarantine of parts of requests could not be stored; the write is repeated', { parts, error: errorMessage(error) })
           await clock.sleep(STORE_RETRY_DELAY_MS)
         }
       }
--- a/src/core/quarantine/part-suspects.ts
+++ b/src/core/quarantine/part-suspects.ts
@@ -1,15 +1,19 @@
 /**
- * Finds the prompt parts that explain the crashes of engines. A request that crashes one carries sound parts, too, and
- * sound requests may be open at the same engine, so the part with the most crashes is the suspect at each of them.
+ * Finds the parts of requests that explain the crashes of backend servers. A request that crashes one has sound parts,
+ * too, and sound requests may be open at the same backend server, so the part with the most crashes is the suspect at
+ * each of them.
  */
 import type { BackendServerId } from '../ids/index.ts'
+import { CRASH_LIMIT, UNCERTAIN_CRASH_LIMIT } from './constants.ts'
 
-/** One request whose response a backend server ended before the first event. */
+/** One request that was open at a backend server when it crashed. */
 export interface PartCrash {
   backendServer: BackendServerId
   /** The run of the backend server that ended. */
   instance: string
   parts: readonly string[]
+  /** Whether the backend server was known to run the request, and not only to hold it. */
+  wasRunning: boolean
   /** Monotonic time. */
   atMs: number
 }
@@ -18,28 +22,35 @@
   /** Parts that cannot be told apart yet; a request is refused if it has all of them, so that requests with some of them can clear these. */
   parts: readonly string[]
   lastCrashMs: number
+  /** Whether the crashes are more than sound requests may meet that are open at the same backend servers. */
+  isCertain: boolean
 }
 
-/** Returns the parts that were in requests at the end of at least `crashLimit` instances and are not cleared. */
-export function findSuspects (crashes: readonly PartCrash[], isCleared: (part: string, crash: PartCrash) => boolean, crashLimit: number): Suspect[] {
+/** Returns the parts that were in requests at the end of at least CRASH_LIMIT instances and are not cleared. */
+export function findSuspects (crashes: readonly PartCrash[], isCleared: (part: string, crash: PartCrash) => boolean): Suspect[] {
   const instancesByPart = new Map<string, Set<string>>()
   const open = crashes.map(crash => ({ ...crash, parts: crash.parts.filter(part => !isCleared(part, crash)) }))
   for (const { parts, instance } of open) {
     for (const part of parts) instancesByPart.set(part, (instancesByPart.get(part) ?? new Set()).add(instance))
   }
   const countOf = (part: string) => instancesByPart.get(part)!.size
-  const candidates = open.map(({ instance, parts, atMs }) => {
+  const candidates = open.map(({ instance, parts, atMs, wasRunning }) => {
     const count = Math.max(0, ...parts.map(countOf))
-    return { instance, atMs, count, parts: parts.filter(part => countOf(part) === count).sort() }
+    return { instance, atMs, count, wasRunning, parts: parts.filter(part => countOf(part) === count).sort() }
   })
   const highestCounts = new Map<string, number>()
   for (const { instance, count } of candidates) highestCounts.set(instance, Math.max(count, highestCounts.get(instance) ?? 0))
 
   const suspects = new Map<string, Suspect>()
-  for (const { instance, count, parts, atMs } of candidates) {
-    if (count < crashLimit || count < highestCounts.get(instance)!) continue
+  for (const { instance, count, parts, atMs, wasRunning } of candidates) {
+    if (count < CRASH_LIMIT || count < highestCounts.get(instance)!) continue
     const key = parts.join()
-    suspects.set(key, { parts, lastCrashMs: Math.max(atMs, suspects.get(key)?.lastCrashMs ?? -Infinity) })
+    const known = suspects.get(key)
+    suspects.set(key, {
+      parts,
+      lastCrashMs: Math.max(atMs, known?.lastCrashMs ?? -Infinity),
+      isCertain: wasRunning || count >= UNCERTAIN_CRASH_LIMIT || known?.isCertain === true
+    })
   }
   return [...suspects.values()]
 }
--- a/src/core/quarantine/prompt-parts.ts
+++ b/src/core/quarantine/prompt-parts.ts
@@ -1,15 +1,15 @@
 /**
- * Quarantines prompt parts that crash engines. The requests that share such a part are otherwise unlike, and sound
- * requests share their other parts, so each part is judged by itself. The evidence against a part is a backend server
- * that ends a response to it before its first event; a later first event of a response to it clears the part. The VMs
- * exchange both, because each of them sees only a few of the crashes.
+ * Quarantines parts of requests that crash backend servers. A part is one of the prompt, which otherwise unlike requests
+ * share, or the whole request, which comes again. Sound requests share the other parts, so each part is judged by itself.
+ * The evidence against a part is a backend server that crashes while a request with it is open; a later response to one
+ * clears the part. The VMs exchange both, because each of them sees only a few of the crashes.
  */
 import type { Clock } from '../clock/index.ts'
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { BackendServerId } from '../ids/index.ts'
-import { CRASH_LIMIT, EVIDENCE_REPORT_MS, MAX_PART_CRASHES, QUARANTINE_DURATION_MS } from './constants.ts'
-import { findSuspects, type PartCrash } from './part-suspects.ts'
+import { EVIDENCE_REPORT_MS, MAX_PART_CRASHES, QUARANTINE_DURATION_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from './constants.ts'
+import { findSuspects, type PartCrash, type Suspect } from './part-suspects.ts'
 
 export interface EngineCrash {
   backendServer: BackendServerId
@@ -18,7 +18,7 @@
 }
 
 /** A crash as VMs report it to each other; ages replace times, because VMs have no common monotonic clock. */
-export interface ReportedPartCrash { backendServer: BackendServerId, instance: string, parts: string[], ageMs: number }
+export interface ReportedPartCrash { backendServer: BackendServerId, instance: string, parts: string[], wasRunning: boolean, ageMs: number }
 
 /** What a VM has learned recently. */
 export interface PartEvidence {
@@ -29,11 +29,11 @@
 
 export interface PartQuarantine {
   /**
-   * Records that a backend server ended a response before its first event; `parts` are the parts of the prompt that may be
-   * at fault. Returns whether this is new.
+   * Records that a backend server crashed while a request was open there; `parts` are its parts that may be at fault.
+   * `wasRunning` states whether it had begun the request (default), or may only have held it. Returns whether this is new.
    */
-  recordCrash(crash: EngineCrash, parts: readonly string[]): boolean
-  /** Records the first event of a response that began at `begunMs` on the monotonic clock. Returns whether it clears a part. */
+  recordCrash(crash: EngineCrash, parts: readonly string[], options?: { wasRunning?: boolean }): boolean
+  /** Records a response that a backend server began at `begunMs` on the monotonic clock and that got past the point of a crash. Returns whether it clears a part. */
   recordSurvival(parts: readonly string[], begunMs: number): boolean
   /** Time for which requests with these parts are refused, in milliseconds; 0 if they are not. */
   remainingMs(parts: readonly string[]): number
@@ -60,15 +60,15 @@
   const survivals = new Map<string, { begunMs: number, learnedMs: number }>()
   const watchers = new Set<{ parts: readonly string[], onQuarantined: () => void }>()
   /** The parts that are refused together, with the time of the latest crash. */
-  let suspects: { parts: readonly string[], lastCrashMs: number }[] = []
-  /** The parts of the quarantines that have started, by their names in one text. */
-  const started = new Map<string, readonly string[]>()
+  let suspects: Suspect[] = []
+  /** The quarantines that have started, by the names of their parts in one text. */
+  const started = new Map<string, Suspect>()
 
-  function add ({ backendServer, instance, parts, atMs }: PartCrash, isOwn: boolean): boolean {
+  function add ({ backendServer, instance, parts, wasRunning, atMs }: PartCrash, isOwn: boolean): boolean {
     const key = [instance, ...parts].join()
     if (parts.length === 0 || crashes.has(key) || clock.now() - atMs >= QUARANTINE_DURATION_MS) return false
     if (crashes.size >= MAX_PART_CRASHES) crashes.delete(crashes.keys().next().value!)
-    crashes.set(key, { backendServer, instance, parts, atMs, isOwn, learnedMs: clock.now() })
+    crashes.set(key, { backendServer, instance, parts, wasRunning, atMs, isOwn, learnedMs: clock.now() })
     metrics.count('quarantined', isOwn ? 'part_crash_seen' : 'part_crash_reported')
     return true
   }
@@ -86,40 +86,47 @@
     for (const [key, { atMs }] of crashes) if (clock.now() - atMs >= QUARANTINE_DURATION_MS) crashes.delete(key)
     if (crashes.size === 0) survivals.clear()
     const isCleared = (part: string, { atMs }: PartCrash) => (survivals.get(part)?.begunMs ?? -Infinity) > atMs
-    suspects = findSuspects([...crashes.values()], isCleared, CRASH_LIMIT)
-    for (const { parts } of suspects) if (!started.has(parts.join())) start(parts)
-    for (const parts of [...started.values()]) if (!suspects.some(suspect => suspect.parts.join() === parts.join())) end(parts)
-    for (const watcher of [...watchers]) if (isRefused(watcher.parts)) watcher.onQuarantined()
+    suspects = findSuspects([...crashes.values()], isCleared)
+    const current = new Map(suspects.map(suspect => [suspect.parts.join(), suspect]))
+    for (const [key, suspect] of current) if (!started.has(key) || (suspect.isCertain && !started.get(key)!.isCertain)) start(key, suspect)
+    for (const [key, suspect] of [...started]) if (!current.has(key)) end(key, suspect)
+    for (const watcher of [...watchers]) if (remainingMs(watcher.parts) > 0) watcher.onQuarantined()
   }
 
-  function start (parts: readonly string[]): void {
-    started.set(parts.join(), parts)
+  function start (key: string, suspect: Suspect): void {
+    const { parts, isCertain } = suspect
+    started.set(key, suspect)
     const evidence = [...crashes.values()].filter(crash => parts.every(part => crash.parts.includes(part)))
-    metrics.count('quarantined', 'part_started')
-    log.warn('prompt parts quarantined', { parts, backendServers: evidence.map(({ backendServer }) => backendServer) })
-    if (evidence.some(({ isOwn }) => isOwn)) onQuarantined(parts, evidence.map(crash => toReport({ ...crash, parts })))
+    metrics.count('quarantined', isCertain ? 'part_started' : 'part_suspected')
+    log.warn('parts of requests quarantined', { parts, durationMs: durationMs(suspect), backendServers: evidence.map(({ backendServer }) => backendServer) })
+    if (isCertain && evidence.some(({ isOwn }) => isOwn)) onQuarantined(parts, evidence.map(crash => toReport({ ...crash, parts })))
   }
 
-  function end (parts: readonly string[]): void {
-    started.delete(parts.join())
+  function end (key: string, { parts, isCertain }: Suspect): void {
+    started.delete(key)
     metrics.count('quarantined', 'part_lifted')
-    log.info('quarantine of prompt parts ended', { parts })
-    onEnded(parts)
+    log.info('quarantine of parts of requests ended', { parts })
+    if (isCertain) onEnded(parts)
   }
 
-  function isRefused (parts: readonly string[]): boolean {
-    return suspects.some(suspect => suspect.parts.every(part => parts.includes(part)))
+  function remainingMs (parts: readonly string[]): number {
+    const matching = suspects.filter(suspect => suspect.parts.every(part => parts.includes(part)))
+    return Math.max(0, ...matching.map(suspect => suspect.lastCrashMs + durationMs(suspect) - clock.now()))
   }
 
-  function toReport ({ backendServer, instance, parts, atMs }: PartCrash): ReportedPartCrash {
-    return { backendServer, instance, parts: [...parts], ageMs: Math.round(clock.now() - atMs) }
+  function durationMs ({ isCertain }: Suspect): number {
+    return isCertain ? QUARANTINE_DURATION_MS : UNCERTAIN_QUARANTINE_DURATION_MS
+  }
+
+  function toReport ({ backendServer, instance, parts, wasRunning, atMs }: PartCrash): ReportedPartCrash {
+    return { backendServer, instance, parts: [...parts], wasRunning, ageMs: Math.round(clock.now() - atMs) }
   }
 
   const isRecent = ({ learnedMs }: { learnedMs: number }) => clock.now() - learnedMs < EVIDENCE_REPORT_MS
 
   return {
-    recordCrash ({ backendServer, instance }, parts) {
-      const isNew = add({ backendServer, instance: `${backendServer}/${instance}`, parts, atMs: clock.now() }, true)
+    recordCrash ({ backendServer, instance }, parts, { wasRunning = true } = {}) {
+      const isNew = add({ backendServer, instance: `${backendServer}/${instance}`, parts, wasRunning, atMs: clock.now() }, true)
       if (isNew) update()
       return isNew
     },
@@ -129,10 +136,7 @@
       if (isNew) update()
       return isNew
     },
-    remainingMs (parts) {
-      const matching = suspects.filter(suspect => suspect.parts.every(part => parts.includes(part)))
-      return Math.max(0, ...matching.map(({ lastCrashMs }) => lastCrashMs + QUARANTINE_DURATION_MS - clock.now()))
-    },
+    remainingMs,
     watch (parts, onQuarantined) {
       const watcher = { parts, onQuarantined }
       watchers.add(watcher)
