Accept a suspect request again on one VM after the other

Cause: after two crashes a request is refused for 5 s, and all VMs accepted it again at the same moment. Retry-After states that moment, so the callers that had been refused came back then, at several VMs.

Why this works: the VMs take their turns over another 5 s, in the rendezvous order of the request. The first attempt shows whether it is at fault, and the evidence reaches the others before the next turn.

The scenario fails without the order of the VMs: nine accept at once.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -136,7 +136,7 @@
     When each of these crashes with open requests is seen by another VM: deadly@s1 deadly@s2 sound@s1 sound@s2
     And the VMs exchange evidence for 2000 ms
     Then the request deadly is refused on all VMs
-    When the VMs exchange evidence for 5000 ms
+    When the VMs exchange evidence for 8000 ms
     Then the request deadly is accepted on all VMs
     And the request sound is accepted on all VMs
     When each of these crashes with open requests is seen by another VM: deadly@s3
@@ -160,11 +160,23 @@
       | deadly@s1 deadly@s1                      | 2000   | deadly  | accepted |
       | deadly@s1 deadly@s2 other@s1             | 2000   | other   | accepted |
       | deadly@s1 deadly@s2                      | 2000   | deadly  | refused  |
-      | deadly@s1 deadly@s2                      | 6000   | deadly  | accepted |
+      | deadly@s1 deadly@s2                      | 10000  | deadly  | accepted |
       | deadly@s1 deadly@s2 deadly@s3            | 590000 | deadly  | refused  |
       | deadly@s1 deadly@s2 deadly@s3            | 601000 | deadly  | accepted |
       | a@s1 a@s2 deadly@s1 deadly@s2 deadly@s3  | 2000   | a       | accepted |
 
+  # Guards against all VMs that accept a suspect again at the same moment, and each lose a backend server to it.
+  Scenario: VMs accept a suspect again one after the other, and all refuse it after the first crash
+    Given 9 VMs that exchange evidence about prompt parts
+    When each of these crashes with open requests is seen by another VM: deadly@s1 deadly@s2
+    And the VMs exchange evidence for 5100 ms
+    Then the request deadly is accepted on 1 VM
+    When the VMs exchange evidence for 500 ms
+    Then the request deadly is accepted on 2 VMs
+    When each of these crashes with open requests is seen by another VM: deadly@s3
+    And the VMs exchange evidence for 300 ms
+    Then the request deadly is refused on all VMs
+
   Scenario: a response to a request ends its quarantine
     Given 9 VMs that exchange evidence about prompt parts
     When each of these crashes with open requests is seen by another VM: common@s1 common@s2 common@s3
--- a/features/steps/prompt-parts.ts
+++ b/features/steps/prompt-parts.ts
@@ -5,6 +5,7 @@
 import type { LoadExchange } from '../../src/core/load-exchange/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import { rendezvousOrder } from '../../src/core/placement/rendezvous.ts'
 import { createPartQuarantine, type PartQuarantine } from '../../src/core/quarantine/prompt-parts.ts'
 import { startConnectedExchange } from '../support/load-exchange.ts'
 
@@ -20,7 +21,8 @@
   const names = Array.from({ length: Number(count) }, (_, index) => brandId<VmId>(`vm-${index}`))
   this.clock = clock
   this.vms = names.map(self => {
-    const quarantine = createPartQuarantine({ clock, log: silentLog, metrics: createMetrics() })
+    const trialPlace = (parts: readonly string[]) => rendezvousOrder(parts.join(), names).indexOf(self) / names.length
+    const quarantine = createPartQuarantine({ trialPlace, clock, log: silentLog, metrics: createMetrics() })
     const exchange = startConnectedExchange({
       self,
       names,
@@ -65,3 +67,7 @@
   const states = this.vms.map(({ quarantine }) => (quarantine.remainingMs(parts) > 0 ? 'refused' : 'accepted'))
   assert.deepEqual([...new Set(states)], [expected])
 })
+
+Then(/^the request (\S+) is accepted on (\d+) VMs?$/, function (this: PartsWorld, name: string, count: string) {
+  assert.equal(this.vms.filter(({ quarantine }) => quarantine.remainingMs([name]) === 0).length, Number(count))
+})
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -21,7 +21,7 @@
 import { createMetrics } from '../metrics/index.ts'
 import type { ObjectStore, StoredObject } from '../object-feed/index.ts'
 import { createCapacityQueue } from '../placement/capacity-queue.ts'
-import { hashFraction } from '../placement/rendezvous.ts'
+import { hashFraction, rendezvousOrder } from '../placement/rendezvous.ts'
 import { createVersionTrials, type TrialReport } from '../version-trial/index.ts'
 import { createLoadExchange, type VmReport } from '../load-exchange/index.ts'
 import { createPartStore } from '../quarantine/part-store.ts'
@@ -118,6 +118,10 @@
   const partQuarantine = createPartQuarantine({
     onQuarantined: (parts, crashes) => void partStore.write(parts, crashes),
     onEnded: parts => partStore.remove(parts),
+    trialPlace (parts) {
+      const vms = rendezvousOrder(parts.join(), fleet.liveVms())
+      return Math.max(0, vms.indexOf(settings.vm)) / Math.max(1, vms.length)
+    },
     clock,
     log,
     metrics
--- a/src/core/quarantine/constants.ts
+++ b/src/core/quarantine/constants.ts
@@ -4,7 +4,10 @@
 export const QUARANTINE_DURATION_MS = 600_000
 /** Crashes from which on a request that backend servers only held is at fault; sound requests beside it rarely meet as many. */
 export const UNCERTAIN_CRASH_LIMIT = 3
-/** Quarantine of such a request after fewer crashes; longer than a crashed backend server is away, so that the next attempt shows who was at fault. */
+/**
+ * Quarantine of such a request after fewer crashes, on the first VM that accepts it again; on the last one it is twice as
+ * long. It outlasts the absence of a crashed backend server, so that the next attempt shows who was at fault.
+ */
 export const UNCERTAIN_QUARANTINE_DURATION_MS = 5000
 /** Maximum number of recorded fingerprints; suspect ones are evicted before quarantined ones. */
 export const MAX_ENTRIES = 10_000
--- a/src/core/quarantine/prompt-parts.ts
+++ b/src/core/quarantine/prompt-parts.ts
@@ -47,6 +47,11 @@
 export interface PartQuarantineOptions {
   /** Called when parts are quarantined after a crash that this VM saw, with the crashes that are the evidence against exactly these parts. */
   onQuarantined?(parts: readonly string[], crashes: readonly ReportedPartCrash[]): void
+  /**
+   * Place of this VM among the live ones, from 0 to below 1, in the order in which they accept an uncertain suspect again;
+   * one attempt then shows all VMs whether it is at fault.
+   */
+  trialPlace?(parts: readonly string[]): number
   /** Called when a quarantine has ended. */
   onEnded?(parts: readonly string[]): void
   clock: Clock
@@ -54,7 +59,7 @@
   metrics: Metrics
 }
 
-export function createPartQuarantine ({ onQuarantined = () => {}, onEnded = () => {}, clock, log, metrics }: PartQuarantineOptions): PartQuarantine {
+export function createPartQuarantine ({ onQuarantined = () => {}, onEnded = () => {}, trialPlace = () => 0, clock, log, metrics }: PartQuarantineOptions): PartQuarantine {
   /** By instance and parts, oldest first. */
   const crashes = new Map<string, PartCrash & { learnedMs: number, isOwn: boolean }>()
   const survivals = new Map<string, { begunMs: number, learnedMs: number }>()
@@ -110,12 +115,15 @@
   }
 
   function remainingMs (parts: readonly string[]): number {
-    const matching = suspects.filter(suspect => suspect.parts.every(part => parts.includes(part)))
-    return Math.max(0, ...matching.map(suspect => suspect.lastCrashMs + durationMs(suspect) - clock.now()))
+    return Math.max(0, ...matching(parts).map(suspect => suspect.lastCrashMs + durationMs(suspect) - clock.now()))
+  }
+
+  function matching (parts: readonly string[]): Suspect[] {
+    return suspects.filter(suspect => suspect.parts.every(part => parts.includes(part)))
   }
 
-  function durationMs ({ isCertain }: Suspect): number {
-    return isCertain ? QUARANTINE_DURATION_MS : UNCERTAIN_QUARANTINE_DURATION_MS
+  function durationMs ({ parts, isCertain }: Suspect): number {
+    return isCertain ? QUARANTINE_DURATION_MS : UNCERTAIN_QUARANTINE_DURATION_MS * (1 + trialPlace(parts))
   }
 
   function toReport ({ backendServer, instance, parts, wasRunning, atMs }: PartCrash): ReportedPartCrash {
