Order the store's revisions by its era

What callers saw: after the store had come back from an older copy, a route that had been added got 404 until the end, and requests were handled by configurations older than one acknowledged seconds before.

Cause: revisions go back and are given out again. Feeds, replicas and relays discarded lists with lower revisions and answered polls by comparing numbers of different eras, so a VM heard nothing until the numbers had passed the old ones, and then missed what lies between. The status of a roll-out was written under a revision of the earlier era and refused twice a second.

Why this works: a revision is an era and a number, compared in this order. A replica that sees a new era gives its followers the whole list. Objects that the copy lacks or has back are withheld for four seconds, because their writers write them again.

--- a/features/feed-relay.feature
+++ b/features/feed-relay.feature
@@ -53,6 +53,63 @@
     Then every VM knows a, b, large within 800 ms
     And no answer of a relay was larger than 2000 bytes
 
+  # Guards against VMs that ignore a restored store, because its revisions are lower than those that they have read.
+  Scenario Outline: changes reach all of <vms> VMs after the store was restored from an older copy
+    Given <vms> VMs that follow a kind with the objects a, b
+    When the store is restored to before <lost>
+    And the objects e are stored
+    Then every VM knows <known>, e within 1500 ms
+    And the store was listed at most <lists> times since the restore
+
+    Examples:
+      | vms | lost                         | known      | lists |
+      | 8   | c is stored                  | a, b, c    | 4     |
+      | 8   | c, d are stored              | a, b, c, d | 4     |
+      | 89  | c, d are stored              | a, b, c, d | 12    |
+
+  # Guards against taking what an older copy lacks or has for what its writers want.
+  Scenario Outline: what a restored store <what> is known <known> until it is written again, and <later> if it is not
+    Given 8 VMs that follow a kind with the objects a, b
+    When the store is restored to before <lost>
+    And 1000 ms pass in the fleet
+    Then every VM knows <known>
+    When 4500 ms pass in the fleet
+    Then every VM knows <later>
+
+    Examples:
+      | what     | lost         | known   | later |
+      | lacks    | c is stored  | a, b, c | a, b  |
+      | has back | a is removed | b       | a, b  |
+
+  # Guards against changes that come late, because they were made between a restore and the first list.
+  Scenario: a change that is made before a VM has listed the restored store is known at once
+    Given 8 VMs that follow a kind with the objects a, b
+    When the store is restored to before c is stored and a is changed at once
+    Then every VM has got the change of a
+
+  Scenario: what is written again after a restore stays
+    Given 8 VMs that follow a kind with the objects a, b
+    When the store is restored to before c is stored
+    And the objects c are stored
+    And 5500 ms pass in the fleet
+    Then every VM knows a, b, c
+
+  Scenario: a store that is restored twice in a row loses no VM
+    Given 8 VMs that follow a kind with the objects a, b
+    When the store is restored to before c, d are stored
+    And the store is restored to before f is stored
+    And the objects e are stored
+    Then every VM knows a, b, c, d, e, f within 1500 ms
+    When 6000 ms pass in the fleet
+    Then every VM knows a, b, e
+
+  Scenario: a VM that joins after a restore knows what the store has
+    Given 8 VMs that follow a kind with the objects a, b
+    When the store is restored to before c is stored
+    And another VM joins
+    And 5500 ms pass in the fleet
+    Then every VM knows a, b
+
   Scenario: a VM that joins late gets all objects from a relay
     Given 8 VMs that follow a kind with the objects a, b
     When c is stored and a is removed
--- a/features/steps/feed-relay.ts
+++ b/features/steps/feed-relay.ts
@@ -16,6 +16,8 @@
 interface RelayVm {
   relay: FeedRelay
   names: Set<string>
+  /** Objects of which it has got a change of the content. */
+  changed: Set<string>
   recoveries: number
   confirmedMs: number
   storeCallsMs: number[]
@@ -29,6 +31,7 @@
   vms: Map<VmId, RelayVm>
   faultyVms: Set<RelayVm>
   largestResponseBytes: number
+  callsBeforeRestore: number
   outage: { fromMs: number, toMs: number }
   outageConfirmations: number
   /** Time at which the latest call that the store answered was sent. */
@@ -81,7 +84,7 @@
     metrics: createMetrics(),
     random: Math.random
   })
-  const vm: RelayVm = { relay, names: new Set(), recoveries: 0, confirmedMs: -Infinity, storeCallsMs: [], isCutOff: false, link: 'open' }
+  const vm: RelayVm = { relay, names: new Set(), changed: new Set(), recoveries: 0, confirmedMs: -Infinity, storeCallsMs: [], isCutOff: false, link: 'open' }
   world.vms.set(id, vm)
   relay.follow({
     kind: KIND,
@@ -90,6 +93,7 @@
     onChange ({ object, deleted }) {
       if (deleted) vm.names.delete(object.name)
       else vm.names.add(object.name)
+      if ((object.spec as { changed?: boolean } | undefined)?.changed) vm.changed.add(object.name)
     },
     onStoreRecovered () { vm.recoveries++ },
     onConfirmed ({ monotonicMs }) {
@@ -129,6 +133,38 @@
   this.store.remove(KIND, 'a')
 })
 
+When(/^the store is restored to before (.*) (?:is|are) (stored|removed)$/, async function (this: RelayWorld, names: string, change: string) {
+  const restore = this.store.copy()
+  for (const name of names.split(', ')) {
+    if (change === 'stored') this.store.put(KIND, name, {})
+    else this.store.remove(KIND, name)
+  }
+  await sleep(600)
+  this.callsBeforeRestore = this.store.calls.length
+  restore()
+  await sleep(600)
+})
+
+When('the store is restored to before c is stored and a is changed at once', async function (this: RelayWorld) {
+  const restore = this.store.copy()
+  this.store.put(KIND, 'c', {})
+  await sleep(600)
+  restore()
+  this.store.put(KIND, 'a', { changed: true })
+  await sleep(1500)
+})
+
+Then('every VM has got the change of a', function (this: RelayWorld) {
+  assert.ok([...this.vms.values()].every(({ changed }) => changed.has('a')))
+})
+
+When(/^the objects (.*) are stored$/, function (this: RelayWorld, names: string) { for (const name of names.split(', ')) this.store.put(KIND, name, {}) })
+
+Then(/^the store was listed at most (\d+) times since the restore$/, function (this: RelayWorld, times: string) {
+  const lists = this.store.calls.slice(this.callsBeforeRestore).filter(call => call === `list ${KIND}`).length
+  assert.ok(lists <= Number(times), `${lists} times`)
+})
+
 When(/^(a relay|both relays|all relays) (dies|does not answer any more|do not answer any more|is cut off from the store|are cut off from the store)$/, function (this: RelayWorld, selection: string, fault: string) {
   for (const vm of relaysOf(this).slice(0, selection === 'a relay' ? 1 : undefined)) {
     this.faultyVms.add(vm)
--- a/features/steps/version-trial.ts
+++ b/features/steps/version-trial.ts
@@ -3,6 +3,7 @@
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
 import { brandId, type BootId, type ServiceId, type VersionId, type VmId } from '../../src/core/ids/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
+import { isSameRevision } from '../../src/core/object-feed/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { rendezvousOrder } from '../../src/core/placement/rendezvous.ts'
 import { createVersionTrials, type RequestObservation, type RolloutOrder, type VersionTrials } from '../../src/core/version-trial/index.ts'
@@ -39,7 +40,7 @@
   this.clock = createManualClock()
   this.vms = new Map()
   this.deadVms = new Set()
-  this.order = { name: 'order', revision: 1, service: SERVICE, target: NEW, durationMs: Number(seconds) * 1000, state: undefined }
+  this.order = { name: 'order', revision: { era: 1, number: 1 }, service: SERVICE, target: NEW, durationMs: Number(seconds) * 1000, state: undefined }
   Object.assign(this, { sessions: new Map(), requests: 0, requestsInFirstHalf: 0, newRequestsInFirstHalf: 0, newRequests: 0, requestsBeforeTakeover: 0, newRequestsBeforeTakeover: 0, lastOldRequestMs: 0, hasTakenOver: false })
   const vmNames = Array.from({ length: Number(count) }, (_, index) => brandId<VmId>(`vm-${index}`))
   for (const vm of vmNames) {
@@ -49,8 +50,8 @@
       vms: () => vmNames.filter(name => !this.deadVms.has(name)),
       report: (to, report) => { if (!this.deadVms.has(to)) this.vms.get(to)!.acceptReport(structuredClone(report)) },
       writeStatus: async (order, state) => {
-        if (order.revision !== this.order.revision) return false
-        this.order = { ...this.order, revision: this.order.revision + 1, state }
+        if (!isSameRevision(order.revision, this.order.revision)) return false
+        this.order = { ...this.order, revision: { ...this.order.revision, number: this.order.revision.number + 1 }, state }
         if (state === 'taking_over') this.hasTakenOver = true
         if (state === 'completed') this.completedMs = this.clock.now()
         for (const trials of this.vms.values()) trials.apply(this.order)
--- a/features/support/memory-store.ts
+++ b/features/support/memory-store.ts
@@ -1,6 +1,6 @@
 /** In-memory object store for tests of the object feed and of forwarding VMs, with faults that tests inject. */
 import { ObjectApiError } from '../../src/core/errors/index.ts'
-import type { Change, ObjectStore, StoredObject } from '../../src/core/object-feed/index.ts'
+import type { Change, ObjectStore, Revision, StoredObject } from '../../src/core/object-feed/index.ts'
 
 export interface MemoryStore extends ObjectStore {
   put(kind: string, name: string, spec: unknown): void
@@ -13,6 +13,10 @@
   dropHistory(): void
   /** While set, watches return no changes. */
   setChangesHidden(hidden: boolean): void
+  /** Keeps a copy of the current content and returns a function that restores it, as the next era of the store. */
+  copy(): () => void
+  /** Revision of the latest change. */
+  revision(): Revision
   /** Operation and kind of each call, in order. */
   calls: string[]
 }
@@ -22,6 +26,7 @@
   let history: { kind: string, revision: number, change: Change }[] = []
   const waiting = new Set<() => void>()
   const calls: string[] = []
+  let era = 1
   let revision = 1
   let oldestRevision = 0
   let down = false
@@ -34,6 +39,9 @@
     return objects
   }
 
+  const nextRevision = (): Revision => ({ era, number: ++revision })
+  const hasRevision = (object: StoredObject | undefined, { era: expectedEra, number }: Revision) => expectedEra === era && object?.revision.number === number
+
   function record (kind: string, object: StoredObject, deleted: boolean): StoredObject {
     if (deleted) objectsOf(kind).delete(object.name)
     else objectsOf(kind).set(object.name, object)
@@ -53,11 +61,11 @@
     calls,
     put (kind, name, spec) {
       const status = objectsOf(kind).get(name)?.status
-      record(kind, { name, revision: ++revision, spec, status }, false)
+      record(kind, { name, revision: nextRevision(), spec, status }, false)
     },
     remove (kind, name) {
       const object = objectsOf(kind).get(name)
-      if (object) record(kind, { ...object, revision: ++revision }, true)
+      if (object) record(kind, { ...object, revision: nextRevision() }, true)
     },
     setDown (value) {
       down = value
@@ -73,15 +81,28 @@
       for (const wake of [...waiting]) wake()
     },
     setChangesHidden (value) { changesHidden = value },
+    copy () {
+      const content = [...kinds].map(([kind, objects]) => [kind, [...objects.values()]] as const)
+      const copied = { history: [...history], revision }
+      return () => {
+        kinds.clear()
+        era++
+        for (const [kind, objects] of content) for (const object of objects) objectsOf(kind).set(object.name, { ...object, revision: { ...object.revision, era } })
+        ;({ history, revision } = copied)
+        for (const wake of [...waiting]) wake()
+      }
+    },
+    revision: () => ({ era, number: revision }),
     async list (kind) {
       recordCall(`list ${kind}`)
       if (kindsDown.has(kind)) throw new ObjectApiError('object_api_unavailable')
-      return { objects: [...objectsOf(kind).values()], revision }
+      return { objects: [...objectsOf(kind).values()], revision: store.revision() }
     },
     async watch (kind, after, waitMs) {
       recordCall(`watch ${kind}`)
-      if (after < oldestRevision) return undefined
-      if (changesHidden || changesSince(kind, after).length === 0) {
+      const isUnknown = () => after.era !== era || after.number < oldestRevision || after.number > revision
+      if (isUnknown()) return undefined
+      if (changesHidden || changesSince(kind, after.number).length === 0) {
         await new Promise<void>(resolve => {
           const finish = () => {
             clearTimeout(timer)
@@ -93,8 +114,8 @@
         })
       }
       if (down) throw new ObjectApiError('object_api_unavailable')
-      if (after < oldestRevision) return undefined
-      return { changes: changesHidden ? [] : changesSince(kind, after), revision }
+      if (isUnknown()) return undefined
+      return { changes: changesHidden ? [] : changesSince(kind, after.number), revision: store.revision() }
     },
     async get (kind, name) {
       recordCall(`get ${kind}`)
@@ -103,17 +124,17 @@
     async create (kind, name, spec) {
       recordCall(`create ${kind}`)
       if (objectsOf(kind).has(name)) return undefined
-      return record(kind, { name, revision: ++revision, spec, status: undefined }, false)
+      return record(kind, { name, revision: nextRevision(), spec, status: undefined }, false)
     },
     async replace (kind, name, spec, expected) {
       recordCall(`replace ${kind}`)
       const object = objectsOf(kind).get(name)
-      return object?.revision === expected ? record(kind, { ...object, revision: ++revision, spec }, false) : undefined
+      return hasRevision(object, expected) ? record(kind, { ...object!, revision: nextRevision(), spec }, false) : undefined
     },
     async replaceStatus (kind, name, status, expected) {
       recordCall(`status ${kind}`)
       const object = objectsOf(kind).get(name)
-      return object?.revision === expected ? record(kind, { ...object, revision: ++revision, status }, false) : undefined
+      return hasRevision(object, expected) ? record(kind, { ...object!, revision: nextRevision(), status }, false) : undefined
     },
     async delete (kind, name) {
       recordCall(`delete ${kind}`)
--- a/src/core/feed-relay/constants.ts
+++ b/src/core/feed-relay/constants.ts
@@ -28,3 +28,8 @@
 export const RECOVERY_REPORT_MS = 5000
 /** Size of a spec in JSON above which followers read it from the store; sending 25 copies would occupy a 10 Mbit/s link for a third of a second. */
 export const LARGE_OBJECT_BYTES = 16 * 1024
+/**
+ * Time after a restore of the store for which what was known before stands against the older copy, unless it is written
+ * again. The writers do so within about two seconds, and the store expires the entries of ended backend servers within four.
+ */
+export const RESTORED_HOLD_MS = 4000
--- a/src/core/feed-relay/index.ts
+++ b/src/core/feed-relay/index.ts
@@ -9,7 +9,7 @@
 import type { VmId } from '../ids/index.ts'
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import { createObjectFeed, type ObjectFeed, type ObjectStore, type StoredObject } from '../object-feed/index.ts'
+import { createObjectFeed, isAfter, type ObjectFeed, type ObjectStore, type Revision, type StoredObject } from '../object-feed/index.ts'
 import { COALESCE_MS, MAX_CONFIRMATION_AGE_MS, MAX_RELAYS_TRIED, POLL_HOLD_MS, POLL_TIMEOUT_MS, RELAY_BACKOFF_MS, ROLE_CHECK_PERIOD_MS } from './constants.ts'
 import { chooseRelays } from './relay-choice.ts'
 import { createReplica, type Replica } from './replica.ts'
@@ -169,7 +169,7 @@
   /** Responds to the poll of another VM, immediately if there are changes and otherwise after the hold. */
   async function answerPoll ({ known: knownRevisions, holdMs }: FeedPoll): Promise<FeedPollResponse> {
     const receivedMs = clock.now()
-    const hasChanges = () => [...kinds].some(([kind, { replica }]) => (replica.revision() ?? -1) > (knownRevisions[kind] ?? -1))
+    const hasChanges = () => [...kinds].some(([kind, { replica }]) => isNewer(replica.revision(), knownRevisions[kind] ?? undefined))
     if (holdMs > 0 && hasCurrentCopies() && !hasChanges()) await waitForChanges(Math.min(holdMs, POLL_HOLD_MS, MAX_CONFIRMATION_AGE_MS - confirmationAgeMs()))
     const heldMs = clock.now() - receivedMs
     if (!hasCurrentCopies()) return { heldMs }
@@ -220,4 +220,8 @@
   }
 }
 
+function isNewer (revision: Revision | undefined, known: Revision | undefined): boolean {
+  return revision !== undefined && (known === undefined || isAfter(revision, known))
+}
+
 export type FeedRelay = ReturnType<typeof createFeedRelay>
--- a/src/core/feed-relay/replica.ts
+++ b/src/core/feed-relay/replica.ts
@@ -1,16 +1,21 @@
 /**
  * A VM's copy of all objects of one kind, independent of the source of its updates. It reports each change once and in
- * order, and keeps the most recent changes for the VMs that poll this one.
+ * order, and keeps the most recent changes for the VMs that poll this one. When the store has been restored from an older
+ * copy, what the copy lacks or has back is withheld for a time, because its writers write it again.
  */
-import type { Clock } from '../clock/index.ts'
-import type { Change, SendTime, StoredObject } from '../object-feed/index.ts'
-import { LARGE_OBJECT_BYTES, MAX_RECENT_CHANGES, RECOVERY_REPORT_MS } from './constants.ts'
+import type { Clock, TimerCancel } from '../clock/index.ts'
+import { isAfter, isSameRevision, type Change, type Revision, type SendTime, type StoredObject } from '../object-feed/index.ts'
+import { LARGE_OBJECT_BYTES, MAX_RECENT_CHANGES, RECOVERY_REPORT_MS, RESTORED_HOLD_MS } from './constants.ts'
 import type { KindSubscription, KindUpdate, RelayedObject } from './types.ts'
 
-interface RecentChange { change: Change, revision: number }
+interface RecentChange { change: Change, revision: Revision }
 
 const specSizes = new WeakMap<StoredObject, number>()
 
+function hasSameContent (left: StoredObject, right: StoredObject): boolean {
+  return JSON.stringify([left.spec, left.status]) === JSON.stringify([right.spec, right.status])
+}
+
 /** Omits a spec that is too large for the link of a relay with many followers; followers read such objects from the store. */
 function withoutLargeSpec (object: StoredObject): RelayedObject {
   const bytes = specSizes.get(object) ?? JSON.stringify(object.spec ?? null).length
@@ -20,16 +25,19 @@
   return { name, revision, isLarge: true }
 }
 
-export function createReplica ({ onSnapshot, onChange, onConfirmed, onStoreRecovered }: KindSubscription, clock: Clock) {
+export function createReplica ({ onSnapshot, onChange, onConfirmed, onStoreRecovered, onStoreRestored, keepsKnownContent = false }: KindSubscription, clock: Clock) {
   const objects = new Map<string, StoredObject>()
-  let revision: number | undefined
+  let revision: Revision | undefined
   const recentChanges: RecentChange[] = []
   /** Revision after which no change is missing from the recent changes. */
-  let completeSince = 0
+  let completeSince: Revision = { era: 0, number: 0 }
+  /** Changes to what was known that only a restored copy of the store shows, by the names of the objects. */
+  const withheld = new Map<string, Change>()
+  let cancelRelease: TimerCancel | undefined
   let confirmed: SendTime = { monotonicMs: -Infinity, wallMs: -Infinity }
   let recoveredMs = -Infinity
 
-  function applySnapshot (listedObjects: readonly StoredObject[], listRevision: number): void {
+  function applySnapshot (listedObjects: readonly StoredObject[], listRevision: Revision): void {
     if (revision === undefined) {
       for (const object of listedObjects) objects.set(object.name, object)
       completeSince = listRevision
@@ -37,24 +45,58 @@
       onSnapshot([...listedObjects])
       return
     }
-    if (listRevision < revision) return
+    if (isAfter(revision, listRevision)) return
+    if (listRevision.era > revision.era) return applyRestored(listedObjects, listRevision)
     // A later list is converted to changes, so that followers do not have to receive the complete list.
+    for (const change of changesTo(listedObjects)) applyChange(change, listRevision)
+    revision = listRevision
+  }
+
+  /** Changes from this copy to a complete list, including objects that the list contains unchanged. */
+  function changesTo (listedObjects: readonly StoredObject[]): Change[] {
     const names = new Set(listedObjects.map(({ name }) => name))
     const missing = [...objects.values()].filter(({ name }) => !names.has(name))
-    for (const object of missing) applyChange({ object, deleted: true }, listRevision)
-    for (const object of listedObjects) applyChange({ object, deleted: false }, listRevision)
+    return [...missing.map(object => ({ object, deleted: true })), ...listedObjects.map(object => ({ object, deleted: false }))]
+  }
+
+  function applyRestored (listedObjects: readonly StoredObject[], listRevision: Revision): void {
+    recordRecovery()
+    onStoreRestored?.(listedObjects)
+    const deletedNames = new Set(recentChanges.filter(({ change }) => change.deleted).map(({ change }) => change.object.name))
+    for (const change of changesTo(listedObjects)) {
+      const { object, deleted } = change
+      const known = objects.get(object.name)
+      if (deleted) objects.delete(object.name)
+      else objects.set(object.name, object)
+      if (known && !deleted && hasSameContent(known, object)) continue
+      const isGoneOrBack = known ? deleted : deletedNames.has(object.name)
+      if (isGoneOrBack || (known && keepsKnownContent)) withheld.set(object.name, change)
+      else onChange(change)
+    }
+    // The followers have other differences to the restored copy, so they need all of it.
+    recentChanges.length = 0
+    completeSince = listRevision
     revision = listRevision
+    cancelRelease?.()
+    cancelRelease = clock.after(RESTORED_HOLD_MS, releaseWithheld)
+  }
+
+  function releaseWithheld (): void {
+    const changes = [...withheld.values()]
+    withheld.clear()
+    for (const change of changes) onChange(change)
   }
 
-  function applyChange (change: Change, batchRevision: number): void {
+  function applyChange (change: Change, batchRevision: Revision): void {
     const { object, deleted } = change
     const existing = objects.get(object.name)
-    revision = Math.max(revision ?? 0, batchRevision)
-    if (existing ? existing.revision > object.revision || (!deleted && existing.revision === object.revision) : deleted) return
+    if (!revision || isAfter(batchRevision, revision)) revision = batchRevision
+    if (existing ? isAfter(existing.revision, object.revision) || (!deleted && isSameRevision(existing.revision, object.revision)) : deleted) return
     if (deleted) objects.delete(object.name)
     else objects.set(object.name, object)
     recentChanges.push({ change, revision: batchRevision })
     if (recentChanges.length > MAX_RECENT_CHANGES) completeSince = recentChanges.shift()!.revision
+    withheld.delete(object.name)
     onChange(change)
   }
 
@@ -75,7 +117,7 @@
     applySnapshot,
     applyChange,
     /** Records that there are no further changes up to a revision. */
-    advance (to: number): void { if (revision !== undefined && to > revision) revision = to },
+    advance (to: Revision): void { if (revision !== undefined && isAfter(to, revision)) revision = to },
     confirm (sent: SendTime): void {
       if (sent.monotonicMs > confirmed.monotonicMs) confirmed = sent
       onConfirmed?.(sent)
@@ -90,12 +132,12 @@
      * revision gets no changes: if there were later ones, either this copy would contain them or its stated age would be
      * wrong.
      */
-    updateSince (knownRevision: number | null): KindUpdate | undefined {
+    updateSince (knownRevision: Revision | null): KindUpdate | undefined {
       if (revision === undefined) return undefined
       const regainedAgoMs = clock.now() - recoveredMs
       const update: KindUpdate = { revision, ageMs: ageMs(), ...regainedAgoMs < RECOVERY_REPORT_MS && { regainedAgoMs } }
-      if (knownRevision === null || knownRevision < completeSince) return { ...update, objects: [...objects.values()].map(withoutLargeSpec) }
-      const changes = recentChanges.filter(entry => entry.revision > knownRevision).map(({ change }) => ({ ...change, object: withoutLargeSpec(change.object) }))
+      if (knownRevision === null || isAfter(completeSince, knownRevision)) return { ...update, objects: [...objects.values()].map(withoutLargeSpec) }
+      const changes = recentChanges.filter(entry => isAfter(entry.revision, knownRevision)).map(({ change }) => ({ ...change, object: withoutLargeSpec(change.object) }))
       return changes.length > 0 ? { ...update, changes } : update
     }
   }
--- a/src/core/object-feed/index.ts
+++ b/src/core/object-feed/index.ts
@@ -9,8 +9,10 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS } from './constants.ts'
+import { isAfter, type Revision } from './revision.ts'
 import type { Change, ObjectSource, SendTime, StoredObject } from './types.ts'
 
+export { isAfter, isSameRevision } from './revision.ts'
 export type * from './types.ts'
 
 export interface ObjectFeedOptions {
@@ -23,9 +25,9 @@
   /** Pause after a response with changes, in milliseconds, so that changes in quick succession cost one call. */
   coalesceMs?: number
   /** Called with all objects and the revision of the list. */
-  onSnapshot(objects: StoredObject[], revision: number): void
+  onSnapshot(objects: StoredObject[], revision: Revision): void
   /** Called with a change and the revision of the response that contained it. */
-  onChange(change: Change, revision: number): void
+  onChange(change: Change, revision: Revision): void
   /** Called at the first response after failed calls, before the changes in it are applied. */
   onStoreRecovered?: () => void
   /** Called when all changes up to a call are applied, with the times at which the call was sent. */
@@ -52,7 +54,7 @@
   let activeRun: number | undefined
   let startCount = 0
   /** Revision up to which the changes have been read; `undefined` when the objects must be listed. */
-  let position: number | undefined
+  let position: Revision | undefined
   let lastListMs = -Infinity
   let lastResponseMs = clock.now()
   let disconnected = false
@@ -78,7 +80,7 @@
       const snapshot = await source.list(kind)
       if (!isCurrentRun()) return
       recordResponse()
-      if (position !== undefined && snapshot.revision < position) return
+      if (position !== undefined && isAfter(position, snapshot.revision)) return
       position = snapshot.revision
       lastListMs = sentMs
       onSnapshot(snapshot.objects, snapshot.revision)
--- a/src/core/version-trial/index.ts
+++ b/src/core/version-trial/index.ts
@@ -8,6 +8,7 @@
 import type { Clock, TimerCancel } from '../clock/index.ts'
 import { errorMessage } from '../errors/index.ts'
 import type { BootId, ServiceId, VersionId, VmId } from '../ids/index.ts'
+import { isAfter } from '../object-feed/index.ts'
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { hashFraction, rendezvousOrder } from '../placement/rendezvous.ts'
@@ -96,7 +97,7 @@
 
   function apply (order: RolloutOrder): void {
     const existing = trials.get(order.name)
-    if (existing && existing.order.revision > order.revision) return
+    if (existing && isAfter(existing.order.revision, order.revision)) return
     if (existing && existing.order.target === order.target) {
       if (existing.order.state !== order.state) log.info('roll-out', { service: order.service, target: order.target, state: order.state ?? 'ordered' })
       // A final state in the store takes precedence over this VM's unconfirmed one and is never left.
--- a/src/core/version-trial/types.ts
+++ b/src/core/version-trial/types.ts
@@ -1,11 +1,12 @@
 /** Types of version trials: a service moves to a new version in stages while failures and latency are compared. */
 import type { ServiceId, VersionId } from '../ids/index.ts'
+import type { Revision } from '../object-feed/index.ts'
 
 /** An operator's order to move a service to a version. */
 export interface RolloutOrder {
   name: string
   /** Revision of the order's object in the store. */
-  revision: number
+  revision: Revision
   service: ServiceId
   target: VersionId
   durationMs: number
