Hold to what backend servers said before the store was restored

What callers would see: requests sent to a backend server that is leaving or to an earlier process of one, because a restored store has an older entry of it; and servers that the copy lacks taken away from under running requests.

Cause: an entry replaced the known one whatever it said.

Why this works: a process that leaves does not come back, and an entry with an earlier start is one of an earlier process; both hold whether the store was restored or not. Servers that the copy lacks get the grace period that those missing after an outage get.

The scenarios fail without the change.

--- a/features/steps/traffic-decisions.ts
+++ b/features/steps/traffic-decisions.ts
@@ -163,6 +163,30 @@
   this.pool.applySnapshot([entry('a')])
 })
 
+When('the store was restored from a copy with only a', function (this: PoolWorld) {
+  this.pool.markStoreRecovered()
+  this.pool.markStoreRestored(new Set(['a']))
+})
+
+const EARLIER_PROCESS = { startedWallMs: 1000 }
+const LATEST_PROCESS = { startedWallMs: 2000, address: '127.0.0.1:2' }
+
+When('b leaves', function (this: PoolWorld) {
+  this.pool.apply(entry('b', EARLIER_PROCESS))
+  this.pool.apply(entry('b', { ...EARLIER_PROCESS, leaving: true }))
+})
+
+When('b restarts', function (this: PoolWorld) {
+  this.pool.apply(entry('b', EARLIER_PROCESS))
+  this.pool.apply(entry('b', LATEST_PROCESS))
+})
+
+When('the earlier entry of b is read again', function (this: PoolWorld) { this.pool.apply(entry('b', EARLIER_PROCESS)) })
+
+Then('the pool knows the latest process of b', function (this: PoolWorld) {
+  assert.equal(this.pool.list(SERVICE).find(({ entry: { id } }) => id === 'b')!.entry.startedWallMs, LATEST_PROCESS.startedWallMs)
+})
+
 When(/^(\d+) ms pass in the pool$/, async function (this: PoolWorld, ms: string) { await this.clock.advance(Number(ms)) })
 When('a request to b is answered by another backend server', function (this: PoolWorld) {
   this.pool.recordMisdirected(this.pool.list(SERVICE).find(({ entry: { id } }) => id === 'b')!)
--- a/features/traffic-decisions.feature
+++ b/features/traffic-decisions.feature
@@ -54,6 +54,27 @@
     When 2100 ms pass in the pool
     Then the pool offers a
 
+  Scenario: backend servers that a restored store lacks are kept for the grace period
+    Given a pool with backend servers a, b
+    When the store was restored from a copy with only a
+    Then the pool offers a, b
+    When 2100 ms pass in the pool
+    Then the pool offers a
+
+  # Guards against requests to a backend server that leaves, or to an earlier process of one, because an older entry says so.
+  Scenario: an older entry of a backend server that leaves does not bring it back
+    Given a pool with backend servers a, b
+    When b leaves
+    And the earlier entry of b is read again
+    Then the pool offers a
+
+  Scenario: an older entry of a backend server that has restarted does not bring the earlier process back
+    Given a pool with backend servers a, b
+    When b restarts
+    And the earlier entry of b is read again
+    Then the pool offers a, b
+    And the pool knows the latest process of b
+
   Scenario: an entry that is written again within the grace period stays
     Given a pool with backend servers a, b
     When the store recovers and lists only a
--- a/src/core/backend-pool/index.ts
+++ b/src/core/backend-pool/index.ts
@@ -38,6 +38,8 @@
   remove(id: BackendServerId): void
   /** Records that the store responds again; missing entries are kept for a grace period from then on. */
   markStoreRecovered(): void
+  /** Records which backend servers a copy contains from which the store was restored; the others must write their entries again within the grace period. */
+  markStoreRestored(names: ReadonlySet<string>): void
   /** Sets the data centres that must get no new requests. */
   setOutOfService(dataCentres: ReadonlySet<DataCentreId>): void
   /** Backend servers of a service that may get requests, whether or not they have capacity. */
@@ -82,10 +84,13 @@
 
   function apply (entry: BackendEntry): void {
     const existing = backends.get(entry.id)
+    // The store may have been restored from a copy with the entry of an earlier process.
+    if (existing && entry.startedWallMs !== undefined && entry.startedWallMs < (existing.entry.startedWallMs ?? -Infinity)) return
     const restarted = existing && (existing.entry.startedWallMs !== entry.startedWallMs || existing.entry.address !== entry.address)
     if (existing && !restarted) {
       if (!existing.entry.leaving && entry.leaving) log.info('backend server is leaving', { backendServer: entry.id, service: entry.service })
-      existing.entry = entry
+      // A process that leaves does not come back, whatever an older entry says.
+      existing.entry = { ...entry, leaving: entry.leaving || existing.entry.leaving }
       existing.isMissing = false
       return
     }
@@ -217,6 +222,9 @@
       cancelDropMissing?.()
       cancelDropMissing = clock.after(STORE_RECOVERY_GRACE_MS, dropMissing)
     },
+    markStoreRestored (names) {
+      for (const backend of backends.values()) if (!names.has(backend.entry.id)) backend.isMissing = true
+    },
     applySnapshot (entries) {
       const listed = new Set(entries.map(({ id }) => id))
       for (const entry of entries) apply(entry)
--- a/src/core/forwarding-vm/feeds.ts
+++ b/src/core/forwarding-vm/feeds.ts
@@ -43,6 +43,7 @@
       waitMs: FEED_POLL_WAIT_MS,
       coalesceMs: BACKENDS_COALESCE_MS,
       onStoreRecovered: () => pool.markStoreRecovered(),
+      onStoreRestored: objects => pool.markStoreRestored(new Set(objects.map(({ name }) => name))),
       onSnapshot: objects => pool.applySnapshot(objects.flatMap(decodeBackend)),
       onChange: ({ object, deleted }) => {
         const [entry] = deleted ? [] : decodeBackend(object)
