Write the state of a roll-out again that a restored store has lost

What callers would see: a roll-out that was completed or rolled back is taken as running or just ordered again. Requests go to versions that the decision had ruled out, or to backend servers that no longer run.

Cause: the state in the store replaced the known one, in the belief that a final state is never left.

Why this works: a roll-out only moves forward. A state behind the known one keeps the latter as unconfirmed, which the deciding VM writes. An earlier order with another version waits for the operator to write.

The scenarios of a roll-out whose state the store has lost fail without the change.

--- a/features/steps/version-trial.ts
+++ b/features/steps/version-trial.ts
@@ -163,6 +163,14 @@
   assert.equal(this.repeatedOnNew, expected === 'new')
 })
 
+When(/^the store is restored to when the order was (ordered|running)$/, async function (this: TrialWorld, state: string) {
+  this.order = { ...this.order, revision: { era: 2, number: 1 }, state: state === 'running' ? state : undefined }
+  for (const trials of this.vms.values()) trials.applyRestored(this.order)
+  await this.clock.advance(1500)
+})
+
+Then(/^the order is (completed|rolled_back) again$/, function (this: TrialWorld, state: string) { assert.equal(this.order.state, state) })
+
 Then('the order is rolled back', function (this: TrialWorld) { assert.equal(this.order.state, 'rolled_back') })
 
 Then(/^at most (\d+) % of the requests use the new version in the first half$/, function (this: TrialWorld, maxPercent: string) {
--- a/features/traffic-decisions.feature
+++ b/features/traffic-decisions.feature
@@ -183,6 +183,20 @@
     Then the order is rolled back within 4000 ms
     And no VM sends requests to the new version
 
+  # Guards against a roll-out that goes back, because a restored store has lost its state.
+  Scenario Outline: a roll-out whose state the store has lost stays <state>, and its state is written again
+    Given a roll-out of 20 s that 9 VMs follow
+    When <traffic>
+    And the store is restored to when the order was <stored>
+    Then the order is <state> again
+    And <versions>
+
+    Examples:
+      | state       | stored  | traffic                                     | versions                                     |
+      | completed   | running | 400 sessions send requests all the time     | every VM sends requests only to the new version |
+      | completed   | ordered | 400 sessions send requests all the time     | every VM sends requests only to the new version |
+      | rolled_back | running | the new version fails half of its requests  | no VM sends requests to the new version      |
+
   Scenario: a version that fails on one route only is rolled back
     Given a roll-out of 20 s that 9 VMs follow
     When the new version fails on one of 4 routes
--- a/src/core/forwarding-vm/feeds.ts
+++ b/src/core/forwarding-vm/feeds.ts
@@ -68,6 +68,9 @@
     follow({
       kind: kinds.rollouts,
       waitMs: FEED_POLL_WAIT_MS,
+      // An earlier order may name another version; the state of the known order is written again.
+      keepsKnownContent: true,
+      onStoreRestored: objects => { for (const order of objects.flatMap(decodeRollout)) trials.applyRestored(order) },
       onSnapshot: objects => trials.applyAll(objects.flatMap(decodeRollout)),
       onChange: ({ object, deleted }) => {
         if (deleted) trials.remove(object.name)
--- a/src/core/version-trial/index.ts
+++ b/src/core/version-trial/index.ts
@@ -17,7 +17,7 @@
 } from './constants.ts'
 import { createRequestCounter, sumByRoute, sumTrialCounts, type RequestCounter, type RequestObservation, type RouteCounts } from './counts.ts'
 import { createTrialEvaluator, hasEnoughRequests, type TrialEvaluator } from './evidence.ts'
-import type { FinalState, RolloutOrder, RolloutState } from './types.ts'
+import type { RolloutOrder, RolloutState } from './types.ts'
 
 export type { RequestEnd, RequestObservation } from './counts.ts'
 export type { RolloutOrder, RolloutState } from './types.ts'
@@ -71,8 +71,8 @@
 interface Trial {
   order: RolloutOrder
   receivedAtMs: number
-  /** Final state that this VM decided on and the store has not confirmed yet. */
-  unconfirmedState: FinalState | undefined
+  /** Final state that this VM decided on and the store has not confirmed yet, or a state that a restored store has lost. */
+  unconfirmedState: RolloutState | undefined
   /** Monotonic time at which this VM received the takeover state. */
   takeoverSinceMs: number | undefined
   /** Monotonic time since which a status change is due. */
@@ -88,6 +88,9 @@
   isWriting: boolean
 }
 
+/** A roll-out only moves to states of a higher rank. */
+const STATE_RANKS: Record<RolloutState | 'ordered', number> = { ordered: 0, running: 1, taking_over: 2, completed: 3, rolled_back: 3 }
+
 const ANY_VERSION: VersionRule = { allows: () => true, backendShare: 1 }
 
 export function createVersionTrials (options: VersionTrialsOptions) {
@@ -100,8 +103,10 @@
     if (existing && isAfter(existing.order.revision, order.revision)) return
     if (existing && existing.order.target === order.target) {
       if (existing.order.state !== order.state) log.info('roll-out', { service: order.service, target: order.target, state: order.state ?? 'ordered' })
+      const knownState = stateOf(existing)
       // A final state in the store takes precedence over this VM's unconfirmed one and is never left.
       existing.order = order
+      existing.unconfirmedState = STATE_RANKS[order.state ?? 'ordered'] < STATE_RANKS[knownState ?? 'ordered'] ? knownState : undefined
       if (order.state === 'taking_over') existing.takeoverSinceMs ??= clock.now()
       return
     }
@@ -247,6 +252,10 @@
       for (const name of [...trials.keys()]) if (!names.has(name)) trials.delete(name)
       for (const order of orders) apply(order)
     },
+    /** Applies an order of a copy from which the store was restored, if it is known: states that the copy lacks are written again. */
+    applyRestored (order: RolloutOrder): void {
+      if (trials.get(order.name)?.order.target === order.target) apply(order)
+    },
     remove (name: string): void { trials.delete(name) },
     versionRule,
     observe,
