Write the system's own objects again that a restored store has lost

What callers would see: VMs that do not find each other, limits that are divided among too few VMs, and requests that crash backend servers sent on by VMs that start later.

Cause: a VM registered again only if its own entry was deleted, not if an earlier start of it stood there; the key of the links was read once, at the start; quarantines were written once.

Why this works: when a VM sees that the store was restored, it registers again unless its own entry is there, and reads the key: it stores its own one if there is none, and accepts both if a VM that started in between has stored another. Of the quarantines that the copy lacks, the first live VM in the order of each writes it again.

The scenario 'a VM writes its objects again when the store was restored from a copy without them' fails without the change.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -332,3 +332,14 @@
     Then the VM is registered
     When the window of the rate limits has passed
     Then the VM is not registered
+
+  # Guards against a fleet that does not find itself again, and forgets quarantines, after the store was restored.
+  Scenario: a VM writes its objects again when the store was restored from a copy without them
+    Given a copy of the store from before the start of a VM with 4 backend servers that stream-crash
+    When a caller sends the prompt shared,topic,deadly,own-1
+    And a caller sends the prompt shared,topic,own-2
+    Then the store holds 1 quarantine
+    When the store is restored from the copy
+    Then the VM is registered
+    And the store holds 1 quarantine
+    And the store has the same key of the links
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -2,7 +2,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { brandId, type DataCentreId, type VmId } from '../../src/core/ids/index.ts'
 import { COLD_WINDOW_MS } from '../../src/core/backend-pool/constants.ts'
-import { FLEET_COALESCE_MS, FLEET_KIND } from '../../src/core/fleet/constants.ts'
+import { FLEET_COALESCE_MS, FLEET_KIND, KEY_KIND, KEY_NAME } from '../../src/core/fleet/constants.ts'
 import { ACCEPT_AFTER_STOP_MS, BACKENDS_COALESCE_MS, STOP_CHECK_PERIOD_MS } from '../../src/core/forwarding-vm/constants.ts'
 import { PART_KIND, QUARANTINE_DURATION_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from '../../src/core/quarantine/constants.ts'
 import { exchangeBytes, backendEntry, KINDS, startForwardingVmHarness, trafficConfig, type ForwardingVmHarness, type RawResponse } from '../support/forwarding-vm-harness.ts'
@@ -11,6 +11,8 @@
 
 interface ForwardingWorld {
   harness: ForwardingVmHarness
+  secondVm: ForwardingVmHarness
+  restoreStore(): void
   backends: ScriptedBackend[]
   responses: RawResponse[]
   startedMs: number
@@ -20,6 +22,7 @@
 
 After({ tags: '@forwarding' }, async function (this: Partial<ForwardingWorld>) {
   await this.harness?.vm.close()
+  await this.secondVm?.vm.close()
   for (const backend of this.backends ?? []) await backend.close()
 })
 
@@ -337,3 +340,24 @@
 Then(/^the VM is (not )?ready$/, async function (this: ForwardingWorld, not: string | null) {
   assert.equal(await isReady(this), not === null)
 })
+
+When('the store is restored from the copy', async function (this: ForwardingWorld) {
+  this.restoreStore()
+  // Longer than one poll for the VMs' entries with its pause after changes.
+  await sleep(FLEET_COALESCE_MS + 1000)
+})
+
+Given(/^a copy of the store from before the start of a VM with (\d+) backend servers that (\S+)$/, async function (this: ForwardingWorld, count: string, behaviours: string) {
+  const store = createMemoryStore()
+  this.restoreStore = store.copy()
+  await startVmWithBackends(this, Number(count), behaviours, { store })
+})
+
+Then('the store has the same key of the links', async function (this: ForwardingWorld) {
+  const key = (await this.harness.store.get(KEY_KIND, KEY_NAME))?.spec
+  this.secondVm = await startForwardingVmHarness({ store: this.harness.store, overrides: { vm: brandId<VmId>('vm-2') } })
+  assert.ok(key)
+  // The directory names a VM that the links have reached.
+  const namesBoth = async () => (await (await fetch(`http://${this.harness.settings.directoryAddress}/`)).text()).includes(this.secondVm.settings.callerAddress)
+  for (const endMs = performance.now() + 4000; !await namesBoth(); await sleep(50)) assert.ok(performance.now() < endMs, 'the VMs do not reach each other')
+})
--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -44,6 +44,8 @@
   /** Monotonic time at which the store confirmed the entry of this process. */
   let registeredMs = Infinity
   let leaving = false
+  /** Keys of the links, the stored one first; empty before it has been read. */
+  let linkKeys: string[] = []
   let cancelCleanup: TimerCancel | undefined
 
   const peers = createPeerLinks({ identity, address: settings.peerAddress, sharedKeys: [randomId('unset')], clock, metrics, log })
@@ -74,10 +76,19 @@
     else entries.set(vm, entry)
   }
 
+  /** Writes what a store that was restored from an older copy has lost: the entry of this VM, and the key of the links. */
+  function restoreOwnObjects (objects: readonly StoredObject[]): void {
+    if (leaving) return
+    const own = objects.find(({ name }) => name === settings.vm)?.spec as FleetEntry | undefined
+    if (own?.boot !== boot) void register()
+    void restoreKey()
+  }
+
   const followedEntries = follow({
     kind: FLEET_KIND,
     waitMs: FLEET_POLL_WAIT_MS,
     coalesceMs: FLEET_COALESCE_MS,
+    onStoreRestored: restoreOwnObjects,
     onSnapshot (objects) {
       registeredVms = undefined
       for (const vm of [...entries.keys()]) if (vm !== settings.vm) entries.delete(vm)
@@ -112,18 +123,32 @@
     if (registered) registeredMs = Math.min(registeredMs, clock.now())
   }
 
-  async function joinPeers (): Promise<void> {
-    const keyObject = await retryUntilDone('peer_key', async () => {
-      const existing = await store.get(KEY_KIND, KEY_NAME)
-      return existing ?? await store.create(KEY_KIND, KEY_NAME, { key: randomId('key') + randomId('') })
-    })
+  /** Returns the stored key; stores the given one if there is none. */
+  async function readKey (initialKey: string): Promise<string | undefined> {
+    const keyObject = await retryUntilDone('peer_key', async () => await store.get(KEY_KIND, KEY_NAME) ?? await store.create(KEY_KIND, KEY_NAME, { key: initialKey }))
     const key = (keyObject?.spec as PeerKey | undefined)?.key
-    if (typeof key !== 'string') return
-    peers.setSharedKeys([key])
+    return typeof key === 'string' ? key : undefined
+  }
+
+  async function joinPeers (): Promise<void> {
+    const key = await readKey(randomId('key') + randomId(''))
+    if (key === undefined) return
+    linkKeys = [key]
+    peers.setSharedKeys(linkKeys)
     await peers.listen()
     await membership.start()
   }
 
+  /** VMs that started after the restore may have stored another key; both are accepted then. */
+  async function restoreKey (): Promise<void> {
+    const [ownKey] = linkKeys
+    if (ownKey === undefined) return
+    const key = await readKey(ownKey)
+    if (key === undefined || linkKeys.includes(key)) return
+    linkKeys = [key, ...linkKeys]
+    peers.setSharedKeys(linkKeys)
+  }
+
   function isLiveOrSuspect (member: Member | undefined): boolean {
     return member?.state === 'live' || member?.state === 'suspect'
   }
--- a/src/core/quarantine/part-store.ts
+++ b/src/core/quarantine/part-store.ts
@@ -21,9 +21,9 @@
   /** Subscribes to the stored quarantines. */
   follow(subscription: KindSubscription): FollowedKind
   /** The quarantine that stored crashes are added to; it is created after this store, which it writes to. */
-  quarantine: () => Pick<PartQuarantine, 'merge'>
+  quarantine: () => Pick<PartQuarantine, 'merge' | 'certainQuarantines'>
   self: VmId
-  /** Live VMs, including this one; one of them deletes expired objects. */
+  /** Live VMs, including this one; one of them deletes expired objects and writes lost ones again. */
   liveVms: () => readonly VmId[]
   clock: Clock
   log: Log
@@ -51,6 +51,7 @@
   const followed = follow({
     kind: PART_KIND,
     waitMs: PART_POLL_WAIT_MS,
+    onStoreRestored (objects) { writeMissing(new Set(objects.map(({ name }) => name))) },
     onSnapshot (objects) { for (const object of objects) apply(object) },
     onChange ({ object, deleted }) {
       if (deleted) endsWallMs.delete(object.name)
@@ -67,24 +68,34 @@
     for (const [name, endWallMs] of endsWallMs) if (endWallMs <= clock.wallMs()) deleteObject(name)
   }
 
+  /** Stores a quarantine; repeats the write until it succeeds or the quarantine ends. */
+  async function write (parts: readonly string[], crashes: readonly ReportedPartCrash[]): Promise<void> {
+    const name = objectName(parts)
+    const spec: PartSpec = { crashes: crashes.map(({ ageMs, ...crash }) => ({ ...crash, wallMs: clock.wallMs() - ageMs })) }
+    written.add(name)
+    while (written.has(name)) {
+      try {
+        await store.create(PART_KIND, name, spec)
+        return
+      } catch (error) {
+        metrics.count('retries', 'quarantine_write')
+        log.warn('a quarantine of parts of requests could not be stored; the write is repeated', { parts, error: errorMessage(error) })
+        await clock.sleep(STORE_RETRY_DELAY_MS)
+      }
+    }
+  }
+
+  /** Writes the quarantines again that a restored store has lost; one VM writes each of them. */
+  function writeMissing (storedNames: ReadonlySet<string>): void {
+    for (const { parts, crashes } of quarantine().certainQuarantines()) {
+      const name = objectName(parts)
+      if (!storedNames.has(name) && rendezvousOrder(name, liveVms())[0] === self) void write(parts, crashes)
+    }
+  }
+
   return {
     isLoaded: followed.isLoaded,
-    /** Stores a quarantine; repeats the write until it succeeds or the quarantine ends. */
-    async write (parts: readonly string[], crashes: readonly ReportedPartCrash[]): Promise<void> {
-      const name = objectName(parts)
-      const spec: PartSpec = { crashes: crashes.map(({ ageMs, ...crash }) => ({ ...crash, wallMs: clock.wallMs() - ageMs })) }
-      written.add(name)
-      while (written.has(name)) {
-        try {
-          await store.create(PART_KIND, name, spec)
-          return
-        } catch (error) {
-          metrics.count('retries', 'quarantine_write')
-          log.warn('a quarantine of parts of requests could not be stored; the write is repeated', { parts, error: errorMessage(error) })
-          await clock.sleep(STORE_RETRY_DELAY_MS)
-        }
-      }
-    },
+    write,
     remove (parts: readonly string[]): void {
       if (written.delete(objectName(parts))) deleteObject(objectName(parts))
     },
--- a/src/core/quarantine/prompt-parts.ts
+++ b/src/core/quarantine/prompt-parts.ts
@@ -39,6 +39,8 @@
   remainingMs(parts: readonly string[]): number
   /** Calls `onQuarantined` as soon as requests with these parts are refused; returns a function that cancels this. */
   watch(parts: readonly string[], onQuarantined: () => void): () => void
+  /** The certain quarantines, with the crashes that are the evidence against exactly their parts. */
+  certainQuarantines(): { parts: readonly string[], crashes: ReportedPartCrash[] }[]
   /** Evidence for the other VMs; `undefined` if there is nothing new. */
   recentEvidence(): PartEvidence | undefined
   merge(evidence: PartEvidence): void
@@ -101,12 +103,16 @@
   function start (key: string, suspect: Suspect): void {
     const { parts, isCertain } = suspect
     started.set(key, suspect)
-    const evidence = [...crashes.values()].filter(crash => parts.every(part => crash.parts.includes(part)))
+    const evidence = crashesWith(parts)
     metrics.count('quarantined', isCertain ? 'part_started' : 'part_suspected')
     log.warn('parts of requests quarantined', { parts, durationMs: durationMs(suspect), backendServers: evidence.map(({ backendServer }) => backendServer) })
     if (isCertain && evidence.some(({ isOwn }) => isOwn)) onQuarantined(parts, evidence.map(crash => toReport({ ...crash, parts })))
   }
 
+  function crashesWith (parts: readonly string[]) {
+    return [...crashes.values()].filter(crash => parts.every(part => crash.parts.includes(part)))
+  }
+
   function end (key: string, { parts, isCertain }: Suspect): void {
     started.delete(key)
     metrics.count('quarantined', 'part_lifted')
@@ -150,6 +156,8 @@
       watchers.add(watcher)
       return () => { watchers.delete(watcher) }
     },
+    certainQuarantines: () => [...started.values()].filter(({ isCertain }) => isCertain)
+      .map(({ parts }) => ({ parts, crashes: crashesWith(parts).map(crash => toReport({ ...crash, parts })) })),
     recentEvidence () {
       const recentCrashes = [...crashes.values()].filter(isRecent).map(toReport)
       const recentSurvivals = [...survivals].filter(([, survival]) => isRecent(survival)).map(([part, { begunMs }]) => [part, Math.round(clock.now() - begunMs)] as const)
