Get a newer configuration from another VM if a restored store lacks it

What callers would see: a key that had been withdrawn works again, at a VM that starts after the store came back from an older copy, or that had not read the last change before it went away.

Cause: a VM knows the configuration from the store alone, and takes each answer of the store as proof that its keys are current.

Why this works: each VM states the version that it runs in its load reports. One that is behind for a second asks the VM that reported it; one that has just started accepts no requests before. A store that was restored to an older configuration than the VM runs proves no keys until the latest one is written again, for two seconds at most.

The scenarios 'a VM keeps its configuration when the store is restored', 'a VM that starts after the store was restored gets the newer configuration from the others' and 'after a restore of the store, the keys are ...' fail without the change.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -333,6 +333,31 @@
     When the window of the rate limits has passed
     Then the VM is not registered
 
+  # Guards against configurations that come back older, and against later ones that never come into force.
+  Scenario: a VM keeps its configuration when the store is restored from an older copy, and follows the next one
+    Given a forwarding VM with 1 backend servers that answer
+    When a copy of the store is kept
+    And a configuration without the key is stored
+    And the store is restored from the copy
+    Then no key is accepted for 1500 ms
+    When a caller sends a request to /order/1
+    Then the caller gets status 401
+    When 4500 ms pass for the VM
+    And a caller sends a request to /order/1
+    Then the caller gets status 401
+    When a configuration with the key is stored
+    And a caller sends a request to /order/1
+    Then the caller gets status 200
+
+  # Guards against a VM that takes up withdrawn keys from an older copy of the store.
+  Scenario: a VM that starts after the store was restored gets the newer configuration from the others
+    Given a forwarding VM with 1 backend servers that answer
+    When a copy of the store is kept
+    And a configuration without the key is stored
+    And the store is restored from the copy
+    And a second VM starts
+    Then the second VM refuses the key and never accepts it
+
   # Guards against a fleet that does not find itself again, and forgets quarantines, after the store was restored.
   Scenario: a VM writes its objects again when the store was restored from a copy without them
     Given a copy of the store from before the start of a VM with 4 backend servers that stream-crash
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -341,12 +341,42 @@
   assert.equal(await isReady(this), not === null)
 })
 
+When('a copy of the store is kept', function (this: ForwardingWorld) { this.restoreStore = this.harness.store.copy() })
+
+When(/^a configuration with(out)? the key is stored$/, async function (this: ForwardingWorld, without: string | null) {
+  this.harness.store.put(KINDS.config, 'main', without ? trafficConfig(2, { keys: [] }) : trafficConfig(3))
+  await sleep(300)
+})
+
 When('the store is restored from the copy', async function (this: ForwardingWorld) {
   this.restoreStore()
   // Longer than one poll for the VMs' entries with its pause after changes.
   await sleep(FLEET_COALESCE_MS + 1000)
 })
 
+When(/^(\d+) ms pass for the VM$/, async (ms: string) => { await sleep(Number(ms)) })
+
+When('a second VM starts', async function (this: ForwardingWorld) {
+  this.secondVm = await startForwardingVmHarness({ store: this.harness.store, overrides: { vm: brandId<VmId>('vm-2') } })
+})
+
+/** Statuses of a request with the key that a VM answers with during a time. */
+async function statusesFor ({ settings }: ForwardingVmHarness, ms: number): Promise<number[]> {
+  const statuses = new Set<number>()
+  for (const endMs = performance.now() + ms; performance.now() < endMs; await sleep(20)) {
+    statuses.add((await exchangeBytes(settings.callerAddress, requestBytes('/order/1'))).status)
+  }
+  return [...statuses].sort()
+}
+
+Then(/^no key is accepted for (\d+) ms$/, async function (this: ForwardingWorld, ms: string) {
+  assert.ok((await statusesFor(this.harness, Number(ms))).every(status => [401, 503].includes(status)))
+})
+
+Then('the second VM refuses the key and never accepts it', async function (this: ForwardingWorld) {
+  assert.deepEqual(await statusesFor(this.secondVm, 4000), [401, 503])
+})
+
 Given(/^a copy of the store from before the start of a VM with (\d+) backend servers that (\S+)$/, async function (this: ForwardingWorld, count: string, behaviours: string) {
   const store = createMemoryStore()
   this.restoreStore = store.copy()
--- a/features/steps/traffic-decisions.ts
+++ b/features/steps/traffic-decisions.ts
@@ -39,6 +39,8 @@
   this.lease.renew({ monotonicMs: this.clock.now(), wallMs: this.clock.wallMs() })
 })
 
+When('the store is restored from an older copy', function (this: ConfigLeaseWorld) { this.lease.recordRestore() })
+When('the configuration is written again', function (this: ConfigLeaseWorld) { this.lease.recordWrite() })
 When(/^(\d+) ms pass$/, async function (this: ConfigLeaseWorld, ms: string) { await this.clock.advance(Number(ms)) })
 // The monotonic clock stops while a VM is frozen.
 When(/^the VM is frozen for (\d+) ms$/, function (this: ConfigLeaseWorld, ms: string) { this.wallShiftMs += Number(ms) })
--- a/features/traffic-decisions.feature
+++ b/features/traffic-decisions.feature
@@ -19,6 +19,20 @@
     When the VM is frozen for 6000 ms between a call and its answer
     Then the keys are not trusted
 
+  # Guards against withdrawn keys that work again because an older copy of the store confirms them.
+  Scenario Outline: after a restore of the store, the keys are <result> when <event>
+    Given a config lease of 5000 ms
+    When the store is restored from an older copy
+    And <event>
+    And the store confirms the configuration
+    Then the keys are <result>
+
+    Examples:
+      | event                              | result      |
+      | 1500 ms pass                       | not trusted |
+      | 2000 ms pass                       | trusted     |
+      | the configuration is written again | trusted     |
+
   Scenario Outline: <vms> VMs together stay within the rate limit of a cold backend server
     Given <vms> VMs with a bound of 23 requests a second to a cold backend server
     When each VM sends as many requests as its share allows within one second
--- a/src/core/forwarding-vm/constants.ts
+++ b/src/core/forwarding-vm/constants.ts
@@ -4,6 +4,10 @@
 export const CONFIG_POLL_WAIT_MS = 700
 /** Maximum wait of one such poll, as a share of the time within which a withdrawn key must stop working, so that a lost poll can be repeated in time. */
 export const CONFIG_POLL_SHARE = 0.3
+/** Time for which a VM that has started waits for the others to report their configurations, before it accepts requests; several periods of the load reports. */
+export const CONFIG_REPORT_WAIT_MS = 2000
+/** Time for which a version that another VM runs may still arrive from the store. */
+export const CONFIG_REQUEST_DELAY_MS = 1000
 /** Maximum wait of a long poll for all other kinds. A poll without a response times out one second later, which detects a dead connection. */
 export const FEED_POLL_WAIT_MS = 2000
 /** Pause after changes of backend servers, to coalesce further ones; a tenth of the time after which a leaving one must receive no more requests. */
--- a/src/core/forwarding-vm/feeds.ts
+++ b/src/core/forwarding-vm/feeds.ts
@@ -20,11 +20,13 @@
   onConfig(object: StoredObject): void
   /** Called when the store has confirmed the configuration, with the times at which the confirming call was sent. */
   onConfigConfirmed(sent: SendTime): void
+  /** Called when the store has been restored from an older copy, with the configuration in it, if any. */
+  onConfigRestored(object: StoredObject | undefined): void
   metrics: Metrics
 }
 
 export function createFeeds (options: FeedsOptions): FollowedKind[] {
-  const { settings, adapter, follow, pool, trials, onConfig, onConfigConfirmed, metrics } = options
+  const { settings, adapter, follow, pool, trials, onConfig, onConfigConfirmed, onConfigRestored, metrics } = options
   const { kinds } = adapter
   const outOfServiceDataCentres = new Set<DataCentreId>()
 
@@ -36,7 +38,8 @@
       waitMs: Math.min(CONFIG_POLL_WAIT_MS, settings.keyWithdrawalMs * CONFIG_POLL_SHARE),
       onSnapshot: objects => { for (const object of objects) if (object.name === adapter.configName) onConfig(object) },
       onChange: ({ object, deleted }) => { if (object.name === adapter.configName && !deleted) onConfig(object) },
-      onConfirmed: onConfigConfirmed
+      onConfirmed: onConfigConfirmed,
+      onStoreRestored: objects => onConfigRestored(objects.find(({ name }) => name === adapter.configName))
     }),
     follow({
       kind: kinds.backendServers,
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -31,6 +31,7 @@
 import { createFleet } from '../fleet/index.ts'
 import { ACCEPT_AFTER_STOP_MS, ADDRESS_TTL_S, MAX_ADDRESSES, MIN_REPORTED_LOAD, RELIST_HISTORY_SHARE, STOP_CHECK_PERIOD_MS, STOP_GRACE_SHARE, UNREGISTER_TIMEOUT_MS } from './constants.ts'
 import { createAssignments } from './assignment.ts'
+import { createConfigExchange } from './config-exchange.ts'
 import { createFeeds } from './feeds.ts'
 import type { ForwardingVmSettings, PlatformAdapter } from './types.ts'
 
@@ -62,6 +63,8 @@
   const log = options.log ?? createDecisionLog({ vm: settings.vm, clock })
   const metrics = createMetrics()
   let table: RouteTable | undefined
+  /** Object of the configuration that is in force. */
+  let configObject: StoredObject | undefined
   let stoppingSinceMs: number | undefined
   const configLease = createConfigLease({ maxAgeMs: settings.keyWithdrawalMs, strict: settings.strictKeyWithdrawal, clock })
   const feedRelay = createFeedRelay({
@@ -143,6 +146,8 @@
       if (promptParts) partQuarantine.merge(promptParts)
       if (limits) pool.namedLimits.merge(limits)
     },
+    configVersion: () => table?.version,
+    onConfigVersion: (from, version) => configExchange.onReport(from, version),
     collectors () {
       const { isRelay, relays } = chooseRelays(fleet.liveVms(), settings.vm)
       return { isCollector: isRelay, others: relays }
@@ -170,23 +175,56 @@
   })
   fleet.peers.handle('rollout.outcomes', report => trials.acceptReport(report as TrialReport))
 
-  function applyConfig (object: StoredObject): void {
-    let config: TrafficConfig
+  function decodeConfig (object: StoredObject): TrafficConfig | undefined {
     try {
-      config = adapter.decodeConfig(object.spec)
+      return adapter.decodeConfig(object.spec)
     } catch (error) {
       metrics.count('bad_input', 'config')
       log.error('the configuration cannot be decoded; the previous one stays in force', { revision: object.revision, error: errorMessage(error) })
-      return
+      return undefined
     }
+  }
+
+  function applyConfig (object: StoredObject): void {
+    const config = decodeConfig(object)
+    if (!config) return
     if (table && config.version <= table.version) return
     table = createRouteTable(config)
+    configObject = object
     callerServer.applyLimits(config.limits)
     metrics.count('config_applied', 'version')
     log.info('configuration in force', { version: config.version, revision: object.revision, routes: config.routes.length, teams: config.teams.length })
   }
 
-  const feeds = createFeeds({ settings, adapter, follow: feedRelay.follow, pool, trials, onConfig: applyConfig, onConfigConfirmed: sent => configLease.renew(sent), metrics })
+  const configExchange = createConfigExchange({
+    version: () => table?.version,
+    request: from => fleet.peers.request<StoredObject | undefined>(from, 'traffic-config.get', {}),
+    apply: applyConfig,
+    hasOthers: () => fleet.vms().length > 1,
+    clock,
+    log,
+    metrics
+  })
+  fleet.peers.handle('traffic-config.get', () => configObject)
+
+  const feeds = createFeeds({
+    settings,
+    adapter,
+    follow: feedRelay.follow,
+    pool,
+    trials,
+    onConfig (object) {
+      configLease.recordWrite()
+      applyConfig(object)
+    },
+    onConfigConfirmed: sent => configLease.renew(sent),
+    onConfigRestored (object) {
+      const storedVersion = object && decodeConfig(object)?.version
+      log.warn('the store was restored from an older copy', { storedVersion, version: table?.version, revision: object?.revision })
+      if ((storedVersion ?? -Infinity) < (table?.version ?? -Infinity)) configLease.recordRestore()
+    },
+    metrics
+  })
   const assignments = createAssignments({
     pool, trials, loads, table: () => table, vmCount: () => fleet.vms().length, dataCentre: settings.dataCentre, random
   })
@@ -260,7 +298,7 @@
   }
 
   function isLoaded (): boolean {
-    return table !== undefined && feeds.every(feed => feed.isLoaded()) && fleet.isLoaded() && partStore.isLoaded()
+    return table !== undefined && feeds.every(feed => feed.isLoaded()) && fleet.isLoaded() && partStore.isLoaded() && configExchange.isSettled()
   }
 
   function isReady (): boolean {
--- a/src/core/load-exchange/index.ts
+++ b/src/core/load-exchange/index.ts
@@ -17,7 +17,7 @@
 export type LoadReport = Record<BackendServerId, number>
 
 /** What a VM reports to another one. */
-export interface VmReport { loads: LoadReport, evidence?: FleetEvidence }
+export interface VmReport { loads: LoadReport, evidence?: FleetEvidence, configVersion?: number }
 
 /** Evidence that one VM has and all must know; receivers pass on what is new to them. */
 export interface FleetEvidence { promptParts?: PartEvidence, limits?: ReportedLimits }
@@ -37,6 +37,10 @@
   /** Recent evidence for the other VMs, if any. */
   recentEvidence?: () => FleetEvidence | undefined
   onEvidence?: (evidence: FleetEvidence) => void
+  /** Version of the configuration that is in force on this VM. */
+  configVersion?: () => number | undefined
+  /** Called with the version that is in force on another VM. */
+  onConfigVersion?: (from: VmId, version: number) => void
   collectors: () => Collectors
   send(to: VmId, report: VmReport): void
   /** Reports to a collector and resolves with the load of all other VMs; rejects when the collector does not respond in time. */
@@ -55,7 +59,7 @@
 }
 
 export function createLoadExchange (options: LoadExchangeOptions): LoadExchange {
-  const { vms, self, ownLoad, recentEvidence = () => undefined, onEvidence = () => {}, collectors, send, collect, clock, metrics } = options
+  const { vms, self, ownLoad, recentEvidence = () => undefined, onEvidence = () => {}, configVersion = () => undefined, onConfigVersion = () => {}, collectors, send, collect, clock, metrics } = options
   const reports = new Map<VmId, { report: LoadReport, atMs: number }>()
   let loadSums = new Map<BackendServerId, number>()
   /** The latest response of a collector. */
@@ -63,8 +67,8 @@
   /** Whether a report to a collector is in progress. */
   let isReporting = false
   let periodCount = 0
-  /** Whether the last direct report was empty; further empty reports are not sent. */
-  let wasIdle = false
+  /** VMs that have got an empty report since the last load; further empty reports are not sent to them. */
+  let idleReceivers: readonly VmId[] = []
   let cancelTimer: TimerCancel | undefined
 
   function addToSums (report: LoadReport, sign: 1 | -1): void {
@@ -95,9 +99,8 @@
     collectedLoads = undefined
     const report = toReport(ownLoad())
     const isIdle = Object.keys(report.loads).length === 0 && !report.evidence
-    if (isIdle && wasIdle) return
-    wasIdle = isIdle
-    for (const vm of others) send(vm, report)
+    for (const vm of others) if (!isIdle || !idleReceivers.includes(vm)) send(vm, report)
+    idleReceivers = isIdle ? others : []
   }
 
   async function reportToCollector (collectorVms: readonly VmId[]): Promise<void> {
@@ -105,9 +108,9 @@
     isReporting = true
     for (const vm of collectorVms) {
       try {
-        const { loads, evidence } = await collect(vm, toReport(ownLoad()), COLLECT_TIMEOUT_MS)
-        collectedLoads = { loads, atMs: clock.now() }
-        if (evidence) onEvidence(evidence)
+        const response = await collect(vm, toReport(ownLoad()), COLLECT_TIMEOUT_MS)
+        collectedLoads = { loads: response.loads, atMs: clock.now() }
+        acceptFacts(vm, response)
         break
       } catch {
         metrics.count('retries', 'load_report')
@@ -118,7 +121,13 @@
 
   function toReport (loads: LoadReport): VmReport {
     const evidence = recentEvidence()
-    return evidence ? { loads, evidence } : { loads }
+    const version = configVersion()
+    return { loads, ...evidence && { evidence }, ...version !== undefined && { configVersion: version } }
+  }
+
+  function acceptFacts (from: VmId, { evidence, configVersion: version }: VmReport): void {
+    if (evidence) onEvidence(evidence)
+    if (version !== undefined) onConfigVersion(from, version)
   }
 
   /** Load of this VM and of all VMs that reported to it, except the excluded ones. */
@@ -132,8 +141,9 @@
   }
 
   return {
-    accept (from, { loads: report, evidence }) {
-      if (evidence) onEvidence(evidence)
+    accept (from, vmReport) {
+      const { loads: report } = vmReport
+      acceptFacts(from, vmReport)
       const previous = reports.get(from)?.report
       reports.set(from, { report, atMs: clock.now() })
       if (previous) addToSums(previous, -1)
