--- a/features/support/memory-store.ts
+++ b/features/support/memory-store.ts
@@ -17,6 +17,9 @@
   copy(): () => void
   /** Revision of the latest change. */
   revision(): Revision
+  /** Reads without a call. */
+  peek(kind: string, name: string): StoredObject | undefined
+  names(kind: string): string[]
   /** Operation and kind of each call, in order. */
   calls: string[]
 }
@@ -93,6 +96,8 @@
       }
     },
     revision: () => ({ era, number: revision }),
+    peek: (kind, name) => objectsOf(kind).get(name),
+    names: kind => [...objectsOf(kind).keys()],
     async list (kind) {
       recordCall(`list ${kind}`)
       if (kindsDown.has(kind)) throw new ObjectApiError('object_api_unavailable')
