Take keys as unproven until a restored store has the latest configuration

What callers would see: a withdrawn key that works at a VM that has not read its withdrawal, because the older configuration of a restored store ended the time for which it proves nothing.

Cause: any configuration read from the store counted as written again.

Why this works: only one that is at least as new as the one in force does.

The scenario 'a store that was restored to an older configuration proves no keys until the latest one is written again' fails without the change.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -349,6 +349,18 @@
     And a caller sends a request to /order/1
     Then the caller gets status 200
 
+  # Guards against keys that are taken as proven by a store that lacks the latest configuration.
+  Scenario: a store that was restored to an older configuration proves no keys until the latest one is written again
+    Given a forwarding VM with 1 backend servers that answer
+    When a copy of the store is kept
+    And a configuration with the key is stored
+    And the store is restored from the copy for 1400 ms
+    And a caller sends a request to /order/1
+    Then the caller gets status 503
+    When a configuration with the key is stored
+    And a caller sends a request to /order/1
+    Then the caller gets status 200
+
   # Guards against a VM that takes up withdrawn keys from an older copy of the store.
   Scenario: a VM that starts after the store was restored gets the newer configuration from the others
     Given a forwarding VM with 1 backend servers that answer
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -354,6 +354,11 @@
   await sleep(FLEET_COALESCE_MS + 1000)
 })
 
+When(/^the store is restored from the copy for (\d+) ms$/, async function (this: ForwardingWorld, ms: string) {
+  this.restoreStore()
+  await sleep(Number(ms))
+})
+
 When(/^(\d+) ms pass for the VM$/, async (ms: string) => { await sleep(Number(ms)) })
 
 When('a second VM starts', async function (this: ForwardingWorld) {
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -188,7 +188,9 @@
   function applyConfig (object: StoredObject): void {
     const config = decodeConfig(object)
     if (!config) return
-    if (table && config.version <= table.version) return
+    if (table && config.version < table.version) return
+    configLease.recordWrite()
+    if (config.version === table?.version) return
     table = createRouteTable(config)
     configObject = object
     callerServer.applyLimits(config.limits)
@@ -213,10 +215,7 @@
     follow: feedRelay.follow,
     pool,
     trials,
-    onConfig (object) {
-      configLease.recordWrite()
-      applyConfig(object)
-    },
+    onConfig: applyConfig,
     onConfigConfirmed: sent => configLease.renew(sent),
     onConfigRestored (object) {
       const storedVersion = object && decodeConfig(object)?.version
