Pause before an older list is read again

What operators would see: thousands of calls to the store while it returns lists that are older than what was read before, and no line.

Cause: such a list was discarded, and the next one read at once.

Lists that are older within one era remain, for example from a store that states its era in some responses only.

Why this works: the feed waits as after repeated failures, and says so.

The scenario 'a list that is older than what has been read is discarded and repeated after a pause' fails without the pause.

--- a/features/object-feed.feature
+++ b/features/object-feed.feature
@@ -33,3 +33,10 @@
     Given a feed of a kind with the objects a
     When 600 ms pass in the feed
     Then the feed has listed at least 2 times
+
+  # Guards against store calls without a pause while lists are older than what has been read.
+  Scenario: a list that is older than what has been read is discarded and repeated after a pause
+    Given a feed of a kind with the objects a
+    When lists are from before the objects b, c for 1000 ms
+    Then the feed knows a, b, c
+    And the feed has listed at most 3 times meanwhile
--- a/features/steps/object-feed.ts
+++ b/features/steps/object-feed.ts
@@ -14,6 +14,7 @@
   recoveries: number
   confirmationsMs: number[]
   listsFailFromMs: number
+  listsBefore: number
 }
 
 const KIND = 'things'
@@ -89,6 +90,27 @@
   this.store.list = list
 })
 
+When(/^lists are from before the objects b, c for (\d+) ms$/, async function (this: FeedWorld, ms: string) {
+  const { list } = this.store
+  const older = await list(KIND)
+  this.store.put(KIND, 'b', {})
+  this.store.put(KIND, 'c', {})
+  await sleep(50)
+  this.listsBefore = this.store.calls.length
+  this.store.list = async kind => {
+    await list(kind)
+    await sleep(1)
+    return older
+  }
+  await sleep(Number(ms))
+  this.store.list = list
+})
+
+Then(/^the feed has listed at most (\d+) times meanwhile$/, function (this: FeedWorld, times: string) {
+  const lists = this.store.calls.slice(this.listsBefore).filter(call => call === `list ${KIND}`).length
+  assert.ok(lists > 0 && lists <= Number(times), `${lists} times`)
+})
+
 When(/^(\d+) ms pass in the feed$/, async (ms: string) => { await sleep(Number(ms)) })
 
 Then(/^the feed knows (.*)$/, function (this: FeedWorld, names: string) {
--- a/src/core/object-feed/index.ts
+++ b/src/core/object-feed/index.ts
@@ -80,7 +80,7 @@
       const snapshot = await source.list(kind)
       if (!isCurrentRun()) return
       recordResponse()
-      if (position !== undefined && isAfter(position, snapshot.revision)) return
+      if (position !== undefined && isAfter(position, snapshot.revision)) return await discardList(snapshot.revision)
       position = snapshot.revision
       lastListMs = sentMs
       onSnapshot(snapshot.objects, snapshot.revision)
@@ -102,6 +102,12 @@
     }
   }
 
+  async function discardList (revision: Revision): Promise<void> {
+    metrics.count('retries', 'older_list')
+    log.warn('the store returned a list that is older than what has been read', { kind, revision, position })
+    await clock.sleep(MAX_RETRY_DELAY_MS)
+  }
+
   function recordResponse (): void {
     if (disconnected) {
       log.info('the store answers again', { kind, silentMs: Math.round(clock.now() - lastResponseMs) })
