--- a/features/steps/prompt-parts.ts
+++ b/features/steps/prompt-parts.ts
@@ -6,7 +6,7 @@
 import { silentLog } from '../../src/core/logging/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { rendezvousOrder } from '../../src/core/placement/rendezvous.ts'
-import { createPartQuarantine, type PartQuarantine } from '../../src/core/quarantine/prompt-parts.ts'
+import { createPartQuarantine, type PartQuarantine } from '../../src/core/quarantine/request-parts.ts'
 import { startConnectedExchange } from '../support/load-exchange.ts'
 
 interface PartsWorld {
--- a/features/support/fakes.ts
+++ b/features/support/fakes.ts
@@ -13,7 +13,7 @@
 import type { Member, Membership } from '../../src/core/membership/types.ts'
 import type { ConfigKind } from '../../src/core/object-api/types.ts'
 import type { PeerHandler, PeerLinks, PeerMessageType } from '../../src/core/peer/types.ts'
-import { createPartQuarantine } from '../../src/core/quarantine/prompt-parts.ts'
+import { createPartQuarantine } from '../../src/core/quarantine/request-parts.ts'
 import type { CrashReport, Quarantine } from '../../src/core/quarantine/types.ts'
 import type { VersionChoice, VersionOutcome, VersionRouter } from '../../src/core/routing/types.ts'
 
--- a/src/core/forwarding/crash-evidence.ts
+++ b/src/core/forwarding/crash-evidence.ts
@@ -6,7 +6,7 @@
 import { connect } from 'node:net'
 import type { Backend } from '../backend-pool/types.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
-import type { EngineCrash, PartQuarantine } from '../quarantine/prompt-parts.ts'
+import type { BackendCrash, PartQuarantine } from '../quarantine/request-parts.ts'
 import { CRASH_CHECK_TIMEOUT_MS } from './constants.ts'
 import type { AttemptOutcome } from './attempt-outcome.ts'
 import type { CallerRequest, Team } from './types.ts'
@@ -64,7 +64,7 @@
   return { kind: 'failed', error: mayHaveRun ? 'backend_failed' : 'prompt_quarantined', reason: QUARANTINE_REASON }
 }
 
-function crashOf ({ entry: { id, startedWallMs } }: Backend): EngineCrash {
+function crashOf ({ entry: { id, startedWallMs } }: Backend): BackendCrash {
   return { backendServer: id, instance: String(startedWallMs ?? 'unknown') }
 }
 
--- a/src/core/load-exchange/index.ts
+++ b/src/core/load-exchange/index.ts
@@ -10,7 +10,7 @@
 import type { Clock, TimerCancel } from '../clock/index.ts'
 import type { BackendServerId, VmId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import type { PartEvidence } from '../quarantine/prompt-parts.ts'
+import type { PartEvidence } from '../quarantine/request-parts.ts'
 import { COLLECT_TIMEOUT_MS, MAX_DIRECT_VMS, MAX_REPORT_AGE_MS, PERIODS_PER_COLLECTION, REPORT_PERIOD_MS } from './constants.ts'
 
 /** Load by backend server, in requests; backend servers without load are omitted. */
--- a/src/core/quarantine/index.ts
+++ b/src/core/quarantine/index.ts
@@ -14,7 +14,7 @@
 import { createCrashRegistry, type CrashEntry } from './crash-registry.ts'
 import { CRASH_LIMIT, QUARANTINE_DURATION_MS, REFRESH_PERIOD_MS } from './constants.ts'
 import { notificationSchema, partEvidenceSchema, type QuarantineNotification } from './messages.ts'
-import { createPartQuarantine, type PartEvidence } from './prompt-parts.ts'
+import { createPartQuarantine, type PartEvidence } from './request-parts.ts'
 import { createQuarantineStore } from './store.ts'
 import type { Quarantine } from './types.ts'
 
--- a/src/core/quarantine/part-store.ts
+++ b/src/core/quarantine/part-store.ts
@@ -14,7 +14,7 @@
 import type { VmId } from '../ids/index.ts'
 import { PART_KIND, PART_POLL_WAIT_MS, QUARANTINE_DURATION_MS, REFRESH_PERIOD_MS, STORE_RETRY_DELAY_MS } from './constants.ts'
 import { partCrashSchema } from './messages.ts'
-import type { PartQuarantine, ReportedPartCrash } from './prompt-parts.ts'
+import type { PartQuarantine, ReportedPartCrash } from './request-parts.ts'
 
 export interface PartStoreOptions {
   store: Pick<ObjectStore, 'create' | 'delete'>
--- a/src/core/quarantine/prompt-parts.ts
+++ b/src/core/quarantine/request-parts.ts
@@ -11,7 +11,7 @@
 import { EVIDENCE_REPORT_MS, MAX_PART_CRASHES, QUARANTINE_DURATION_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from './constants.ts'
 import { findSuspects, type PartCrash, type Suspect } from './part-suspects.ts'
 
-export interface EngineCrash {
+export interface BackendCrash {
   backendServer: BackendServerId
   /** Tells the runs of the backend server apart. */
   instance: string
@@ -32,7 +32,7 @@
    * Records that a backend server crashed while a request was open there; `parts` are its parts that may be at fault.
    * `wasRunning` states whether it had begun the request (default), or may only have held it. Returns whether this is new.
    */
-  recordCrash(crash: EngineCrash, parts: readonly string[], options?: { wasRunning?: boolean }): boolean
+  recordCrash(crash: BackendCrash, parts: readonly string[], options?: { wasRunning?: boolean }): boolean
   /** Records a response that a backend server began at `begunMs` on the monotonic clock and that got past the point of a crash. Returns whether it clears a part. */
   recordSurvival(parts: readonly string[], begunMs: number): boolean
   /** Time for which requests with these parts are refused, in milliseconds; 0 if they are not. */
--- a/src/core/quarantine/types.ts
+++ b/src/core/quarantine/types.ts
@@ -1,6 +1,6 @@
 /** Types of the quarantine of requests that crash backend servers. */
 import type { BackendServerId } from '../ids/index.ts'
-import type { PartQuarantine } from './prompt-parts.ts'
+import type { PartQuarantine } from './request-parts.ts'
 
 export interface CrashReport {
   fingerprint: string
