Count a response that a crash cuts off as evidence, too

What callers would see: a request that crashes a backend server after the head of its response has gone out is sent to one server after the other, as before.

Cause: such a response counted as a sign of a sound request at its head, and its end as none of a crash.

Why this works: a response that is not a stream clears the request when it is complete. One that ends before leaves evidence if the backend server refuses the next connection, as one that never began does.

The scenario 'a request to /read/deadly-late that crashes backend servers is refused when it comes again' fails without the change.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -93,10 +93,11 @@
     Then the caller gets status 200
 
     Examples:
-      | path           | other     | received |
-      | /read/deadly   | /read/1   | 4        |
-      | /order/deadly  | /order/1  | 4        |
-      | /stream/deadly | /stream/1 | 3        |
+      | path              | other     | received |
+      | /read/deadly      | /read/1   | 4        |
+      | /order/deadly     | /order/1  | 4        |
+      | /read/deadly-late | /read/1   | 4        |
+      | /stream/deadly    | /stream/1 | 3        |
 
   # Guards against sound requests that are refused because a backend server has reset their connections.
   Scenario: a request whose connections backend servers reset without a crash is not quarantined
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -111,11 +111,12 @@
   const filler = 'x'.repeat(16 * 1024)
   const behaviours: Record<BackendBehaviour, () => void> = {
     answer: () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
-    // Ends the backend server at requests to a path with "deadly": a stream after its head, others without a response.
+    // Ends the backend server at requests to a path with "deadly": after the head of the response to a stream or a path with "late".
     crash: () => {
       const isStream = head.includes('/stream/')
       if (!/^\S+ \S*deadly/.test(head)) return isStream ? behaviours.stream() : behaviours.answer()
       if (isStream) socket.write(chunked)
+      if (head.includes('late')) socket.write(`HTTP/1.1 200 OK\r\n${identityHeaders}content-length: 50\r\n\r\nwho`)
       setTimeout(crash, 20)
     },
     'answer-limited': () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}x-test-limit: 2\r\ncontent-length: 5\r\n\r\nwhole`),
--- a/src/core/forwarding/crash-evidence.ts
+++ b/src/core/forwarding/crash-evidence.ts
@@ -28,7 +28,7 @@
   watch(onQuarantined: () => void): () => void
   /** Records that a backend server ended a stream between its head and its first event. */
   recordBrokenStream(backend: Backend): void
-  /** Records a connection that ended without a response, if the process of the backend server has ended. */
+  /** Records a connection that ended without a complete response, if the process of the backend server has ended. */
   recordLostResponse(backend: Backend): Promise<void>
   /** Records that a backend server got through the point at which others crashed; `begunMs` is the monotonic time at which it began. */
   recordSurvival(begunMs: number): void
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -12,8 +12,9 @@
 import type { CapacityQueue } from '../placement/capacity-queue.ts'
 import type { PartQuarantine } from '../quarantine/request-parts.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
-import { CAPACITY_WAIT_SHARE, DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CAPACITY_WAIT_MS, MAX_CONNECT_ATTEMPTS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S, STALL_CHECK_PERIOD_MS } from './constants.ts'
+import { CAPACITY_WAIT_SHARE, DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CAPACITY_WAIT_MS, MAX_CONNECT_ATTEMPTS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
 import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, type AttemptOutcome } from './attempt-outcome.ts'
+import { pollAfter } from './poll-after.ts'
 import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome, type CrashEvidence } from './crash-evidence.ts'
 import { startExchange, type Codec, type Exchange } from './exchange.ts'
 import { isFramed, readResponse, relayEvents } from './relay.ts'
@@ -214,7 +215,7 @@
     const sentMs = clock.now()
     // A request that must run once and is already running is not given up on a suspicion.
     const cancelQuarantineWatch = route.kind === 'non_idempotent' ? () => {} : progress.crashEvidence.watch(() => exchange.abort(QUARANTINE_REASON))
-    const cancelResponseTimer = pollAfter(firstResponseTimeoutMs(route), () => {
+    const cancelResponseTimer = pollAfter(clock, firstResponseTimeoutMs(route), () => {
       const reserved = reserveFailover()
       if (reserved) exchange.abort('no response in time')
       return reserved
@@ -273,13 +274,6 @@
     return wasTaken
   }
 
-  /** Calls `tryFinish` after `delayMs` and then periodically until it returns true; returns a function that cancels the calls. */
-  function pollAfter (delayMs: number, tryFinish: () => boolean): () => void {
-    let cancel = clock.after(delayMs, check)
-    function check (): void { if (!tryFinish()) cancel = clock.after(STALL_CHECK_PERIOD_MS, check) }
-    return () => cancel()
-  }
-
   /** Reserves capacity at a backend server, and waits for it if there is none. */
   async function reserveBackend (forwarded: ForwardedRequest, progress: RequestProgress, remainingMs: number): Promise<Reservation | undefined> {
     const { request, service, route, team } = forwarded
@@ -305,7 +299,7 @@
     exchange: Exchange
     head: BackendResponseHead
     body: Parameters<typeof readResponse>[0]
-    /** Records that the request has not crashed the backend server: at the first event of a stream, or at the head of another response. */
+    /** Records that the request has not crashed the backend server: at the first event of a stream, or when another response is complete. */
     recordSurvival(): void
     recordEvent(): void
     endAttempt(end: RequestEnd): void
@@ -334,9 +328,9 @@
       endAttempt('failed')
       return retryOrFail(route, backend, 'response is not authentic')
     }
-    if (route.kind !== 'streaming') response.recordSurvival()
     const failed = head.status >= 500
     if (failed && !caller.hasStarted() && response.reserveRepeat()) {
+      if (route.kind !== 'streaming') response.recordSurvival()
       exchange.abort('failed')
       endAttempt('failed')
       return { kind: 'next', reason: `status ${head.status}`, backend }
@@ -365,8 +359,10 @@
     const bytes = await readResponse(response.body, exchange)
     if (!bytes) {
       endAttempt('failed')
+      if (!exchange.isAborted()) await progress.crashEvidence.recordLostResponse(backend)
       return retryOrFail(route, backend, 'response truncated or too large')
     }
+    if (route.kind !== 'streaming') response.recordSurvival()
     recordEvent()
     endAttempt(failed ? 'failed' : 'completed')
     if (caller.hasStarted()) return { kind: 'failed', error: 'answer_truncated', reason: `status ${head.status} after a part of the response` }
