--- a/src/core/quarantine/part-store.ts
+++ b/src/core/quarantine/part-store.ts
@@ -1,6 +1,7 @@
 /**
- * Stores the evidence behind each certain quarantine of parts of requests, so that VMs that start later, restart or are cut off from
- * the others know it as well. A VM writes the quarantines whose crashes it has seen and deletes them when they end.
+ * Stores the evidence behind each certain quarantine of parts of requests, so that VMs that start later, restart or are
+ * cut off from the others know it as well. A VM writes the quarantines whose crashes it has seen and deletes them when
+ * they end; those that a restored store has lost are written again.
  */
 import { createHash } from 'node:crypto'
 import { z } from 'zod'
