Count a later crash of the same instance as another one

Cause: crashes were told apart by the instance that the entry of a backend server states. An entry without a start time names none, and one that is not yet written again names the instance before the restart, so the next crash at the same backend server counted as the one already known: no new evidence, and no longer quarantine. Change: a crash of the same instance a second or more after the known one is one of another run. Evidence: two new rows of the quarantine feature (deadly@s1 deadly@s1@3000) fail without it and pass with it.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -163,6 +163,8 @@
       | deadly@s1 deadly@s2                      | 10000  | deadly  | accepted |
       | deadly@s1 deadly@s2 deadly@s3            | 590000 | deadly  | refused  |
       | deadly@s1 deadly@s2 deadly@s3            | 601000 | deadly  | accepted |
+      | deadly@s1 deadly@s1@3000                 | 2000   | deadly  | refused  |
+      | deadly@s1 deadly@s1@3000 deadly@s1@6000  | 590000 | deadly  | refused  |
       | a@s1 a@s2 deadly@s1 deadly@s2 deadly@s3  | 2000   | a       | accepted |
 
   # Guards against all VMs that accept a suspect again at the same moment, and each lose a backend server to it.
--- a/features/steps/prompt-parts.ts
+++ b/features/steps/prompt-parts.ts
@@ -38,18 +38,21 @@
   })
 })
 
-// A crash is written as REQUEST@BACKEND-SERVER.
-function recordCrashes ({ vms }: PartsWorld, crashes: string, partsOfRequest: (request: string) => string[], wasRunning: boolean): void {
-  crashes.split(' ').forEach((crash, index) => {
-    const [request, id] = crash.split('@') as [string, string]
+// A crash is written as REQUEST@BACKEND-SERVER, with @MS after it for one that comes so long after the first.
+async function recordCrashes ({ clock, vms }: PartsWorld, crashes: string, partsOfRequest: (request: string) => string[], wasRunning: boolean): Promise<void> {
+  let elapsedMs = 0
+  for (const [index, crash] of crashes.split(' ').entries()) {
+    const [request, id, atMs = elapsedMs] = crash.split('@') as [string, string, string?]
+    await clock.advance(Number(atMs) - elapsedMs)
+    elapsedMs = Number(atMs)
     vms[index]!.quarantine.recordCrash({ backendServer: brandId<BackendServerId>(id), instance: '1' }, partsOfRequest(request), { wasRunning })
-  })
+  }
 }
 
-When(/^each of these crashes is seen by another VM: (.*)$/, function (this: PartsWorld, crashes: string) { recordCrashes(this, crashes, partsOf, true) })
+When(/^each of these crashes is seen by another VM: (.*)$/, async function (this: PartsWorld, crashes: string) { await recordCrashes(this, crashes, partsOf, true) })
 
-When(/^each of these crashes with open requests is seen by another VM: (.*)$/, function (this: PartsWorld, crashes: string) {
-  recordCrashes(this, crashes, request => [request], false)
+When(/^each of these crashes with open requests is seen by another VM: (.*)$/, async function (this: PartsWorld, crashes: string) {
+  await recordCrashes(this, crashes, request => [request], false)
 })
 
 When(/^the VMs exchange evidence for (\d+) ms$/, async function (this: PartsWorld, ms: string) { await this.clock.advance(Number(ms)) })
--- a/src/core/quarantine/constants.ts
+++ b/src/core/quarantine/constants.ts
@@ -4,6 +4,8 @@
 export const QUARANTINE_DURATION_MS = 600_000
 /** Crashes from which on a request that backend servers only held is at fault; sound requests beside it rarely meet as many. */
 export const UNCERTAIN_CRASH_LIMIT = 3
+/** Time within which reports of crashes of one instance are about the same crash; a backend server is away for longer after a crash. */
+export const SAME_CRASH_MS = 1000
 /**
  * Quarantine of such a request after fewer crashes, on the first VM that accepts it again; on the last one it is twice as
  * long. It outlasts the absence of a crashed backend server, so that the next attempt shows who was at fault.
--- a/src/core/quarantine/request-parts.ts
+++ b/src/core/quarantine/request-parts.ts
@@ -8,7 +8,7 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { BackendServerId } from '../ids/index.ts'
-import { EVIDENCE_REPORT_MS, MAX_PART_CRASHES, QUARANTINE_DURATION_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from './constants.ts'
+import { EVIDENCE_REPORT_MS, MAX_PART_CRASHES, QUARANTINE_DURATION_MS, SAME_CRASH_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from './constants.ts'
 import { findSuspects, type PartCrash, type Suspect } from './part-suspects.ts'
 
 export interface BackendCrash {
@@ -61,9 +61,12 @@
   metrics: Metrics
 }
 
+/** A crash with the name of the run that ended; `reportedInstance` is what the entry of the backend server stated. */
+interface RecordedCrash extends PartCrash { reportedInstance: string, learnedMs: number, isOwn: boolean }
+
 export function createPartQuarantine ({ onQuarantined = () => {}, onEnded = () => {}, trialPlace = () => 0, clock, log, metrics }: PartQuarantineOptions): PartQuarantine {
-  /** By instance and parts, oldest first. */
-  const crashes = new Map<string, PartCrash & { learnedMs: number, isOwn: boolean }>()
+  /** By run and parts, oldest first. */
+  const crashes = new Map<string, RecordedCrash>()
   const survivals = new Map<string, { begunMs: number, learnedMs: number }>()
   const watchers = new Set<{ parts: readonly string[], onQuarantined: () => void }>()
   /** The parts that are refused together, with the time of the latest crash. */
@@ -71,15 +74,25 @@
   /** The quarantines that have started, by the names of their parts in one text. */
   const started = new Map<string, Suspect>()
 
-  function add ({ backendServer, instance, parts, wasRunning, atMs }: PartCrash, isOwn: boolean): boolean {
+  function add ({ backendServer, instance: reportedInstance, parts, wasRunning, atMs }: PartCrash, isOwn: boolean): boolean {
+    const instance = runOf(reportedInstance, atMs)
     const key = [instance, ...parts].join()
     if (parts.length === 0 || crashes.has(key) || clock.now() - atMs >= QUARANTINE_DURATION_MS) return false
     if (crashes.size >= MAX_PART_CRASHES) crashes.delete(crashes.keys().next().value!)
-    crashes.set(key, { backendServer, instance, parts, wasRunning, atMs, isOwn, learnedMs: clock.now() })
+    crashes.set(key, { backendServer, instance, reportedInstance, parts, wasRunning, atMs, isOwn, learnedMs: clock.now() })
     metrics.count('quarantined', isOwn ? 'part_crash_seen' : 'part_crash_reported')
     return true
   }
 
+  /**
+   * Name of the run that ended at a time. An entry may still state the instance before a restart, or none, so a later
+   * crash of the same instance is one of another run.
+   */
+  function runOf (instance: string, atMs: number): string {
+    const known = [...crashes.values()].find(crash => crash.reportedInstance === instance && Math.abs(crash.atMs - atMs) < SAME_CRASH_MS)
+    return known?.instance ?? `${instance}@${Math.round(atMs)}`
+  }
+
   function addSurvival (part: string, begunMs: number): boolean {
     const known = survivals.get(part)
     if (known && known.begunMs >= begunMs) return false
@@ -132,7 +145,7 @@
     return isCertain ? QUARANTINE_DURATION_MS : UNCERTAIN_QUARANTINE_DURATION_MS * (1 + trialPlace(parts))
   }
 
-  function toReport ({ backendServer, instance, parts, wasRunning, atMs }: PartCrash): ReportedPartCrash {
+  function toReport ({ backendServer, reportedInstance: instance, parts, wasRunning, atMs }: RecordedCrash): ReportedPartCrash {
     return { backendServer, instance, parts: [...parts], wasRunning, ageMs: Math.round(clock.now() - atMs) }
   }
 
