Refuse a request only briefly for crashes of one moment

Cause: each crash counted as evidence of its own, though requests that are open together are retried together; and a response from right before the crashes was forgotten, as only responses after a crash cleared it. Change: the long quarantine of a request that backend servers only held needs crashes of more than one moment; until then the short one applies. A response begun up to 2 s before a crash clears such a request. Prompt parts that engines crash on while they run them are judged as before. Changed rows: 'deadly@s1 deadly@s2 deadly@s3' was refused for ten minutes at once; the row now has its third crash after the short quarantine, with the same bounds, and new rows state both sides of the rule.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -161,8 +161,10 @@
       | deadly@s1 deadly@s2 other@s1             | 2000   | other   | accepted |
       | deadly@s1 deadly@s2                      | 2000   | deadly  | refused  |
       | deadly@s1 deadly@s2                      | 10000  | deadly  | accepted |
-      | deadly@s1 deadly@s2 deadly@s3            | 590000 | deadly  | refused  |
-      | deadly@s1 deadly@s2 deadly@s3            | 601000 | deadly  | accepted |
+      | deadly@s1 deadly@s2 deadly@s3@6000       | 590000 | deadly  | refused  |
+      | deadly@s1 deadly@s2 deadly@s3@6000       | 601000 | deadly  | accepted |
+      | deadly@s1 deadly@s2 deadly@s3            | 2000   | deadly  | refused  |
+      | open@s1 open@s2 open@s3                  | 11000  | open    | accepted |
       | deadly@s1 deadly@s1@3000                 | 2000   | deadly  | refused  |
       | deadly@s1 deadly@s1@3000 deadly@s1@6000  | 590000 | deadly  | refused  |
       | a@s1 a@s2 deadly@s1 deadly@s2 deadly@s3  | 2000   | a       | accepted |
@@ -187,3 +189,27 @@
     When one VM gets a response to the request common
     And the VMs exchange evidence for 2000 ms
     Then the request common is accepted on all VMs
+
+  # Guards against the refusal of a sound request that many callers send word for word, because it was open at crashes of another one.
+  Scenario Outline: a request that got a response <ms> ms before crashes with it is <state>
+    Given 9 VMs that exchange evidence about prompt parts
+    When one VM gets a response to the request common
+    And the VMs exchange evidence for <ms> ms
+    And each of these crashes with open requests is seen by another VM: common@s1 common@s2 common@s3
+    And the VMs exchange evidence for 600 ms
+    Then the request common is <state> on all VMs
+
+    Examples:
+      | ms   | state    |
+      | 300  | accepted |
+      | 1900 | accepted |
+      | 2100 | refused  |
+
+  # Guards against a prompt part that turns deadly and is spared because it was sound before.
+  Scenario: a part that engines crash on while they run it is refused, whatever responses came before
+    Given 9 VMs that exchange evidence about prompt parts
+    When one VM gets the first event of the prompt a,part,3
+    And the VMs exchange evidence for 300 ms
+    And each of these crashes is seen by another VM: a,part,1@s1 b,part,2@s2
+    And the VMs exchange evidence for 600 ms
+    Then the prompt c,part,4 is refused on all VMs
--- a/src/core/quarantine/part-suspects.ts
+++ b/src/core/quarantine/part-suspects.ts
@@ -4,7 +4,7 @@
  * each of them.
  */
 import type { BackendServerId } from '../ids/index.ts'
-import { CRASH_LIMIT, UNCERTAIN_CRASH_LIMIT } from './constants.ts'
+import { CRASH_LIMIT, SAME_MOMENT_MS, UNCERTAIN_CRASH_LIMIT } from './constants.ts'
 
 /** One request that was open at a backend server when it crashed. */
 export interface PartCrash {
@@ -29,11 +29,18 @@
 /** Returns the parts that were in requests at the end of at least CRASH_LIMIT instances and are not cleared. */
 export function findSuspects (crashes: readonly PartCrash[], isCleared: (part: string, crash: PartCrash) => boolean): Suspect[] {
   const instancesByPart = new Map<string, Set<string>>()
+  const timesByPart = new Map<string, { firstMs: number, lastMs: number }>()
   const open = crashes.map(crash => ({ ...crash, parts: crash.parts.filter(part => !isCleared(part, crash)) }))
-  for (const { parts, instance } of open) {
-    for (const part of parts) instancesByPart.set(part, (instancesByPart.get(part) ?? new Set()).add(instance))
+  for (const { parts, instance, atMs } of open) {
+    for (const part of parts) {
+      instancesByPart.set(part, (instancesByPart.get(part) ?? new Set()).add(instance))
+      const { firstMs, lastMs } = timesByPart.get(part) ?? { firstMs: atMs, lastMs: atMs }
+      timesByPart.set(part, { firstMs: Math.min(firstMs, atMs), lastMs: Math.max(lastMs, atMs) })
+    }
   }
   const countOf = (part: string) => instancesByPart.get(part)!.size
+  // What was open beside the culprit at one moment may meet all crashes of that moment; a later one it meets only by chance.
+  const cameAgain = (part: string) => timesByPart.get(part)!.lastMs - timesByPart.get(part)!.firstMs >= SAME_MOMENT_MS
   const candidates = open.map(({ instance, parts, atMs, wasRunning }) => {
     const count = Math.max(0, ...parts.map(countOf))
     return { instance, atMs, count, wasRunning, parts: parts.filter(part => countOf(part) === count).sort() }
@@ -49,7 +56,7 @@
     suspects.set(key, {
       parts,
       lastCrashMs: Math.max(atMs, known?.lastCrashMs ?? -Infinity),
-      isCertain: wasRunning || count >= UNCERTAIN_CRASH_LIMIT || known?.isCertain === true
+      isCertain: wasRunning || (count >= UNCERTAIN_CRASH_LIMIT && parts.some(cameAgain)) || known?.isCertain === true
     })
   }
   return [...suspects.values()]
--- a/src/core/quarantine/request-parts.ts
+++ b/src/core/quarantine/request-parts.ts
@@ -8,8 +8,9 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { BackendServerId } from '../ids/index.ts'
-import { EVIDENCE_REPORT_MS, MAX_PART_CRASHES, QUARANTINE_DURATION_MS, SAME_CRASH_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from './constants.ts'
+import { EVIDENCE_REPORT_MS, MAX_PART_CRASHES, QUARANTINE_DURATION_MS, SAME_CRASH_MS, SOUND_AFTER_SURVIVAL_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from './constants.ts'
 import { findSuspects, type PartCrash, type Suspect } from './part-suspects.ts'
+import { createRecentSurvivals } from './recent-survivals.ts'
 
 export interface BackendCrash {
   backendServer: BackendServerId
@@ -64,9 +65,19 @@
 /** A crash with the name of the run that ended; `reportedInstance` is what the entry of the backend server stated. */
 interface RecordedCrash extends PartCrash { reportedInstance: string, learnedMs: number, isOwn: boolean }
 
+/**
+ * Whether a response that was begun at a time shows that a part was not at fault at a crash. A request that backend
+ * servers only held is also cleared by a response from shortly before: many callers may send the same sound request.
+ */
+function clears (begunMs: number | undefined, { atMs, wasRunning }: PartCrash): boolean {
+  return begunMs !== undefined && begunMs > atMs - (wasRunning ? 0 : SOUND_AFTER_SURVIVAL_MS)
+}
+
 export function createPartQuarantine ({ onQuarantined = () => {}, onEnded = () => {}, trialPlace = () => 0, clock, log, metrics }: PartQuarantineOptions): PartQuarantine {
   /** By run and parts, oldest first. */
   const crashes = new Map<string, RecordedCrash>()
+  /** What responses showed before there was a crash to clear. */
+  const recentSurvivals = createRecentSurvivals(clock)
   const survivals = new Map<string, { begunMs: number, learnedMs: number }>()
   const watchers = new Set<{ parts: readonly string[], onQuarantined: () => void }>()
   /** The parts that are refused together, with the time of the latest crash. */
@@ -80,6 +91,10 @@
     if (parts.length === 0 || crashes.has(key) || clock.now() - atMs >= QUARANTINE_DURATION_MS) return false
     if (crashes.size >= MAX_PART_CRASHES) crashes.delete(crashes.keys().next().value!)
     crashes.set(key, { backendServer, instance, reportedInstance, parts, wasRunning, atMs, isOwn, learnedMs: clock.now() })
+    for (const part of parts) {
+      const begunMs = recentSurvivals.begunMs(part)
+      if (begunMs !== undefined) addSurvival(part, begunMs)
+    }
     metrics.count('quarantined', isOwn ? 'part_crash_seen' : 'part_crash_reported')
     return true
   }
@@ -97,7 +112,8 @@
     const known = survivals.get(part)
     if (known && known.begunMs >= begunMs) return false
     // Only what clears a part of a recorded crash is kept and reported.
-    if (![...crashes.values()].some(({ parts, atMs }) => parts.includes(part) && atMs < begunMs && (known?.begunMs ?? -Infinity) < atMs)) return false
+    const isClearing = (crash: PartCrash) => crash.parts.includes(part) && clears(begunMs, crash) && !clears(known?.begunMs, crash)
+    if (![...crashes.values()].some(isClearing)) return false
     survivals.set(part, { begunMs, learnedMs: clock.now() })
     return true
   }
@@ -105,7 +121,7 @@
   function update (): void {
     for (const [key, { atMs }] of crashes) if (clock.now() - atMs >= QUARANTINE_DURATION_MS) crashes.delete(key)
     if (crashes.size === 0) survivals.clear()
-    const isCleared = (part: string, { atMs }: PartCrash) => (survivals.get(part)?.begunMs ?? -Infinity) > atMs
+    const isCleared = (part: string, crash: PartCrash) => clears(survivals.get(part)?.begunMs, crash)
     suspects = findSuspects([...crashes.values()], isCleared)
     const current = new Map(suspects.map(suspect => [suspect.parts.join(), suspect]))
     for (const [key, suspect] of current) if (!started.has(key) || (suspect.isCertain && !started.get(key)!.isCertain)) start(key, suspect)
@@ -158,6 +174,7 @@
       return isNew
     },
     recordSurvival (parts, begunMs) {
+      recentSurvivals.record(parts, begunMs)
       if (crashes.size === 0) return false
       const isNew = parts.filter(part => addSurvival(part, begunMs)).length > 0
       if (isNew) update()
