Follow the store through relays in each data centre, and start through them

Cause: each VM that starts follows all kinds in the store until it has met the others; each relay, one for 24 VMs, follows the store; relays and collectors are chosen without regard to data centres. Change: two roots follow the store at any size. In a fleet of more than 50 VMs, one relay for 24 VMs of each data centre polls a root, and the others poll a relay in their own data centre. A VM that starts reads only the list of the VMs from the store and looks for a relay among these for up to 2.5 s. Held polls end when the store confirms the configuration again, so a confirmation does not age on its way through two relays. Load reports are summed by one VM of each data centre. Evidence: the new scenarios fail with the changes taken out (start of 89 VMs: 1,137 calls, 606 are allowed; age of a confirmation 1,394 and 1,982 ms, 1,000 are allowed). Changed checks: the memory store of the tests woke watches of other kinds, which no store does. The bound of 30 messages for the load of 89 VMs is 40 now, as there is a collector in each of six data centres, and so is the bound for 340 VMs, which was 100 for 300.

--- a/features/feed-relay.feature
+++ b/features/feed-relay.feature
@@ -116,14 +116,41 @@
     And another VM joins
     Then every VM knows b, c within 1500 ms
 
-  Scenario Outline: <vms> VMs choose <relays> relays and distribute their polls among them
+  # Guards against calls to the store and copies between data centres that grow with the number of VMs.
+  Scenario Outline: of <vms> VMs in 6 data centres, <roots> follow the store and <relays> pass it on
     Given <vms> VMs that choose their relays
-    Then <relays> VMs are relays and none of them is asked by more than <most> VMs
+    Then <roots> VMs follow the store and <relays> relays poll those, and none is asked by more than <most> VMs
+    And every VM of a large fleet that is no relay polls one in its own data centre first
 
     Examples:
-      | vms | relays | most |
-      | 1   | 1      | 0    |
-      | 3   | 2      | 1    |
-      | 9   | 2      | 7    |
-      | 89  | 4      | 40   |
-      | 300 | 13     | 45   |
+      | vms | roots | relays | most |
+      | 1   | 1     | 0      | 0    |
+      | 3   | 2     | 0      | 1    |
+      | 9   | 2     | 0      | 7    |
+      | 50  | 2     | 0      | 40   |
+      | 89  | 2     | 6      | 20   |
+      | 195 | 2     | 12     | 30   |
+      | 340 | 2     | 18     | 35   |
+
+  # Guards against a start at which each VM follows the store until it has met the others.
+  Scenario Outline: <vms> VMs that start together read little from the store
+    Given <vms> VMs that start together with the objects a, b
+    When 4000 ms pass in the fleet
+    Then every VM knows a, b
+    And the VMs have made at most 4 calls to the store each, and 250 for the whole fleet besides
+
+    Examples:
+      | vms |
+      | 9   |
+      | 89  |
+
+  # Guards against keys that are refused because a confirmation grew old on its way through two relays.
+  Scenario Outline: confirmations reach all of <vms> VMs within one poll of the store
+    Given <vms> VMs that follow a kind with the objects a, b
+    When 1500 ms pass in the fleet
+    Then no VM's confirmation gets older than 1000 ms within 2000 ms
+
+    Examples:
+      | vms |
+      | 8   |
+      | 89  |
--- a/features/support/load-exchange.ts
+++ b/features/support/load-exchange.ts
@@ -1,9 +1,10 @@
 /** Connects the load exchanges of VMs in this process; reports are copied, as the network would. */
 import type { Clock } from '../../src/core/clock/index.ts'
-import { chooseRelays } from '../../src/core/feed-relay/relay-choice.ts'
+import { chooseCollectors } from '../../src/core/feed-relay/relay-choice.ts'
 import type { VmId } from '../../src/core/ids/index.ts'
 import { createLoadExchange, type FleetEvidence, type LoadExchange, type VmReport } from '../../src/core/load-exchange/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import { placeVm, placeVms } from './vms.ts'
 
 export interface ConnectedExchangeOptions {
   self: VmId
@@ -23,10 +24,7 @@
     ownLoad: () => ({}),
     recentEvidence,
     onEvidence,
-    collectors () {
-      const { isRelay, relays } = chooseRelays(names, self)
-      return { isCollector: isRelay, others: relays }
-    },
+    collectors: () => chooseCollectors(placeVms(names), placeVm(self)),
     send: deliver,
     collect: async (to, report) => deliver(to, report),
     clock,
--- a/features/support/memory-store.ts
+++ b/features/support/memory-store.ts
@@ -111,11 +111,12 @@
         await new Promise<void>(resolve => {
           const finish = () => {
             clearTimeout(timer)
-            waiting.delete(finish)
+            waiting.delete(wake)
             resolve()
           }
           const timer = setTimeout(finish, waitMs)
-          waiting.add(finish)
+          const wake = () => { if (down || isUnknown() || changesSince(kind, after.number).length > 0) finish() }
+          waiting.add(wake)
         })
       }
       if (down) throw new ObjectApiError('object_api_unavailable')
--- a/features/support/vms.ts
+++ b/features/support/vms.ts
@@ -1,9 +1,20 @@
 /** In-process member lists and peer links whose member states and message losses tests control. */
 import { PeerError } from '../../src/core/errors/index.ts'
 import { brandId, type BootId, type DataCentreId, type RegionId, type VmId } from '../../src/core/ids/index.ts'
+import type { PlacedVm } from '../../src/core/feed-relay/relay-choice.ts'
 import type { Member, Membership, MemberState } from '../../src/core/membership/types.ts'
 import type { PeerHandler, PeerLinks, PeerMessageType } from '../../src/core/peer/types.ts'
 
+const DATA_CENTRES = 6
+
+/** Puts a VM whose name ends with a number into one of six data centres. */
+export function placeVm (vm: VmId): PlacedVm {
+  const number = Number(/\d+$/.exec(vm)?.[0] ?? 0)
+  return { vm, dataCentre: brandId<DataCentreId>(`dc-${number % DATA_CENTRES}`) }
+}
+
+export const placeVms = (vms: readonly VmId[]): PlacedVm[] => vms.map(placeVm)
+
 /** Creates one member list that all VMs share. */
 export function createMemberList () {
   const members = new Map<VmId, Member>()
--- a/features/traffic-decisions.feature
+++ b/features/traffic-decisions.feature
@@ -295,8 +295,9 @@
     Examples:
       | vms | most |
       | 8   | 112  |
-      | 89  | 30   |
-      | 300 | 100  |
+      | 89  | 40   |
+      | 195 | 40   |
+      | 340 | 40   |
 
   Scenario Outline: the splitter finds the events of a stream that arrives in chunks of <bytes> bytes
     Given a stream of 3 events in chunks of <bytes> bytes
--- a/src/core/feed-relay/constants.ts
+++ b/src/core/feed-relay/constants.ts
@@ -1,13 +1,24 @@
 /** Periods and limits of the relays. */
 
-/** Number of VMs per relay; a relay then answers about 25 polls per second. */
+/** Number of VMs of a data centre per relay; a relay then answers about 35 polls per second. */
 export const VMS_PER_RELAY = 24
-/** Minimum number of relays, so that no other VM has to poll the store directly when one of them fails. */
-export const MIN_RELAYS = 2
-/** Time for which a relay holds a poll while there are no changes. */
-export const POLL_HOLD_MS = 700
+/** Number of VMs that follow the store, so that no other VM has to when one of them fails. */
+export const ROOTS = 2
+/** Number of other VMs up to which all of them poll the roots. */
+export const MAX_ROOT_FOLLOWERS = 48
+/**
+ * Time for which a relay holds a poll while there are no changes. It ends early when the store confirms the
+ * configuration again, about every 700 ms, so that a confirmation does not grow older on its way through several relays.
+ */
+export const POLL_HOLD_MS = 850
 /** Timeout of a poll beyond its hold. A round trip takes a few milliseconds, or some tens if the relay is busy. */
-export const POLL_TIMEOUT_MS = 400
+export const POLL_TIMEOUT_MS = 300
+/** Time for which a poll is held at least when there is only a newer confirmation; bounds the polls a relay gets. */
+export const MIN_HOLD_MS = 350
+/** Time for which a VM that starts looks for a relay before it follows the store. If all VMs start together, the roots need about a second. */
+export const START_RELAY_WAIT_MS = 2500
+/** Mean pause between two attempts to find a relay in that time. */
+export const START_RETRY_MS = 150
 /** Number of relays that are polled one after the other before the store is followed directly; busy relays are often silent together. */
 export const MAX_RELAYS_TRIED = 3
 /** Delay between a change and the responses to held polls, so that changes in quick succession are sent together. */
--- a/src/core/feed-relay/index.ts
+++ b/src/core/feed-relay/index.ts
@@ -1,7 +1,7 @@
 /**
  * Replicates the store's objects to all VMs with few calls to the store: some VMs, the relays, follow the store and the
- * others follow a relay. A VM follows the store directly while it is a relay, knows too few other VMs, or finds no relay
- * with current copies. A relay's response contains the age of the store's confirmation, so that a VM knows the age of
+ * others follow a relay. A VM follows the store directly while it is a root, knows too few other VMs, or finds no relay
+ * with current copies. A VM that starts reads only the list of the VMs from the store and then looks for a relay. A relay's response contains the age of the store's confirmation, so that a VM knows the age of
  * its data whatever the source.
  */
 import type { Clock, TimerCancel } from '../clock/index.ts'
@@ -10,22 +10,24 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { createObjectFeed, isAfter, type ObjectFeed, type ObjectStore, type Revision, type StoredObject } from '../object-feed/index.ts'
-import { COALESCE_MS, MAX_CONFIRMATION_AGE_MS, MAX_RELAYS_TRIED, POLL_HOLD_MS, POLL_TIMEOUT_MS, RELAY_BACKOFF_MS, ROLE_CHECK_PERIOD_MS } from './constants.ts'
-import { chooseRelays } from './relay-choice.ts'
+import { COALESCE_MS, MAX_CONFIRMATION_AGE_MS, MAX_RELAYS_TRIED, MIN_HOLD_MS, POLL_HOLD_MS, POLL_TIMEOUT_MS, RELAY_BACKOFF_MS, ROLE_CHECK_PERIOD_MS, START_RELAY_WAIT_MS, START_RETRY_MS } from './constants.ts'
+import { chooseRelays, type PlacedVm } from './relay-choice.ts'
 import { createReplica, type Replica } from './replica.ts'
 import type { FeedPoll, FeedPollResponse, KindSubscription, KindUpdate, RelayedObject } from './types.ts'
 
 export type { FeedPoll, FeedPollResponse, KindSubscription } from './types.ts'
 
 export interface FeedRelayOptions {
-  self: VmId
+  self: PlacedVm
   store: Pick<ObjectStore, 'list' | 'watch' | 'get'>
   /** Maximum time between two lists of one kind, in milliseconds; must be shorter than the store's history. */
   relistMs: number
   /** Kind whose confirmation shows that a relay can reach the store; this kind has the shortest polls. */
   confirmationKind: string
-  /** Live VMs, including this one. */
-  liveVms: () => readonly VmId[]
+  /** Kind that names the other VMs; a VM that starts reads it from the store before it looks for a relay. */
+  vmKind: string
+  /** Live VMs. */
+  liveVms: () => readonly PlacedVm[]
   poll(to: VmId, poll: FeedPoll, timeoutMs: number): Promise<FeedPollResponse>
   clock: Clock
   log: Log
@@ -40,15 +42,18 @@
   confirmedMs(): number
 }
 
+interface HeldPoll { sinceMs: number, finish(): void }
+
 interface Kind { subscription: KindSubscription, replica: Replica, feed: ObjectFeed }
 
 export function createFeedRelay (options: FeedRelayOptions) {
-  const { self, store, relistMs, confirmationKind, liveVms, poll, clock, log, metrics, random } = options
+  const { self, store, relistMs, confirmationKind, vmKind, liveVms, poll, clock, log, metrics, random } = options
   const kinds = new Map<string, Kind>()
   const backoffUntilMs = new Map<VmId, number>()
-  /** Callbacks that end the holds of other VMs' polls, one for each poll that waits for changes. */
-  const heldPolls = new Set<() => void>()
+  /** Polls of other VMs that wait for changes. */
+  const heldPolls = new Set<HeldPoll>()
   let running = false
+  let startedMs = -Infinity
   /** Current source of the copies; undefined before the start. */
   let source: VmId | 'store' | undefined
   let cancelCoalesce: TimerCancel | undefined
@@ -63,6 +68,10 @@
       onChange (change) {
         subscription.onChange(change)
         scheduleHeldResponses()
+      },
+      onConfirmed (sent) {
+        subscription.onConfirmed?.(sent)
+        if (subscription.kind === confirmationKind) finishHeldPolls(MIN_HOLD_MS)
       }
     }, clock)
     const { kind, waitMs, coalesceMs = 0 } = subscription
@@ -89,10 +98,14 @@
     if (heldPolls.size === 0) return
     cancelCoalesce ??= clock.after(COALESCE_MS, () => {
       cancelCoalesce = undefined
-      for (const finishHold of [...heldPolls]) finishHold()
+      finishHeldPolls()
     })
   }
 
+  function finishHeldPolls (minHeldMs = 0): void {
+    for (const { sinceMs, finish } of [...heldPolls]) if (clock.now() - sinceMs >= minHeldMs) finish()
+  }
+
   function switchSource (next: VmId | 'store'): void {
     if (source === next) return
     log.info('the store is followed through', { source: next, before: source })
@@ -105,16 +118,37 @@
   }
 
   async function run (): Promise<void> {
+    await loadVms()
     for (;;) {
-      const { isRelay, relays } = chooseRelays(liveVms(), self)
-      const usableRelays = relays.filter(vm => (backoffUntilMs.get(vm) ?? -Infinity) <= clock.now())
-      const relay = isRelay ? undefined : await pollAvailableRelay(usableRelays)
       if (!running) return
-      switchSource(relay ?? 'store')
-      if (!relay) await clock.sleep(ROLE_CHECK_PERIOD_MS)
+      const { isRoot, sources } = chooseRelays(liveVms(), self)
+      const usableSources = sources.filter(vm => (backoffUntilMs.get(vm) ?? -Infinity) <= clock.now())
+      const relay = isRoot ? undefined : await pollAvailableRelay(usableSources)
+      if (!running) return
+      if (relay !== undefined || isRoot || !isStarting()) switchSource(relay ?? 'store')
+      if (relay === undefined) await clock.sleep(isStarting() ? startRetryMs() : ROLE_CHECK_PERIOD_MS)
     }
   }
 
+  /** Reads the list of the VMs from the store, alone: the other kinds come from a relay, if there is one. */
+  async function loadVms (): Promise<void> {
+    const { feed, replica } = kinds.get(vmKind)!
+    feed.start()
+    for (;;) {
+      if (!running || replica.isLoaded()) return
+      await clock.sleep(START_RETRY_MS / 5)
+    }
+  }
+
+  /** Whether this VM has no source yet and may wait for a relay; all VMs may have started at the same time. */
+  function isStarting (): boolean {
+    return source === undefined && clock.now() - startedMs < START_RELAY_WAIT_MS
+  }
+
+  function startRetryMs (): number {
+    return START_RETRY_MS * (0.5 + random())
+  }
+
   /** Polls the relays in order until one returns current data; returns that relay. */
   async function pollAvailableRelay (relays: readonly VmId[]): Promise<VmId | undefined> {
     for (const relay of relays.slice(0, MAX_RELAYS_TRIED)) {
@@ -125,7 +159,7 @@
         metrics.count('feed_relay_failures', 'unreachable')
         log.debug('relay does not respond', { relay, error: errorMessage(error) })
       }
-      backoffUntilMs.set(relay, clock.now() + RELAY_BACKOFF_MS)
+      backoffUntilMs.set(relay, clock.now() + (isStarting() ? startRetryMs() : RELAY_BACKOFF_MS))
     }
     return undefined
   }
@@ -194,13 +228,16 @@
 
   function waitForChanges (holdMs: number): Promise<void> {
     return new Promise(resolve => {
-      const finish = () => {
-        cancel()
-        heldPolls.delete(finish)
-        resolve()
+      const held: HeldPoll = {
+        sinceMs: clock.now(),
+        finish () {
+          cancel()
+          heldPolls.delete(held)
+          resolve()
+        }
       }
-      const cancel = clock.after(holdMs, finish)
-      heldPolls.add(finish)
+      const cancel = clock.after(holdMs, held.finish)
+      heldPolls.add(held)
     })
   }
 
@@ -209,12 +246,13 @@
     follow,
     start (): void {
       running = true
+      startedMs = clock.now()
       void run()
     },
     stop (): void {
       running = false
       for (const { feed } of kinds.values()) feed.stop()
-      for (const finishHold of [...heldPolls]) finishHold()
+      finishHeldPolls()
     },
     answerPoll
   }
--- a/src/core/feed-relay/relay-choice.ts
+++ b/src/core/feed-relay/relay-choice.ts
@@ -1,21 +1,73 @@
 /**
- * Selects the VMs that follow the store directly. If every VM of a large fleet polled the store for every kind, each
- * change of one object would cost as many calls as there are VMs. All VMs compute the same relays from the live members;
- * while their views of the membership differ, a few more or fewer VMs follow the store.
+ * Selects the VMs through which the others follow the store, and those that sum the load reports. If every VM of a large
+ * fleet polled the store for every kind, each change of one object would cost as many calls as there are VMs. In a small
+ * fleet all VMs poll the roots, which follow the store. In a large one they poll relays in their own data centre, which
+ * poll the roots, so that neither the calls to the store nor the copies between data centres grow with the VMs. All VMs
+ * compute the same choice from the live members; while their views differ, a few more or fewer VMs follow the store.
  */
-import type { VmId } from '../ids/index.ts'
+import type { DataCentreId, VmId } from '../ids/index.ts'
 import { rendezvousOrder } from '../placement/rendezvous.ts'
-import { MIN_RELAYS, VMS_PER_RELAY } from './constants.ts'
+import { MAX_ROOT_FOLLOWERS, ROOTS, VMS_PER_RELAY } from './constants.ts'
+
+export interface PlacedVm { vm: VmId, dataCentre: DataCentreId }
 
 export interface RelayChoice {
-  /** Whether this VM is a relay; always true if there are too few live VMs. */
-  isRelay: boolean
-  /** Relays to poll, in order of preference; the order differs between VMs to distribute the polls. */
-  relays: VmId[]
+  /** Whether this VM follows the store; always true if there are too few live VMs. */
+  isRoot: boolean
+  /** VMs to poll, in order of preference; the order differs between VMs to distribute the polls. */
+  sources: VmId[]
+}
+
+export interface CollectorChoice {
+  isCollector: boolean
+  /** The other collectors, in order of preference of this VM. */
+  others: VmId[]
+}
+
+export function chooseRelays (liveVms: readonly PlacedVm[], self: PlacedVm): RelayChoice {
+  const vms = withSelf(liveVms, self)
+  const roots = orderOf('feed-root', vms).slice(0, ROOTS)
+  if (roots.includes(self.vm)) return { isRoot: true, sources: roots.filter(vm => vm !== self.vm) }
+  const relays = vms.length - ROOTS > MAX_ROOT_FOLLOWERS ? relaysOf(vms.filter(({ vm }) => !roots.includes(vm))) : []
+  const isRelay = relays.some(({ vm }) => vm === self.vm)
+  return { isRoot: false, sources: isRelay || relays.length === 0 ? rendezvousOrder(self.vm, roots) : nearestFirst(relays, self) }
+}
+
+/** Chooses one VM of each data centre; two in a fleet with a single one. */
+export function chooseCollectors (liveVms: readonly PlacedVm[], self: PlacedVm): CollectorChoice {
+  const byDataCentre = [...groupByDataCentre(withSelf(liveVms, self)).values()]
+  const count = byDataCentre.length > 1 ? 1 : 2
+  const collectors = byDataCentre.flatMap(vms => firstOf('load-collector', vms, count))
+  return { isCollector: collectors.some(({ vm }) => vm === self.vm), others: nearestFirst(collectors, self) }
+}
+
+/** One VM in VMS_PER_RELAY of each data centre. */
+function relaysOf (vms: readonly PlacedVm[]): PlacedVm[] {
+  return [...groupByDataCentre(vms).values()].flatMap(local => firstOf('feed-relay', local, Math.ceil(local.length / VMS_PER_RELAY)))
+}
+
+/** All but this VM; those in its own data centre first. */
+function nearestFirst (vms: readonly PlacedVm[], self: PlacedVm): VmId[] {
+  const others = vms.filter(({ vm }) => vm !== self.vm)
+  const isLocal = ({ dataCentre }: PlacedVm) => dataCentre === self.dataCentre
+  return [...orderOf(self.vm, others.filter(isLocal)), ...orderOf(self.vm, others.filter(vm => !isLocal(vm)))]
+}
+
+function withSelf (liveVms: readonly PlacedVm[], self: PlacedVm): PlacedVm[] {
+  return [...liveVms.filter(({ vm }) => vm !== self.vm), self]
+}
+
+function groupByDataCentre (vms: readonly PlacedVm[]): Map<DataCentreId, PlacedVm[]> {
+  const groups = new Map<DataCentreId, PlacedVm[]>()
+  for (const placed of vms) groups.set(placed.dataCentre, [...groups.get(placed.dataCentre) ?? [], placed])
+  return groups
+}
+
+function orderOf (key: string, vms: readonly PlacedVm[]): VmId[] {
+  return rendezvousOrder(key, vms.map(({ vm }) => vm))
 }
 
-export function chooseRelays (liveVms: readonly VmId[], self: VmId): RelayChoice {
-  const count = Math.max(MIN_RELAYS, Math.ceil(liveVms.length / VMS_PER_RELAY))
-  const relays = rendezvousOrder('feed-relay', [...new Set([...liveVms, self])]).slice(0, count)
-  return { isRelay: relays.includes(self), relays: rendezvousOrder(self, relays.filter(vm => vm !== self)) }
+function firstOf (key: string, vms: readonly PlacedVm[], count: number): PlacedVm[] {
+  const chosen = new Set(orderOf(key, vms).slice(0, count))
+  return vms.filter(({ vm }) => chosen.has(vm))
 }
--- a/src/core/fleet/constants.ts
+++ b/src/core/fleet/constants.ts
@@ -13,3 +13,5 @@
 export const CLEANUP_PERIOD_MS = 2000
 /** Time for which a VM must be absent from the live members before its entry is removed; several times the duration of a restart, about 3 s. */
 export const VM_ENTRY_EXPIRY_MS = 15_000
+/** Time after its start in which a VM meets the others; an entry of a VM that it has not met by then is of one that is gone. */
+export const MEETING_TIME_MS = 5000
--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -5,16 +5,17 @@
  */
 import type { Clock, TimerCancel } from '../clock/index.ts'
 import { errorMessage } from '../errors/index.ts'
-import { brandId, randomId, type BootId, type VmId } from '../ids/index.ts'
+import { brandId, randomId, type BootId, type DataCentreId, type VmId } from '../ids/index.ts'
 import type { Log } from '../logging/index.ts'
 import { createMembership, type Member, type Membership } from '../membership/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { ForwardingVmSettings } from '../forwarding-vm/types.ts'
 import type { FollowedKind, KindSubscription } from '../feed-relay/index.ts'
+import type { PlacedVm } from '../feed-relay/relay-choice.ts'
 import type { ObjectStore, StoredObject } from '../object-feed/index.ts'
 import { createPeerLinks } from '../peer/index.ts'
 import { rendezvousOrder } from '../placement/rendezvous.ts'
-import { CLEANUP_PERIOD_MS, FLEET_COALESCE_MS, FLEET_KIND, FLEET_POLL_WAIT_MS, KEY_KIND, KEY_NAME, REGISTER_RETRY_DELAY_MS, VM_ENTRY_EXPIRY_MS } from './constants.ts'
+import { CLEANUP_PERIOD_MS, FLEET_COALESCE_MS, FLEET_KIND, FLEET_POLL_WAIT_MS, KEY_KIND, KEY_NAME, MEETING_TIME_MS, REGISTER_RETRY_DELAY_MS, VM_ENTRY_EXPIRY_MS } from './constants.ts'
 
 export interface FleetOptions {
   settings: ForwardingVmSettings
@@ -34,6 +35,7 @@
 
 export function createFleet ({ settings, store, follow, clock, log, metrics, random }: FleetOptions) {
   const boot = randomId<BootId>('boot')
+  const createdMs = clock.now()
   const ownEntry: FleetEntry = { boot, callerAddress: settings.callerAddress, peerAddress: settings.peerAddress, dataCentre: settings.dataCentre }
   const entries = new Map<VmId, FleetEntry>([[settings.vm, ownEntry]])
   /** Cached names of the entries; undefined after a change. */
@@ -72,8 +74,10 @@
       return
     }
     registeredVms = undefined
-    if (deleted || typeof entry?.callerAddress !== 'string' || typeof entry.peerAddress !== 'string') entries.delete(vm)
-    else entries.set(vm, entry)
+    if (deleted || typeof entry?.callerAddress !== 'string' || typeof entry.peerAddress !== 'string') return void entries.delete(vm)
+    entries.set(vm, entry)
+    // A VM that starts polls relays that it has not met yet.
+    if (!membership.get(vm)) peers.setAddress(vm, entry.peerAddress)
   }
 
   /** Writes what a store that was restored from an older copy has lost: the entry of this VM, and the key of the links. */
@@ -192,6 +196,14 @@
     },
     /** VMs that respond to pings, including this one. */
     liveVms: (): readonly VmId[] => membership.available().map(({ vm }) => vm),
+    available: (): readonly Member[] => membership.available(),
+    /** VMs that may relay the store: the live ones, and while this VM starts also those that it has not met yet. */
+    relayCandidates (): readonly PlacedVm[] {
+      const live = membership.available()
+      if (clock.now() - createdMs > MEETING_TIME_MS) return live
+      const unmet = [...entries].filter(([vm]) => !membership.get(vm)).map(([vm, { dataCentre }]) => ({ vm, dataCentre: brandId<DataCentreId>(dataCentre) }))
+      return [...live, ...unmet]
+    },
     /** Caller addresses of the VMs that accept requests; suspect VMs only if there are no others. */
     addresses (isSelfReady: boolean): string[] {
       const others = [...entries].filter(([vm]) => vm !== settings.vm)
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -27,7 +27,8 @@
 import { createPartStore } from '../quarantine/part-store.ts'
 import { createPartQuarantine } from '../quarantine/request-parts.ts'
 import { createFeedRelay, type FeedPoll } from '../feed-relay/index.ts'
-import { chooseRelays } from '../feed-relay/relay-choice.ts'
+import { chooseCollectors } from '../feed-relay/relay-choice.ts'
+import { FLEET_KIND } from '../fleet/constants.ts'
 import { createFleet } from '../fleet/index.ts'
 import { ACCEPT_AFTER_STOP_MS, ADDRESS_TTL_S, MAX_ADDRESSES, MIN_REPORTED_LOAD, RELIST_HISTORY_SHARE, STOP_CHECK_PERIOD_MS, STOP_GRACE_SHARE, UNREGISTER_TIMEOUT_MS } from './constants.ts'
 import { createAssignments } from './assignment.ts'
@@ -68,11 +69,12 @@
   let stoppingSinceMs: number | undefined
   const configLease = createConfigLease({ maxAgeMs: settings.keyWithdrawalMs, strict: settings.strictKeyWithdrawal, clock })
   const feedRelay = createFeedRelay({
-    self: settings.vm,
+    self: { vm: settings.vm, dataCentre: settings.dataCentre },
     store,
     relistMs: settings.storeHistoryMs * RELIST_HISTORY_SHARE,
     confirmationKind: kinds.config,
-    liveVms: () => fleet.liveVms(),
+    vmKind: FLEET_KIND,
+    liveVms: () => fleet.relayCandidates(),
     poll: (to, poll, timeoutMs) => fleet.peers.request(to, 'feeds.poll', poll, { timeoutMs }),
     clock,
     log,
@@ -148,10 +150,7 @@
     },
     configVersion: () => table?.version,
     onConfigVersion: (from, version) => configExchange.onReport(from, version),
-    collectors () {
-      const { isRelay, relays } = chooseRelays(fleet.liveVms(), settings.vm)
-      return { isCollector: isRelay, others: relays }
-    },
+    collectors: () => chooseCollectors(fleet.available(), { vm: settings.vm, dataCentre: settings.dataCentre }),
     send: (to, report) => fleet.peers.notify(to, 'load.report', report),
     collect: (to, report, timeoutMs) => fleet.peers.request(to, 'load.report', report, { timeoutMs }),
     clock,
