Lend requests of a rate limit between the VMs of a large fleet

Cause: the limit for cold backend servers holds for all of them, as any may turn cold without notice, and was divided by the number of VMs: 16 requests a second over 195 VMs are one request for 16 VMs and none for the others. Each VM could use 4 or 5 of 55 backend servers. Change: if there are more VMs than requests, three requests at a time are held by one of a few VMs for each backend server, and the others borrow one in a round trip before they send. A loan counts against its lender until it expires after 250 ms; a VM that comes into a share on a change of the fleet waits until the one before it cannot use it any more. The limits that backend servers name are shared in the same way. As all VMs can now use all backend servers, a VM in a fleet whose load reports are old compares three of them at random instead of all, so that not all choose the same one.

--- /dev/null
+++ b/features/capacity-loan.feature
@@ -0,0 +1,78 @@
+Feature: Rate limits of backend servers in a fleet with more VMs than requests
+
+  # Guards against a limit that is divided into parts of less than one request, so that most VMs cannot use most backend servers.
+  Scenario Outline: of <requests> requests a second from <vms> VMs to 55 backend servers, nearly all go where they should
+    Given <vms> VMs and 55 backend servers that bear 20 requests a second each
+    When the VMs send <requests> requests a second to backend servers at random for 3000 ms
+    Then at least <share> % of them were permitted
+    And no backend server got more than 19 requests in any second
+
+    Examples:
+      | vms | requests | share |
+      | 59  | 300      | 97    |
+      | 195 | 300      | 97    |
+      | 340 | 500      | 90    |
+
+  # Guards against a limit that is exceeded because many VMs borrow at the same time.
+  Scenario Outline: <vms> VMs that all send to one backend server stay within its limit
+    Given <vms> VMs and 1 backend servers that bear 20 requests a second each
+    When the VMs send 600 requests a second to backend servers at random for 4000 ms
+    Then no backend server got more than 19 requests in any second
+    And the backend servers got at least 10 requests a second
+
+    Examples:
+      | vms |
+      | 17  |
+      | 59  |
+      | 195 |
+
+  # Guards against a limit that is used twice while the VMs learn at different times that one of them has left or joined.
+  Scenario Outline: a limit holds while <change>
+    Given 59 VMs and 1 backend servers that bear 20 requests a second each
+    When <change>, known to each VM within 1000 ms
+    And the VMs send 600 requests a second to backend servers at random for 5000 ms
+    Then no backend server got more than 19 requests in any second
+
+    Examples:
+      | change           |
+      | 3 lenders leave  |
+      | 10 VMs join      |
+
+  Scenario: a VM that gets no answer from a lender asks another one
+    Given 59 VMs and 55 backend servers that bear 20 requests a second each
+    When 10 of the VMs do not answer any more
+    And the VMs send 200 requests a second to backend servers at random for 3000 ms
+    Then at least 90 % of them were permitted
+
+  # Guards against a paused process that sends a request after the permission for it has run out.
+  Scenario Outline: a loan is <state> after <pause>
+    Given 59 VMs and 1 backend servers that bear 20 requests a second each
+    When a VM borrows a request and then <pause>
+    Then its loan is <state>
+
+    Examples:
+      | pause                   | state   |
+      | 100 ms pass             | valid   |
+      | 300 ms pass             | expired |
+      | is frozen for 300 ms    | expired |
+
+  Scenario Outline: a request for a loan of <body> is refused
+    Given 59 VMs and 1 backend servers that bear 20 requests a second each
+    Then a VM refuses the request for a loan <body>
+
+    Examples:
+      | body                    |
+      | null                    |
+      | {"backendServer":7}     |
+      | {"backendServer":"gone"} |
+
+  # Guards against VMs that all choose the same backend server, because all know the same old loads.
+  Scenario Outline: <vms> VMs that act on the same old loads do not choose the same backend server
+    Given 55 backend servers in 6 data centres with loads from 4 to 12
+    When each of <vms> VMs chooses a backend server by the same loads
+    Then no backend server was chosen by more than <most> VMs
+
+    Examples:
+      | vms | most |
+      | 195 | 20   |
+      | 340 | 33   |
--- a/src/core/backend-pool/constants.ts
+++ b/src/core/backend-pool/constants.ts
@@ -20,3 +20,10 @@
 export const NAMED_LIMIT_WINDOW_MS = 4000
 /** Time for which a VM reports the end of such a limit to the others; several periods of the reports, as some are lost. */
 export const ENDED_LIMIT_REPORT_MS = 3000
+/**
+ * Requests of a limit that one VM holds in a fleet with more VMs than requests. More would make the limit depend on fewer
+ * VMs, and fewer would make a lender that has nothing left more likely. The safety factor covers one VM too many.
+ */
+export const REQUESTS_PER_LENDER = 3
+/** Time after a change of the VMs before a VM uses a share that another one may still use: a window of the limit and the delay until all have read the change. */
+export const SHARE_HANDOVER_MS = 2100
--- a/src/core/backend-pool/index.ts
+++ b/src/core/backend-pool/index.ts
@@ -8,12 +8,23 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { rendezvousOrder } from '../placement/rendezvous.ts'
-import { BACKEND_ENTRY_EXPIRY_MS, COLD_SAFETY_FACTOR, COLD_WINDOW_MS, FAILURE_RATE_WEIGHT, FIRST_SUSPENSION_MS, MAX_SUSPENSION_MS, NAMED_LIMIT_WINDOW_MS, STORE_RECOVERY_GRACE_MS } from './constants.ts'
+import { BACKEND_ENTRY_EXPIRY_MS, COLD_SAFETY_FACTOR, COLD_WINDOW_MS, FAILURE_RATE_WEIGHT, FIRST_SUSPENSION_MS, MAX_SUSPENSION_MS, NAMED_LIMIT_WINDOW_MS, REQUESTS_PER_LENDER, SHARE_HANDOVER_MS, STORE_RECOVERY_GRACE_MS } from './constants.ts'
 import { createNamedLimits, type NamedLimits } from './named-limits.ts'
 import type { Backend, BackendEntry, RequestLoad, Reservation } from './types.ts'
 
 export type * from './types.ts'
 
+/** Order in which the VMs get shares of a backend server's limits. */
+interface ShareOrder {
+  /** Registered VMs that the order was computed from. */
+  vms: readonly VmId[]
+  order: readonly VmId[]
+  rank: number
+  /** Rank before the VMs changed. */
+  previousRank: number
+  changedMs: number
+}
+
 export interface ColdRequestLimit {
   /** Requests per second that one cold backend server of a service may get from all VMs together; 0 for no limit. */
   limit(service: ServiceId): number
@@ -31,6 +42,11 @@
   metrics: Metrics
 }
 
+export interface ReserveOptions {
+  /** Whether another VM has lent the request, so that it does not count against the shares of this one. Default: false. */
+  isLent?: boolean
+}
+
 export interface BackendPool {
   /** Replaces all entries. */
   applySnapshot(entries: readonly BackendEntry[]): void
@@ -53,11 +69,18 @@
    * request, in milliseconds; 0 if they do now, Infinity if a share is nothing.
    */
   rateWaitMs(backend: Backend): number
+  /**
+   * The VMs that hold the limits of a backend server and lend requests to the others; undefined if each VM has a share of
+   * its own, or there are no limits.
+   */
+  lendersOf(backend: Backend): readonly VmId[] | undefined
+  /** Takes one request from this VM's shares for another VM, which may send it within `forMs`; returns whether one was left. */
+  lend(backendServer: BackendServerId, forMs: number): boolean
   /**
    * Takes capacity for one request. Must be called in the same synchronous step as the checks of the limits, so that the
    * next request that is checked finds the capacity taken.
    */
-  reserve(backend: Backend, load: RequestLoad): Reservation
+  reserve(backend: Backend, load: RequestLoad, options?: ReserveOptions): Reservation
   recordConnectFailure(backend: Backend): void
   /**
    * Records that another backend server answered at the address: the entry's process has ended and the entry will
@@ -68,11 +91,21 @@
   all(): Iterable<Backend>
 }
 
+/** All VMs if there are enough requests for each; otherwise as many as get a few each, so that a request is lent in one round trip. */
+function countHolders (limit: number, vmCount: number): number {
+  return limit >= vmCount ? vmCount : Math.max(1, Math.ceil(limit / REQUESTS_PER_LENDER))
+}
+
+const coldRequests = (rate: number) => Math.floor(rate * COLD_SAFETY_FACTOR)
+
+/** At least one request in the window is permitted, because only an answer shows that the limit has ended. */
+const namedRequests = (rate: number) => Math.max(1, Math.floor(rate * NAMED_LIMIT_WINDOW_MS / 1000))
+
 export function createBackendPool ({ cold, clock, log, metrics }: BackendPoolOptions): BackendPool {
   const backends = new Map<BackendServerId, Backend>()
   const namedLimits = createNamedLimits({ isKnown: id => backends.has(id), clock, log })
   /** Rank of this VM among the VMs in the rendezvous order of a backend server, cached with the VMs that it was computed for. */
-  const ranks = new WeakMap<Backend, { vms: readonly VmId[], rank: number }>()
+  const shareOrders = new WeakMap<Backend, ShareOrder>()
   /** Recent sends to backend servers that were removed; the entry of such a one may be written again. */
   const departedSends = new Map<BackendServerId, number[]>()
   const createdMs = clock.now()
@@ -149,11 +182,23 @@
     return [...backends.values()].filter(({ entry }) => entry.service === service)
   }
 
-  /** This VM's share of a number of requests: the integer quotient, plus one for the VMs whose rank is below the remainder. */
+  /** This VM's share of a number of requests. If there are more VMs than requests, a few of them have shares and lend them to the others. */
   function shareOf (limit: number, backend: Backend): number {
-    const vms = cold.vms()
-    const basePerVm = Math.floor(limit / Math.max(1, vms.length))
-    return basePerVm + (rankFor(backend, vms) < limit - basePerVm * vms.length ? 1 : 0)
+    const { vms, rank: currentRank, previousRank, changedMs } = shareOrderOf(backend)
+    const holders = countHolders(limit, vms.length)
+    // The VM that had the share before may have used it until it knew of the change.
+    const isSettling = holders < vms.length && clock.now() - changedMs < SHARE_HANDOVER_MS
+    const rank = isSettling ? Math.max(currentRank, previousRank) : currentRank
+    if (rank >= holders) return 0
+    const basePerVm = Math.floor(limit / holders)
+    return basePerVm + (rank < limit - basePerVm * holders ? 1 : 0)
+  }
+
+  /** Numbers of requests that a backend server may get in the windows of its limits. */
+  function limitsOf ({ entry: { id, service } }: Backend): number[] {
+    const coldRate = cold.limit(service)
+    const named = namedLimits.get(id)
+    return [...coldRate === 0 ? [] : [coldRequests(coldRate)], ...named ? [namedRequests(named.rate)] : []]
   }
 
   /** Time until one more request may follow the earlier ones, of which a window may contain `share`; 0 if it may now. */
@@ -166,21 +211,19 @@
     const limit = cold.limit(backend.entry.service)
     if (limit === 0) return 0
     // The other VMs, or the process before a restart, may have used this VM's share until shortly before the start.
-    return Math.max(coldStartMs() - clock.now(), waitMs(backend.recentSends, shareOf(Math.floor(limit * COLD_SAFETY_FACTOR), backend), COLD_WINDOW_MS))
+    return Math.max(coldStartMs() - clock.now(), waitMs(backend.recentSends, shareOf(coldRequests(limit), backend), COLD_WINDOW_MS))
   }
 
-  /** At least one request in the window is permitted, because only an answer shows that the limit has ended. */
   function namedWaitMs ({ entry: { id }, recentSends }: Backend, shareOfLimit: (limit: number) => number): number {
     const limit = namedLimits.get(id)
     if (!limit) return 0
-    const requests = Math.max(1, Math.floor(limit.rate * NAMED_LIMIT_WINDOW_MS / 1000))
-    return waitMs(recentSends.filter(sentMs => sentMs >= limit.sinceMs), shareOfLimit(requests), NAMED_LIMIT_WINDOW_MS)
+    return waitMs(recentSends.filter(sentMs => sentMs >= limit.sinceMs), shareOfLimit(namedRequests(limit.rate)), NAMED_LIMIT_WINDOW_MS)
   }
 
-  function reserve (backend: Backend, { running, prompt }: RequestLoad): Reservation {
+  function reserve (backend: Backend, { running, prompt }: RequestLoad, { isLent = false }: ReserveOptions = {}): Reservation {
     const reservedMs = clock.now()
     let promptLoad = prompt
-    backend.recentSends.push(reservedMs)
+    if (!isLent) recordSend(backend, reservedMs)
     backend.inFlight++
     backend.load += running + promptLoad
 
@@ -201,19 +244,42 @@
       release,
       cancel () {
         release()
+        if (isLent) return
         const index = backend.recentSends.indexOf(reservedMs)
         if (index !== -1) backend.recentSends.splice(index, 1)
       }
     }
   }
 
-  /** Rank of this VM; cached, because ordering all VMs for each backend server and request would take most of the CPU time in a large fleet. */
-  function rankFor (backend: Backend, vms: readonly VmId[]): number {
-    const cached = ranks.get(backend)
-    if (cached?.vms === vms) return cached.rank
-    const rank = rendezvousOrder(backend.entry.id, vms).indexOf(cold.self)
-    ranks.set(backend, { vms, rank })
-    return rank
+  function recordSend ({ recentSends }: Backend, sentMs: number): void {
+    recentSends.push(sentMs)
+    // A lent request may be sent a little later than the next one of this VM.
+    if (recentSends.length > 1 && recentSends.at(-2)! > sentMs) recentSends.sort((left, right) => left - right)
+  }
+
+  /** Cached, because ordering all VMs for each backend server and request would take most of the CPU time in a large fleet. */
+  function shareOrderOf (backend: Backend): ShareOrder {
+    const vms = cold.vms()
+    const cached = shareOrders.get(backend)
+    if (cached?.vms === vms) return cached
+    const order = rendezvousOrder(backend.entry.id, vms)
+    const rank = order.indexOf(cold.self)
+    const shareOrder = { vms, order, rank, previousRank: cached?.rank ?? rank, changedMs: cached ? clock.now() : -Infinity }
+    shareOrders.set(backend, shareOrder)
+    return shareOrder
+  }
+
+  function rateWaitMs (backend: Backend): number {
+    const oldestMs = clock.now() - NAMED_LIMIT_WINDOW_MS
+    if (backend.recentSends.length > 0 && backend.recentSends[0]! < oldestMs) backend.recentSends = backend.recentSends.filter(sentMs => sentMs >= oldestMs)
+    return Math.max(coldWaitMs(backend), namedWaitMs(backend, requests => shareOf(requests, backend)))
+  }
+
+  /** The VMs that have a share in all limits of a backend server; undefined if all VMs have one. */
+  function lendersOf (backend: Backend): readonly VmId[] | undefined {
+    const { vms, order } = shareOrderOf(backend)
+    const holders = Math.min(...limitsOf(backend).map(limit => countHolders(limit, vms.length)))
+    return holders < vms.length ? order.slice(0, holders) : undefined
   }
 
   return {
@@ -241,10 +307,13 @@
       !entry.leaving && !outOfService.has(entry.dataCentre) && suspendedUntilMs <= clock.now()),
     list: ofService,
     namedLimits,
-    rateWaitMs (backend) {
-      const oldestMs = clock.now() - NAMED_LIMIT_WINDOW_MS
-      if (backend.recentSends.length > 0 && backend.recentSends[0]! < oldestMs) backend.recentSends = backend.recentSends.filter(sentMs => sentMs >= oldestMs)
-      return Math.max(coldWaitMs(backend), namedWaitMs(backend, requests => shareOf(requests, backend)))
+    rateWaitMs,
+    lendersOf,
+    lend (id, forMs) {
+      const backend = backends.get(id)
+      if (!backend || rateWaitMs(backend) > 0) return false
+      recordSend(backend, clock.now() + forMs)
+      return true
     },
     reserve,
     recordConnectFailure (backend) {
--- a/src/core/forwarding-vm/assignment.ts
+++ b/src/core/forwarding-vm/assignment.ts
@@ -6,11 +6,20 @@
 import type { EarlierSends, ForwardedRequest } from '../forwarding/forward.ts'
 import type { RouteTable } from '../forwarding/route-table.ts'
 import type { DataCentreId, ModelId, ServiceId } from '../ids/index.ts'
+import { MAX_DIRECT_VMS } from '../load-exchange/constants.ts'
 import type { LoadExchange } from '../load-exchange/index.ts'
-import { chooseBackend } from '../placement/index.ts'
+import { chooseBackend, STALE_LOAD_SAMPLES } from '../placement/index.ts'
 import { rendezvousOrder } from '../placement/rendezvous.ts'
 import type { VersionTrials } from '../version-trial/index.ts'
 
+/** Backend servers for one attempt of a request. */
+export interface Assignment {
+  /** Chooses one that has capacity and meets the condition, or `undefined` when there is none. */
+  choose(isUsable: (backend: Backend) => boolean): Backend | undefined
+  /** Whether a backend server that was chosen before is still permitted and has capacity. */
+  permits(backend: Backend): boolean
+}
+
 export interface AssignmentsOptions {
   pool: BackendPool
   trials: VersionTrials
@@ -23,20 +32,25 @@
 }
 
 export function createAssignments ({ pool, trials, loads, table, vmCount, dataCentre, random }: AssignmentsOptions) {
-  function prepare ({ request, service, route }: ForwardedRequest, { triedBackends, hasFailed }: EarlierSends): () => Backend | undefined {
+  function prepare ({ request, service, route }: ForwardedRequest, { triedBackends, hasFailed }: EarlierSends): Assignment {
     const rule = trials.versionRule(service, request.session ?? request.id!, { version: [...triedBackends].at(-1)?.entry.version, hasFailed })
     const affinityKey = route.kind === 'streaming' ? request.prompt.at(-2)?.id ?? request.prompt.at(-1)?.id : undefined
-    return () => {
-      const permitted = pool.eligible(service).filter(({ entry }) => rule.allows(entry.version))
-      const available = limitToShare(permitted, rule.backendShare).filter(backend => hasCapacity(backend) && pool.rateWaitMs(backend) === 0)
-      const untried = available.filter(backend => !triedBackends.has(backend))
-      return chooseBackend({
-        candidates: untried.length > 0 ? untried : available,
-        affinityKey,
-        dataCentre,
-        othersLoad: ({ entry }) => loads.othersLoad(entry.id),
-        random
-      })
+    const listAvailable = () => limitToShare(pool.eligible(service).filter(({ entry }) => rule.allows(entry.version)), rule.backendShare).filter(hasCapacity)
+    return {
+      choose (isUsable) {
+        const available = listAvailable().filter(isUsable)
+        const untried = available.filter(backend => !triedBackends.has(backend))
+        return chooseBackend({
+          candidates: untried.length > 0 ? untried : available,
+          affinityKey,
+          dataCentre,
+          othersLoad: ({ entry }) => loads.othersLoad(entry.id),
+          // The reports are most of a second old where they go through collectors, and all VMs act on the same ones.
+          samples: vmCount() - 1 > MAX_DIRECT_VMS ? STALE_LOAD_SAMPLES : undefined,
+          random
+        })
+      },
+      permits: backend => listAvailable().includes(backend)
     }
   }
 
@@ -44,7 +58,7 @@
   function hasAlternative ({ request, service }: ForwardedRequest, excluded: ReadonlySet<Backend>): boolean {
     const rule = trials.versionRule(service, request.session ?? request.id!, { version: undefined, hasFailed: true })
     return pool.eligible(service).some(backend =>
-      !excluded.has(backend) && rule.allows(backend.entry.version) && hasCapacity(backend) && pool.rateWaitMs(backend) === 0)
+      !excluded.has(backend) && rule.allows(backend.entry.version) && hasCapacity(backend) && (pool.rateWaitMs(backend) === 0 || pool.lendersOf(backend) !== undefined))
   }
 
   /** Limits the candidates to a share of the backend servers; rendezvous hashing makes all VMs select the same ones. */
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -5,6 +5,7 @@
 import { createServer, type Server } from 'node:http'
 import { COLD_WINDOW_MS } from '../backend-pool/constants.ts'
 import { createBackendPool, type BackendPool } from '../backend-pool/index.ts'
+import { createCapacityLoans } from '../capacity-loan/index.ts'
 import { systemClock, type Clock } from '../clock/index.ts'
 import { errorMessage, GatewayError, type ErrorName } from '../errors/index.ts'
 import { createConfigLease } from '../forwarding/config-lease.ts'
@@ -227,10 +228,25 @@
     pool, trials, loads, table: () => table, vmCount: () => fleet.vms().length, dataCentre: settings.dataCentre, random
   })
 
+  const loans = createCapacityLoans({
+    pool,
+    self: settings.vm,
+    liveVms: () => fleet.liveVms(),
+    request: (to, body, timeoutMs) => fleet.peers.request(to, 'capacity.borrow', body, { timeoutMs }),
+    clock,
+    metrics,
+    random
+  })
+  fleet.peers.handle('capacity.borrow', loans.accept)
+
   const forwarder = createForwarder({
     codec: adapter,
     prepareAssignment: assignments.prepare,
     hasAlternative: assignments.hasAlternative,
+    hasOwnShare: backend => pool.rateWaitMs(backend) === 0,
+    isLent: backend => pool.lendersOf(backend) !== undefined,
+    lendsCapacity: service => pool.eligible(service).some(backend => pool.lendersOf(backend) !== undefined),
+    borrow: loans.borrow,
     mayGainCapacity: (service, withinMs) => pool.eligible(service).some(backend => pool.rateWaitMs(backend) <= withinMs),
     modelWeight: assignments.modelWeight,
     minConfidence: service => escalationConfidence(assignments.meanLoad(service)),
--- a/src/core/forwarding/constants.ts
+++ b/src/core/forwarding/constants.ts
@@ -42,3 +42,7 @@
  * would otherwise fail, for example when backend servers crash under load.
  */
 export const ESCALATION_SHARE = 0.75
+/** Backend servers that are asked about, through the VMs that hold their limits, before a request pauses. */
+export const MAX_LOANS_REFUSED = 4
+/** Mean pause before a request asks for capacity again; the limits are counted over a second. */
+export const LOAN_RETRY_MS = 80
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -3,8 +3,11 @@
  * no attempt is possible before the deadline. The error that the caller receives depends on what was sent: it states
  * that the request was not run only when no backend server can have run it.
  */
+import type { ReserveOptions } from '../backend-pool/index.ts'
 import type { Backend, RequestLoad, Reservation } from '../backend-pool/types.ts'
+import type { Loan } from '../capacity-loan/index.ts'
 import type { Clock } from '../clock/index.ts'
+import type { Assignment } from '../forwarding-vm/assignment.ts'
 import { GatewayError, type ErrorName } from '../errors/index.ts'
 import type { ModelId, ServiceId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
@@ -12,7 +15,7 @@
 import type { CapacityQueue } from '../placement/capacity-queue.ts'
 import type { PartQuarantine } from '../quarantine/request-parts.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
-import { CAPACITY_WAIT_SHARE, DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CAPACITY_WAIT_MS, MAX_CONNECT_ATTEMPTS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
+import { CAPACITY_WAIT_SHARE, DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, LOAN_RETRY_MS, MAX_CAPACITY_WAIT_MS, MAX_CONNECT_ATTEMPTS, MAX_LOANS_REFUSED, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
 import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, type AttemptOutcome } from './attempt-outcome.ts'
 import { pollAfter } from './poll-after.ts'
 import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome, type CrashEvidence } from './crash-evidence.ts'
@@ -50,8 +53,8 @@
   /** Confidence, from 0 to 100, below which a response is discarded and the request escalated to the largest model. */
   minConfidence(service: ServiceId): number
   capacityQueue: CapacityQueue
-  /** Determines the permitted versions for one attempt; the returned function chooses a backend server with capacity, or `undefined` when there is none. */
-  prepareAssignment(forwarded: ForwardedRequest, earlier: EarlierSends): () => Backend | undefined
+  /** Determines the permitted versions for one attempt; the returned assignment chooses a backend server with capacity. */
+  prepareAssignment(forwarded: ForwardedRequest, earlier: EarlierSends): Assignment
   /** Whether a backend server that is not excluded currently has capacity for a repeated request. */
   hasAlternative(forwarded: ForwardedRequest, excluded: ReadonlySet<Backend>): boolean
   /** Whether waiting for capacity can succeed: the rate limits of at least one eligible backend server permit a request within that time, even if all are currently full. */
@@ -63,7 +66,15 @@
   /** Refuses requests that crash backend servers. */
   partQuarantine: PartQuarantine
   /** Takes capacity of a backend server for one request. */
-  reserve(backend: Backend, load: RequestLoad): Reservation
+  reserve(backend: Backend, load: RequestLoad, options?: ReserveOptions): Reservation
+  /** Whether this VM's own shares of the rate limits permit a request to a backend server now. */
+  hasOwnShare(backend: Backend): boolean
+  /** Whether other VMs lend requests to a backend server. */
+  isLent(backend: Backend): boolean
+  /** Whether that holds for any backend server of a service. */
+  lendsCapacity(service: ServiceId): boolean
+  /** Asks other VMs for a request to a backend server. */
+  borrow(backend: Backend): Promise<Loan | undefined>
   /** Records the request rate that a backend server named as its limit in an answer, or that it named none. */
   recordNamedLimit(backend: Backend, rate: number | undefined): void
   recordConnectFailure(backend: Backend): void
@@ -277,14 +288,15 @@
   /** Reserves capacity at a backend server, and waits for it if there is none. */
   async function reserveBackend (forwarded: ForwardedRequest, progress: RequestProgress, remainingMs: number): Promise<Reservation | undefined> {
     const { request, service, route, team } = forwarded
-    const chooseBackend = prepareAssignment(forwarded, progress)
+    const assignment = prepareAssignment(forwarded, progress)
     const load = requestLoad(request.promptTokens, options.modelWeight(service, progress.model))
     const tryReserve = () => {
-      const backend = chooseBackend()
+      const backend = assignment.choose(options.hasOwnShare)
       return backend && options.reserve(backend, load)
     }
-    const reserved = options.capacityQueue.size(service) === 0 ? tryReserve() : undefined
     const timeoutMs = Math.min(MAX_CAPACITY_WAIT_MS, remainingMs * CAPACITY_WAIT_SHARE)
+    if (options.lendsCapacity(service)) return await borrowCapacity(assignment, load, progress, clock.now() + timeoutMs)
+    const reserved = options.capacityQueue.size(service) === 0 ? tryReserve() : undefined
     if (reserved || !options.mayGainCapacity(service, timeoutMs)) return reserved
     return await options.capacityQueue.wait(service, {
       urgency: urgencyOf(route, team),
@@ -294,6 +306,29 @@
     })
   }
 
+  /**
+   * Reserves capacity where other VMs hold the rate limits of some backend servers. Goes on to the next backend server if
+   * no request is left for one, and starts again after a short pause until `untilMs`.
+   */
+  async function borrowCapacity (assignment: Assignment, load: RequestLoad, progress: RequestProgress, untilMs: number): Promise<Reservation | undefined> {
+    for (;;) {
+      const refusing = new Set<Backend>()
+      while (refusing.size < MAX_LOANS_REFUSED) {
+        const backend = assignment.choose(candidate => !refusing.has(candidate) && (options.hasOwnShare(candidate) || options.isLent(candidate)))
+        if (!backend) break
+        if (options.hasOwnShare(backend)) return options.reserve(backend, load)
+        const loan = await options.borrow(backend)
+        if (progress.isFinished) return undefined
+        // The backend server may have left or filled up meanwhile, and this process may have been paused.
+        if (loan?.isValid() && assignment.permits(backend)) return options.reserve(backend, load, { isLent: true })
+        refusing.add(backend)
+      }
+      if (clock.now() >= untilMs) return undefined
+      await clock.sleep(LOAN_RETRY_MS * (0.5 + random()))
+      if (progress.isFinished) return undefined
+    }
+  }
+
   interface AttemptResponse {
     backend: Backend
     exchange: Exchange
--- a/src/core/placement/index.ts
+++ b/src/core/placement/index.ts
@@ -15,6 +15,11 @@
   dataCentre: DataCentreId
   /** Load that other VMs contribute to a backend server. */
   othersLoad(backend: Backend): number
+  /**
+   * Number of backend servers of any data centre, and of the own one, whose loads are compared; all if undefined. If many
+   * VMs act on the same old loads, they would all choose the least loaded one.
+   */
+  samples?: { any: number, local: number } | undefined
   random: () => number
 }
 
@@ -32,10 +37,13 @@
 /** Load, in requests, subtracted from a backend server in the VM's own data centre; small enough to only break ties. */
 const LOCAL_DATA_CENTRE_BONUS = 0.3
 
-export function chooseBackend ({ candidates, affinityKey, dataCentre, othersLoad, random }: PlacementOptions): Backend | undefined {
+/** Compared backend servers where the loads are old: with two random choices the highest load stays low, and the local one saves bytes between data centres. */
+export const STALE_LOAD_SAMPLES = { any: 2, local: 1 }
+
+export function chooseBackend ({ candidates, affinityKey, dataCentre, othersLoad, samples, random }: PlacementOptions): Backend | undefined {
   const loads = new Map(candidates.map(backend => [backend, loadOf(backend) + othersLoad(backend)]))
   let best: { backend: Backend, load: number, tieBreak: number } | undefined
-  for (const backend of candidates) {
+  for (const backend of samples ? sample(candidates, dataCentre, samples, random) : candidates) {
     const load = loads.get(backend)! - (backend.entry.dataCentre === dataCentre ? LOCAL_DATA_CENTRE_BONUS : 0)
     const tieBreak = random()
     if (!best || load < best.load || (load === best.load && tieBreak < best.tieBreak)) best = { backend, load, tieBreak }
@@ -50,6 +58,13 @@
   return preferred?.backend ?? best.backend
 }
 
+function sample (candidates: readonly Backend[], dataCentre: DataCentreId, { any, local }: { any: number, local: number }, random: () => number): Backend[] {
+  const pick = (backends: readonly Backend[]) => backends[Math.floor(random() * backends.length)]
+  const localCandidates = candidates.filter(({ entry }) => entry.dataCentre === dataCentre)
+  const picked = [...Array.from({ length: any }, () => pick(candidates)), ...Array.from({ length: local }, () => pick(localCandidates))]
+  return picked.filter(backend => backend !== undefined)
+}
+
 /** Load of this VM on a backend server plus the penalty for its failure rate, in requests. */
 export function loadOf ({ load, failureRate }: Backend): number {
   return load + failureRate * FAILURE_PENALTY
