Shorten the hold of a VM that restarts under its own entry

Cause: the VMs have read the configuration and met each other 0.1 s after their start (35.7 s), but use no share of a limit for cold backend servers, and are not ready, until the others can have read their entry and one window has passed: 2.05 s. The others know the entry of a VM that restarts already, and divide the limits by it. Change: such a VM holds back for one window from its start only, which covers what its earlier process has sent.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -324,6 +324,16 @@
     When a caller sends a request to /order/1
     Then the caller gets status 200 with the body "whole"
 
+  # Guards against a fleet that serves nothing for two seconds after all VMs have lost power and come back.
+  Scenario: a VM that restarts has a share again once its earlier requests do not count any more
+    Given a forwarding VM that restarts and knows a cold backend server
+    When a caller sends a request to /order/1
+    Then the caller gets status 503 with the body "-"
+    And the backend servers received 0 requests
+    And the VM is ready once nothing that it sent before counts any more
+    When a caller sends a request to /order/1
+    Then the caller gets status 200 with the body "whole"
+
   # Guards against other VMs that take over the parts of limits that a leaving VM still uses.
   Scenario: a leaving VM stays registered until nothing that it has sent counts against a limit
     Given a forwarding VM with 1 backend servers that answer
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -5,7 +5,7 @@
 import { FLEET_COALESCE_MS, FLEET_KIND, KEY_KIND, KEY_NAME } from '../../src/core/fleet/constants.ts'
 import { ACCEPT_AFTER_STOP_MS, BACKENDS_COALESCE_MS, STOP_CHECK_PERIOD_MS } from '../../src/core/forwarding-vm/constants.ts'
 import { PART_KIND, QUARANTINE_DURATION_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from '../../src/core/quarantine/constants.ts'
-import { exchangeBytes, backendEntry, KINDS, startForwardingVmHarness, trafficConfig, type ForwardingVmHarness, type RawResponse } from '../support/forwarding-vm-harness.ts'
+import { exchangeBytes, backendEntry, KINDS, startForwardingVmHarness, trafficConfig, type ForwardingVmHarness, type RawResponse, HARNESS_VM } from '../support/forwarding-vm-harness.ts'
 import { createMemoryStore } from '../support/memory-store.ts'
 import { startScriptedBackend, STREAM_EVENTS, type BackendBehaviour, type ScriptedBackend } from '../support/scripted-backend.ts'
 
@@ -87,6 +87,23 @@
   await sleep(100)
 })
 
+Given('a forwarding VM that restarts and knows a cold backend server', async function (this: ForwardingWorld) {
+  const backend = await startScriptedBackend()
+  const store = createMemoryStore()
+  store.put(KINDS.backendServers, 'backend-0', backendEntry(backend.address))
+  store.put(FLEET_KIND, HARNESS_VM, { boot: 'boot-earlier', callerAddress: '127.0.0.1:1', peerAddress: '127.0.0.1:1', dataCentre: 'dc-1' })
+  this.backends = [backend]
+  this.startedMs = performance.now()
+  this.harness = await startForwardingVmHarness({ store, coldRate: 10 })
+  await sleep(100)
+})
+
+Then('the VM is ready once nothing that it sent before counts any more', async function (this: ForwardingWorld) {
+  while (!await isReady(this)) await sleep(5)
+  const readyMs = performance.now() - this.startedMs
+  assert.ok(readyMs >= COLD_WINDOW_MS && readyMs < FLEET_COALESCE_MS + COLD_WINDOW_MS, `ready after ${readyMs} ms`)
+})
+
 Then('the VM is ready once the others have left its share for one window', async function (this: ForwardingWorld) {
   while (!await isReady(this)) await sleep(5)
   const readyMs = performance.now() - this.startedMs
--- a/features/support/forwarding-vm-harness.ts
+++ b/features/support/forwarding-vm-harness.ts
@@ -13,6 +13,7 @@
 export const KINDS = { config: 'config', backendServers: 'backend-servers', rollouts: 'rollouts', evacuations: 'evacuations' }
 export const LIMITS = { maxHeaderBytes: 4000, maxBodyBytes: 1000, headerTimeoutMs: 500, idleTimeoutMs: 2000 }
 const SERVICE = brandId<ServiceId>('service')
+export const HARNESS_VM = brandId<VmId>('vm-1')
 
 type HeaderMap = Record<string, string | string[] | undefined>
 const firstValue = (value: string | string[] | undefined) => (Array.isArray(value) ? value[0] : value)
@@ -137,7 +138,7 @@
   const ports = await findFreePorts(5)
   const addressAt = (index: number) => `127.0.0.1:${ports[index]}`
   const settings: ForwardingVmSettings = {
-    vm: brandId<VmId>('vm-1'),
+    vm: HARNESS_VM,
     dataCentre: brandId<DataCentreId>('dc-1'),
     region: brandId<RegionId>('region-1'),
     callerAddress: addressAt(0),
--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -45,6 +45,8 @@
   const identity = { vm: settings.vm, boot, region: settings.region, dataCentre: settings.dataCentre }
   /** Monotonic time at which the store confirmed the entry of this process. */
   let registeredMs = Infinity
+  /** Whether an earlier process of this VM had been registered, so that the other VMs know its entry already. */
+  let wasRegistered = false
   let leaving = false
   /** Keys of the links, the stored one first; empty before it has been read. */
   let linkKeys: string[] = []
@@ -122,6 +124,8 @@
       if (created) return created
       const existing = await store.get(FLEET_KIND, settings.vm)
       if ((existing?.spec as FleetEntry | undefined)?.boot === boot) return existing
+      // What the earlier process has sent counts from before the start of this one.
+      if (existing && registeredMs === Infinity) wasRegistered = true
       return existing && await store.replace(FLEET_KIND, settings.vm, ownEntry, existing.revision)
     })
     if (registered) registeredMs = Math.min(registeredMs, clock.now())
@@ -179,8 +183,11 @@
     peers,
     /** Whether the entries of the other VMs have been loaded; before that, this VM would take whole limits for its part of them. */
     isLoaded: followedEntries.isLoaded,
-    /** Monotonic time from which the other VMs have read the entry of this one, if they reach the store; Infinity before it is registered. */
-    knownSinceMs: () => registeredMs + FLEET_COALESCE_MS,
+    /** Monotonic time from which the other VMs have read an entry of this one, if they reach the store; Infinity before it is registered. */
+    knownSinceMs (): number {
+      if (registeredMs === Infinity) return Infinity
+      return wasRegistered ? createdMs : registeredMs + FLEET_COALESCE_MS
+    },
     start (): void {
       void register()
       joinPeers().catch((error: unknown) => log.error('the links to the other VMs could not be opened', { error: errorMessage(error) }))
