Keep idle connections open while a VM stops

Callers saw: during a planned stop, a request on a kept connection ended with a reset and no answer. Cause: the stop closed idle connections every 200 ms from its beginning on, though requests are accepted for 2.5 s. A request that has arrived at the socket and is not read yet does not make its connection busy. Change: idle connections stay open until the process ends; each response asks to close its connection, and a request after the accept time gets its 503.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -334,6 +334,13 @@
     When a caller sends a request to /order/1
     Then the caller gets status 200 with the body "whole"
 
+  # Guards against kept connections that are closed by a stop at the moment at which their callers send the next request.
+  Scenario: a VM that stops answers every request on the kept connections of 500 callers
+    Given a forwarding VM with 4 backend servers that answer
+    When 500 callers send requests on kept connections and the VM stops
+    Then no connection ended without an answer to a request that had been sent
+    And every caller was told to close its connection or found it closed while it was idle
+
   # Guards against other VMs that take over the parts of limits that a leaving VM still uses.
   Scenario: a leaving VM stays registered until nothing that it has sent counts against a limit
     Given a forwarding VM with 1 backend servers that answer
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -6,10 +6,12 @@
 import { ACCEPT_AFTER_STOP_MS, BACKENDS_COALESCE_MS, STOP_CHECK_PERIOD_MS } from '../../src/core/forwarding-vm/constants.ts'
 import { PART_KIND, QUARANTINE_DURATION_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from '../../src/core/quarantine/constants.ts'
 import { exchangeBytes, backendEntry, KINDS, startForwardingVmHarness, trafficConfig, type ForwardingVmHarness, type RawResponse, HARNESS_VM } from '../support/forwarding-vm-harness.ts'
+import { keepConnection, type KeptConnection } from '../support/kept-connections.ts'
 import { createMemoryStore } from '../support/memory-store.ts'
 import { startScriptedBackend, STREAM_EVENTS, type BackendBehaviour, type ScriptedBackend } from '../support/scripted-backend.ts'
 
 interface ForwardingWorld {
+  keptConnections: KeptConnection[]
   harness: ForwardingVmHarness
   secondVm: ForwardingVmHarness
   restoreStore(): void
@@ -132,6 +134,25 @@
   await sleep(1000)
 })
 
+When(/^(\d+) callers send requests on kept connections and the VM stops$/, { timeout: 20_000 }, async function (this: ForwardingWorld, count: string) {
+  const { settings, vm } = this.harness
+  const request = 'GET /open/1 HTTP/1.1\r\nHost: desk.example\r\nX-Test-Id: kept\r\n\r\n'
+  const callers = Array.from({ length: Number(count) }, () => keepConnection(settings.callerAddress, request, { maxPauseMs: 600 }))
+  await sleep(500)
+  await vm.stop()
+  await vm.close()
+  this.keptConnections = await Promise.all(callers)
+})
+
+Then('no connection ended without an answer to a request that had been sent', function (this: ForwardingWorld) {
+  assert.ok(this.keptConnections.every(({ answered }) => answered > 0))
+  assert.equal(this.keptConnections.filter(({ end }) => end === 'unanswered').length, 0)
+})
+
+Then('every caller was told to close its connection or found it closed while it was idle', function (this: ForwardingWorld) {
+  assert.ok(this.keptConnections.every(({ end }) => end === 'announced' || end === 'idle'))
+})
+
 When('the window of the rate limits has passed', async function (this: ForwardingWorld) { await sleep(COLD_WINDOW_MS + STOP_CHECK_PERIOD_MS) })
 
 When('the VM accepts no more requests', async function (this: ForwardingWorld) { await sleep(ACCEPT_AFTER_STOP_MS - 1000 + 200) })
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -351,9 +351,9 @@
       log.info('VM stops', { openRequests: callerServer.openRequests() })
       void fleet.leave()
       const endMs = stoppingSinceMs + settings.stopGraceMs * STOP_GRACE_SHARE
+      // Idle connections stay open: a caller may just have sent a request on one. Each response asks to close its connection.
       while (clock.now() < endMs) {
         await clock.sleep(STOP_CHECK_PERIOD_MS)
-        callerServer.server.closeIdleConnections()
         if (clock.now() - stoppingSinceMs > ACCEPT_AFTER_STOP_MS && callerServer.openRequests() === 0) break
       }
       // What this VM has sent in the last window counts against the limits until its end.
