Take comments in a stream as no progress

Callers saw: a stream whose backend server stalled but sent a comment now and then was not resumed elsewhere; it ended at the route's timeout. Cause: each complete block of the stream counted as an event, so a comment reset the time since the last event, and before the first event it also cleared the suspicion against the request's parts. Change: only a block with a field counts. Comments are passed on as before. Evidence: the new row (stream-stall-ping) fails without the change and passes with it.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -45,6 +45,7 @@
       | stream-break-mid-event, stream   | 2        |
       | stream-no-length, stream         | 2        |
       | stream-stall, stream             | 2        |
+      | stream-stall-ping, stream        | 2        |
       | reset, stream                    | 2        |
       | silent, stream                   | 2        |
 
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -7,7 +7,7 @@
   | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
-  | 'stream-crash' | 'stream' | 'stream-break-mid-event' | 'stream-no-length' | 'stream-stall' | 'stream-pause' | 'stream-low-confidence' | 'stream-slow'
+  | 'stream-crash' | 'stream' | 'stream-break-mid-event' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-low-confidence' | 'stream-slow'
 
 export interface ScriptedBackend {
   address: string
@@ -156,6 +156,11 @@
     },
     'stream-no-length': () => finish(stream + '\r\n' + events(after + 2).join('')),
     'stream-stall': () => { socket.write(chunked + chunk(event(after + 1))) },
+    'stream-stall-ping': () => {
+      socket.write(chunked + chunk(event(after + 1)))
+      const timer = setInterval(() => socket.write(chunk(': ping\n\n')), 50)
+      socket.on('close', () => clearInterval(timer))
+    },
     'stream-pause': () => {
       socket.write(chunked + chunk(event(after + 1)))
       setTimeout(() => finish(all.slice(1).map(chunk).join('') + '0\r\n\r\n'), 900)
--- a/src/core/forwarding/event-stream.ts
+++ b/src/core/forwarding/event-stream.ts
@@ -7,6 +7,8 @@
   /** The bytes of the event, including the blank line that terminates it. */
   bytes: Buffer
   id: number | undefined
+  /** Whether it is an event for the caller, and not a comment that only keeps the connection open. */
+  hasContent: boolean
 }
 
 export interface EventSplitter {
@@ -17,6 +19,8 @@
 
 const LF = 0x0a
 const CR = 0x0d
+/** A line with a field; comments begin with a colon. */
+const CONTENT_LINE = /^[^:\r\n]/m
 
 export function createEventSplitter (): EventSplitter {
   let buffered: Buffer = Buffer.alloc(0)
@@ -28,7 +32,7 @@
       let start = 0
       for (let end = findEventEnd(data, start); end !== -1; end = findEventEnd(data, start)) {
         const bytes = data.subarray(start, end)
-        events.push({ bytes, id: parseEventId(bytes) })
+        events.push({ bytes, id: parseEventId(bytes), hasContent: CONTENT_LINE.test(bytes.toString('latin1')) })
         start = end
       }
       buffered = data.subarray(start)
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -85,6 +85,18 @@
       if (gapMs > route.maxEventGapMs * (isServerSilent ? SILENT_SERVER_STALL_FACTOR : STALL_FACTOR) && reserveFailover()) settle('broken', 'stalled')
     }
 
+    /** A comment is no progress: a stalled backend server may go on sending them. */
+    function recordProgress (): void {
+      if (firstEventMs === undefined) {
+        firstEventMs = clock.now()
+        options.cancelResponseTimer()
+        options.endPrompt()
+        options.onFirstEvent()
+      }
+      options.recordEvent()
+      lastEventMs = clock.now()
+    }
+
     body.on('data', (chunk: Buffer) => {
       backend.lastReceivedMs = clock.now()
       for (const event of splitter.push(chunk)) {
@@ -93,14 +105,7 @@
           if (event.id <= lastEventId) continue
           if (event.id > lastEventId + 1) return settle('broken', 'event missing')
         }
-        if (firstEventMs === undefined) {
-          firstEventMs = clock.now()
-          options.cancelResponseTimer()
-          options.endPrompt()
-          options.onFirstEvent()
-        }
-        options.recordEvent()
-        lastEventMs = clock.now()
+        if (event.hasContent) recordProgress()
         if (!caller.hasStarted()) caller.startResponse(head.status, head.headers)
         if (event.id !== undefined) lastEventId = event.id
         if (!caller.write(event.bytes)) pauseUntilDrained()
