Check again what permits a request when its connection opens

Callers would see: a request sent by a process that was paused for seconds while it connected, on a key, a share of a limit or a loan that had run out meanwhile. Cause: access, quarantine and limits are checked before the connection is opened, and the bytes leave when it is open; the timeout of 400 ms in between is a timer that stops with the process. Change: in the turn in which the connection opens, the access is checked again, and a request whose checks are over 500 ms old by either clock is not sent; it is then decided anew. Evidence: the scenario with a clock that shows 3 s in between sends the request without the change, and none with it.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -335,6 +335,18 @@
     When a caller sends a request to /order/1
     Then the caller gets status 200 with the body "whole"
 
+  # Guards against a process that was paused while it connected and sends a request by permissions that have run out meanwhile.
+  Scenario Outline: a request is <result> if the clock shows <ms> ms between its checks and its connection
+    Given a forwarding VM with a backend server, whose clock shows <ms> ms between two readings
+    When a caller sends a request to /open/1
+    Then the caller gets status <status> with the body "<body>"
+    And the backend servers received <received> requests
+
+    Examples:
+      | ms   | result   | status | body  | received |
+      | 1    | sent     | 200    | whole | 1        |
+      | 3000 | not sent | 503    | -     | 0        |
+
   # Guards against kept connections that are closed by a stop at the moment at which their callers send the next request.
   Scenario: a VM that stops answers every request on the kept connections of 500 callers
     Given a forwarding VM with 4 backend servers that answer
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -2,6 +2,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { brandId, type DataCentreId, type VmId } from '../../src/core/ids/index.ts'
 import { COLD_WINDOW_MS } from '../../src/core/backend-pool/constants.ts'
+import { systemClock } from '../../src/core/clock/index.ts'
 import { FLEET_COALESCE_MS, FLEET_KIND, KEY_KIND, KEY_NAME } from '../../src/core/fleet/constants.ts'
 import { ACCEPT_AFTER_STOP_MS, BACKENDS_COALESCE_MS, STOP_CHECK_PERIOD_MS } from '../../src/core/forwarding-vm/constants.ts'
 import { PART_KIND, QUARANTINE_DURATION_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from '../../src/core/quarantine/constants.ts'
@@ -89,6 +90,16 @@
   await sleep(100)
 })
 
+Given(/^a forwarding VM with a backend server, whose clock shows (\d+) ms between two readings$/, async function (this: ForwardingWorld, ms: string) {
+  const backend = await startScriptedBackend()
+  const store = createMemoryStore()
+  store.put(KINDS.backendServers, 'backend-0', backendEntry(backend.address))
+  this.backends = [backend]
+  let wallMs = systemClock.wallMs()
+  this.harness = await startForwardingVmHarness({ store, clock: { ...systemClock, wallMs: () => (wallMs += Number(ms)) } })
+  await sleep(300)
+})
+
 Given('a forwarding VM that restarts and knows a cold backend server', async function (this: ForwardingWorld) {
   const backend = await startScriptedBackend()
   const store = createMemoryStore()
--- a/src/core/forwarding/constants.ts
+++ b/src/core/forwarding/constants.ts
@@ -2,6 +2,8 @@
 
 /** Timeout for connecting to a backend server. A round trip takes a few milliseconds; a lost packet is retransmitted after a second. */
 export const CONNECT_TIMEOUT_MS = 400
+/** Time from the checks of a request to its sending after which they must be repeated: the process was paused, as a connection takes less. */
+export const MAX_SEND_DELAY_MS = 500
 /** Connections that may fail for one request before any byte is sent; they do not count as attempts. */
 export const MAX_CONNECT_ATTEMPTS = 4
 /** Timeout of the connection that shows whether a backend server has crashed. A refusal takes one round trip; a retry waits for it. */
--- a/src/core/forwarding/exchange.ts
+++ b/src/core/forwarding/exchange.ts
@@ -14,8 +14,11 @@
   decodeBackendHead(request: CallerRequest, status: number, headers: IncomingMessage['headers'], raw: string[]): BackendResponseHead
 }
 
-/** `not_sent`: no byte of the request was sent. `lost`: the backend server may have run the request. */
-export type ExchangeFailure = { kind: 'not_sent' | 'lost', reason: string }
+/**
+ * `not_sent`: no byte of the request was sent. `not_permitted`: nor was any, because it may not be sent any more. `lost`: the
+ * backend server may have run the request.
+ */
+export type ExchangeFailure = { kind: 'not_sent' | 'not_permitted' | 'lost', reason: string }
 
 export type ExchangeResult = { kind: 'head', head: BackendResponseHead, body: IncomingMessage } | ExchangeFailure
 
@@ -39,12 +42,14 @@
   call: BackendCall
   body: Buffer | undefined
   codec: Codec
+  /** Whether the request may still be sent; asked in the turn in which its bytes are written. Default: always. */
+  mayStillSend?: () => boolean
   connectTimeoutMs?: number
 }
 
 const agent = new Agent({ keepAlive: false, maxSockets: Infinity })
 
-export function startExchange ({ backend, request, call, body, codec, connectTimeoutMs = CONNECT_TIMEOUT_MS }: ExchangeOptions): Exchange {
+export function startExchange ({ backend, request, call, body, codec, mayStillSend = () => true, connectTimeoutMs = CONNECT_TIMEOUT_MS }: ExchangeOptions): Exchange {
   const [host, port] = backend.entry.address.split(':')
   let connected = false
   let connectionFailed = false
@@ -60,8 +65,8 @@
     settle({ kind: 'head', head, body: incoming })
   })
   outgoing.on('socket', socket => {
-    if (!socket.connecting) connected = true
-    else socket.once('connect', () => { connected = true; clearTimeout(timer) })
+    if (socket.connecting) socket.once('connect', send)
+    else send()
   })
   let interimResponses = 0
   outgoing.on('information', () => { if (++interimResponses > MAX_INTERIM_RESPONSES) fail('too many interim responses') })
@@ -71,11 +76,18 @@
   })
   outgoing.on('close', () => fail('connection closed'))
   const timer = setTimeout(() => { if (!connected) fail('connect timeout') }, connectTimeoutMs)
-  outgoing.end(body)
 
-  function fail (reason: string): void {
+  /** The headers are sent with the body, so nothing leaves before this. */
+  function send (): void {
+    if (!mayStillSend()) return fail('not permitted any more', 'not_permitted')
+    connected = true
+    clearTimeout(timer)
+    outgoing.end(body)
+  }
+
+  function fail (reason: string, kind: ExchangeFailure['kind'] = connected ? 'lost' : 'not_sent'): void {
     clearTimeout(timer)
-    settle({ kind: connected ? 'lost' : 'not_sent', reason })
+    settle({ kind, reason })
     outgoing.destroy()
   }
 
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -15,7 +15,7 @@
 import type { CapacityQueue } from '../placement/capacity-queue.ts'
 import type { PartQuarantine } from '../quarantine/request-parts.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
-import { CAPACITY_WAIT_SHARE, DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, LOAN_RETRY_MS, MAX_CAPACITY_WAIT_MS, MAX_CONNECT_ATTEMPTS, MAX_LOANS_REFUSED, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
+import { CAPACITY_WAIT_SHARE, DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, LOAN_RETRY_MS, MAX_CAPACITY_WAIT_MS, MAX_CONNECT_ATTEMPTS, MAX_LOANS_REFUSED, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
 import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, type AttemptOutcome } from './attempt-outcome.ts'
 import { pollAfter } from './poll-after.ts'
 import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome, type CrashEvidence } from './crash-evidence.ts'
@@ -211,7 +211,11 @@
     const call = {
       backendServer: backend.entry.id, team: team?.id, remainingMs, urgency: urgencyOf(route, team), model: progress.model, lastEventId: progress.lastEventId
     }
-    const exchange = startExchange({ backend, request, call, body, codec })
+    const permittedAt = { monotonicMs: clock.now(), wallMs: clock.wallMs() }
+    // The monotonic clock stops while a process is frozen.
+    const wasPaused = () => Math.max(clock.now() - permittedAt.monotonicMs, clock.wallMs() - permittedAt.wallMs) > MAX_SEND_DELAY_MS
+    const mayStillSend = () => !wasPaused() && (progress.attempts > 1 || recheckAccess(forwarded) === undefined)
+    const exchange = startExchange({ backend, request, call, body, codec, mayStillSend })
     progress.currentExchange = exchange
     progress.triedBackends.add(backend)
     const observation = options.observe(backend, forwarded, progress.attempts === 1 && progress.connectAttempts === 0)
@@ -235,12 +239,12 @@
       const result = await exchange.result
       if (result.kind !== 'head') {
         cancelResponseTimer()
-        if (result.kind === 'not_sent') {
+        if (result.kind !== 'lost') {
           progress.connectAttempts++
           progress.attempts--
           progress.hasFailed = true
           endAttempt('not_run')
-          options.recordConnectFailure(backend)
+          if (result.kind === 'not_sent') options.recordConnectFailure(backend)
           return { kind: 'next', reason: result.reason, backend }
         }
         progress.mayHaveRun = true
