Let the same few VMs lend the limits of many backend servers

Each backend server had lenders of its own, so nearly every loan opened a link between two VMs that had none. That links are what costs is a hypothesis. A borrower asks three of them, as a silent lender now holds more. Evidence: the scenarios of the loans pass; without the hand-over time, the one with lenders that leave fails with 23 requests in a second.

--- a/src/core/backend-pool/index.ts
+++ b/src/core/backend-pool/index.ts
@@ -7,8 +7,8 @@
 import type { BackendServerId, DataCentreId, ServiceId, VmId } from '../ids/index.ts'
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import { rendezvousOrder } from '../placement/rendezvous.ts'
-import { BACKEND_ENTRY_EXPIRY_MS, COLD_SAFETY_FACTOR, COLD_WINDOW_MS, FAILURE_RATE_WEIGHT, FIRST_SUSPENSION_MS, MAX_SUSPENSION_MS, NAMED_LIMIT_WINDOW_MS, REQUESTS_PER_LENDER, SHARE_HANDOVER_MS, STORE_RECOVERY_GRACE_MS } from './constants.ts'
+import { hashText, rendezvousOrder } from '../placement/rendezvous.ts'
+import { BACKEND_ENTRY_EXPIRY_MS, COLD_SAFETY_FACTOR, COLD_WINDOW_MS, FAILURE_RATE_WEIGHT, FIRST_SUSPENSION_MS, LENDER_GROUPS, MAX_SUSPENSION_MS, NAMED_LIMIT_WINDOW_MS, REQUESTS_PER_LENDER, SHARE_HANDOVER_MS, STORE_RECOVERY_GRACE_MS } from './constants.ts'
 import { createNamedLimits, type NamedLimits } from './named-limits.ts'
 import type { Backend, BackendEntry, RequestLoad, Reservation } from './types.ts'
 
@@ -105,7 +105,7 @@
   const backends = new Map<BackendServerId, Backend>()
   const namedLimits = createNamedLimits({ isKnown: id => backends.has(id), clock, log })
   /** Rank of this VM among the VMs in the rendezvous order of a backend server, cached with the VMs that it was computed for. */
-  const shareOrders = new WeakMap<Backend, ShareOrder>()
+  const shareOrders = new Map<string, ShareOrder>()
   /** Recent sends to backend servers that were removed; the entry of such a one may be written again. */
   const departedSends = new Map<BackendServerId, number[]>()
   const createdMs = clock.now()
@@ -146,6 +146,7 @@
   /** Removes the backend server, but keeps the count of its recent sends for the window of the cold limit. */
   function detach ({ entry: { id }, recentSends }: Backend): void {
     backends.delete(id)
+    shareOrders.delete(id)
     departedSends.set(id, recentSends)
     clock.after(NAMED_LIMIT_WINDOW_MS, () => {
       if (departedSends.get(id) !== recentSends) return
@@ -184,10 +185,11 @@
 
   /** This VM's share of a number of requests. If there are more VMs than requests, a few of them have shares and lend them to the others. */
   function shareOf (limit: number, backend: Backend): number {
-    const { vms, rank: currentRank, previousRank, changedMs } = shareOrderOf(backend)
-    const holders = countHolders(limit, vms.length)
+    const holders = countHolders(limit, cold.vms().length)
+    const isLent = holders < cold.vms().length
+    const { rank: currentRank, previousRank, changedMs } = isLent ? lenderOrderOf(backend) : shareOrderOf(backend.entry.id)
     // The VM that had the share before may have used it until it knew of the change.
-    const isSettling = holders < vms.length && clock.now() - changedMs < SHARE_HANDOVER_MS
+    const isSettling = isLent && clock.now() - changedMs < SHARE_HANDOVER_MS
     const rank = isSettling ? Math.max(currentRank, previousRank) : currentRank
     if (rank >= holders) return 0
     const basePerVm = Math.floor(limit / holders)
@@ -257,18 +259,23 @@
     if (recentSends.length > 1 && recentSends.at(-2)! > sentMs) recentSends.sort((left, right) => left - right)
   }
 
-  /** Cached, because ordering all VMs for each backend server and request would take most of the CPU time in a large fleet. */
-  function shareOrderOf (backend: Backend): ShareOrder {
+  /** Cached, because ordering all VMs for each request would take most of the CPU time in a large fleet. */
+  function shareOrderOf (key: string): ShareOrder {
     const vms = cold.vms()
-    const cached = shareOrders.get(backend)
+    const cached = shareOrders.get(key)
     if (cached?.vms === vms) return cached
-    const order = rendezvousOrder(backend.entry.id, vms)
+    const order = rendezvousOrder(key, vms)
     const rank = order.indexOf(cold.self)
     const shareOrder = { vms, order, rank, previousRank: cached?.rank ?? rank, changedMs: cached ? clock.now() : -Infinity }
-    shareOrders.set(backend, shareOrder)
+    shareOrders.set(key, shareOrder)
     return shareOrder
   }
 
+  /** Order in which the VMs hold a limit and lend it; the same for many backend servers, so that a VM needs links to few lenders. */
+  function lenderOrderOf ({ entry: { id } }: Backend): ShareOrder {
+    return shareOrderOf(`lenders-${hashText(id) % LENDER_GROUPS}`)
+  }
+
   function rateWaitMs (backend: Backend): number {
     const oldestMs = clock.now() - NAMED_LIMIT_WINDOW_MS
     if (backend.recentSends.length > 0 && backend.recentSends[0]! < oldestMs) backend.recentSends = backend.recentSends.filter(sentMs => sentMs >= oldestMs)
@@ -277,9 +284,9 @@
 
   /** The VMs that have a share in all limits of a backend server; undefined if all VMs have one. */
   function lendersOf (backend: Backend): readonly VmId[] | undefined {
-    const { vms, order } = shareOrderOf(backend)
-    const holders = Math.min(...limitsOf(backend).map(limit => countHolders(limit, vms.length)))
-    return holders < vms.length ? order.slice(0, holders) : undefined
+    const vmCount = cold.vms().length
+    const holders = Math.min(...limitsOf(backend).map(limit => countHolders(limit, vmCount)))
+    return holders < vmCount ? lenderOrderOf(backend).order.slice(0, holders) : undefined
   }
 
   return {
--- a/src/core/capacity-loan/constants.ts
+++ b/src/core/capacity-loan/constants.ts
@@ -5,4 +5,4 @@
 /** Timeout of a request for a loan. */
 export const LOAN_TIMEOUT_MS = 120
 /** Number of lenders that are asked for one backend server. */
-export const MAX_LENDERS_ASKED = 2
+export const MAX_LENDERS_ASKED = 3
