Restore the bound on the messages of load reports at 89 VMs

Now there is one collector for 24 VMs, two at least and at most one of each data centre: 4 for 89 VMs (24 messages), 6 for 195 and more. New scenarios guard the choice of a local collector and the bound on polls (they fail with a collector of any data centre, and without the least hold).

--- a/features/feed-relay.feature
+++ b/features/feed-relay.feature
@@ -130,8 +130,15 @@
       | 50  | 2     | 0      | 40   |
       | 89  | 2     | 6      | 20   |
       | 195 | 2     | 12     | 30   |
+      | 300 | 2     | 18     | 35   |
       | 340 | 2     | 18     | 35   |
 
+  # Guards against polls that grow with the confirmations of the store.
+  Scenario: a relay answers few polls of a VM, however often the store confirms its copies
+    Given 8 VMs that follow a kind with the objects a, b, which the store confirms every 50 ms
+    When 2000 ms pass in the fleet
+    Then no VM has polled more often than every 350 ms since its start
+
   # Guards against a start at which each VM follows the store until it has met the others.
   Scenario Outline: <vms> VMs that start together read little from the store
     Given <vms> VMs that start together with the objects a, b
--- a/features/steps/feed-relay.ts
+++ b/features/steps/feed-relay.ts
@@ -29,6 +29,8 @@
   recoveries: number
   confirmedMs: number
   storeCallsMs: number[]
+  /** Times of the polls that it sent to others and that may be held. */
+  pollsMs: number[]
   isCutOff: boolean
   /** State of the links to this VM. */
   link: 'open' | 'dead' | 'silent'
@@ -36,6 +38,8 @@
 
 interface RelayWorld {
   store: MemoryStore
+  /** Time between two confirmations of the followed kind. */
+  confirmMs: number
   vms: Map<VmId, RelayVm>
   faultyVms: Set<RelayVm>
   largestResponseBytes: number
@@ -78,6 +82,7 @@
     liveVms: () => placeVms([...world.vms].filter(([name, { link }]) => link !== 'dead' && vm.knownVms.has(name)).map(([name]) => name)),
     async poll (to, poll, timeoutMs) {
       const target = world.vms.get(to)!
+      if (poll.holdMs > 0) vm.pollsMs.push(systemClock.now())
       if (target.link === 'dead') throw new PeerError('peer_unreachable')
       if (target.link === 'silent') {
         await sleep(timeoutMs)
@@ -93,7 +98,7 @@
     metrics: createMetrics(),
     random: Math.random
   })
-  const vm: RelayVm = { relay, names: new Set(), knownVms: new Set(), changed: new Set(), recoveries: 0, confirmedMs: -Infinity, storeCallsMs: [], isCutOff: false, link: 'open' }
+  const vm: RelayVm = { relay, names: new Set(), knownVms: new Set(), changed: new Set(), recoveries: 0, confirmedMs: -Infinity, storeCallsMs: [], pollsMs: [], isCutOff: false, link: 'open' }
   world.vms.set(id, vm)
   store.put(VM_KIND, id, {})
   relay.follow({
@@ -106,7 +111,7 @@
   for (const kind of IDLE_KINDS) relay.follow({ kind, waitMs: 1000, onSnapshot () {}, onChange () {} })
   relay.follow({
     kind: KIND,
-    waitMs: 300,
+    waitMs: world.confirmMs,
     onSnapshot (objects) { vm.names = new Set(objects.map(({ name }) => name)) },
     onChange ({ object, deleted }) {
       if (deleted) vm.names.delete(object.name)
@@ -140,12 +145,13 @@
 }
 
 function startWorld (world: RelayWorld, names: string): void {
-  Object.assign(world, { store: createMemoryStore(), vms: new Map(), faultyVms: new Set(), largestResponseBytes: 0, outageConfirmations: 0, latestAnsweredCallMs: -Infinity, prematureConfirmations: 0 })
+  Object.assign(world, { store: createMemoryStore(), vms: new Map(), faultyVms: new Set(), largestResponseBytes: 0, confirmMs: 300, outageConfirmations: 0, latestAnsweredCallMs: -Infinity, prematureConfirmations: 0 })
   for (const name of names.split(', ')) world.store.put(KIND, name, {})
 }
 
-Given(/^(\d+) VMs that follow a kind with the objects (.*)$/, async function (this: RelayWorld, count: string, names: string) {
+Given(/^(\d+) VMs that follow a kind with the objects ([a-z, ]+?)(?:, which the store confirms every (\d+) ms)?$/, async function (this: RelayWorld, count: string, names: string, confirmMs: string | undefined) {
   startWorld(this, names)
+  if (confirmMs) this.confirmMs = Number(confirmMs)
   for (let i = 0; i < Number(count); i++) addVm(this, brandId<VmId>(`vm-${i}`))
   await sleep(1200)
 })
@@ -261,6 +267,15 @@
   }
 })
 
+Then(/^no VM has polled more often than every (\d+) ms since its start$/, function (this: RelayWorld, ms: string) {
+  const followers = [...this.vms.values()].filter(({ pollsMs }) => pollsMs.length > 1)
+  assert.ok(followers.length > 0)
+  for (const { pollsMs } of followers) {
+    const meanMs = (pollsMs.at(-1)! - pollsMs[0]!) / (pollsMs.length - 1)
+    assert.ok(meanMs >= Number(ms), `every ${Math.round(meanMs)} ms`)
+  }
+})
+
 Given(/^(\d+) VMs that start together with the objects (.*)$/, { timeout: 20_000 }, async function (this: RelayWorld, count: string, names: string) {
   startWorld(this, names)
   for (let i = 0; i < Number(count); i++) {
--- a/features/steps/traffic-decisions.ts
+++ b/features/steps/traffic-decisions.ts
@@ -389,6 +389,18 @@
   assert.ok(most <= Number(max), `${most} messages`)
 })
 
+Then(/^(\d+) VMs have (\d+) collectors, and each reports to that of its own data centre first if there is one$/, function (vms: string, count: string) {
+  const placed = placeVms(vmNames(Number(vms)))
+  const choices = placed.map(vm => ({ vm, ...chooseCollectors(placed, vm) }))
+  const collectors = choices.filter(({ isCollector }) => isCollector).map(({ vm }) => vm)
+  assert.equal(collectors.length, Number(count))
+  for (const { vm, isCollector, others } of choices) {
+    const local = collectors.find(({ dataCentre }) => dataCentre === vm.dataCentre)
+    if (!isCollector && local) assert.equal(others[0], local.vm)
+    assert.equal(others.length, collectors.length - (isCollector ? 1 : 0))
+  }
+})
+
 interface SplitWorld { events: string[], ids: (number | undefined)[], text: string }
 
 Given(/^a stream of 3 events in chunks of (\d+) bytes$/, function (this: SplitWorld, bytes: string) {
--- a/features/traffic-decisions.feature
+++ b/features/traffic-decisions.feature
@@ -295,10 +295,22 @@
     Examples:
       | vms | most |
       | 8   | 112  |
-      | 89  | 40   |
+      | 89  | 30   |
       | 195 | 40   |
+      | 300 | 40   |
       | 340 | 40   |
 
+  # Guards against load reports that cross data centres once for each VM.
+  Scenario Outline: of <vms> VMs in 6 data centres, <collectors> collect the load reports, the own one first
+    Then <vms> VMs have <collectors> collectors, and each reports to that of its own data centre first if there is one
+
+    Examples:
+      | vms | collectors |
+      | 20  | 2          |
+      | 89  | 4          |
+      | 195 | 6          |
+      | 340 | 6          |
+
   Scenario Outline: the splitter finds the events of a stream that arrives in chunks of <bytes> bytes
     Given a stream of 3 events in chunks of <bytes> bytes
     Then the splitter finds the events 1, 2, 3 unchanged
--- a/src/core/feed-relay/relay-choice.ts
+++ b/src/core/feed-relay/relay-choice.ts
@@ -33,11 +33,16 @@
   return { isRoot: false, sources: isRelay || relays.length === 0 ? rendezvousOrder(self.vm, roots) : nearestFirst(relays, self) }
 }
 
-/** Chooses one VM of each data centre; two in a fleet with a single one. */
+/**
+ * Chooses one VM in VMS_PER_RELAY, two at least, but not more than one of each data centre, so that the messages between
+ * collectors do not grow with the fleet; two of a single data centre.
+ */
 export function chooseCollectors (liveVms: readonly PlacedVm[], self: PlacedVm): CollectorChoice {
-  const byDataCentre = [...groupByDataCentre(withSelf(liveVms, self)).values()]
-  const count = byDataCentre.length > 1 ? 1 : 2
-  const collectors = byDataCentre.flatMap(vms => firstOf('load-collector', vms, count))
+  const vms = withSelf(liveVms, self)
+  const byDataCentre = groupByDataCentre(vms)
+  const count = Math.min(byDataCentre.size, Math.max(2, Math.ceil(vms.length / VMS_PER_RELAY)))
+  const dataCentres = rendezvousOrder('load-collector', [...byDataCentre.keys()]).slice(0, count)
+  const collectors = dataCentres.flatMap(dataCentre => firstOf('load-collector', byDataCentre.get(dataCentre)!, count === 1 ? 2 : 1))
   return { isCollector: collectors.some(({ vm }) => vm === self.vm), others: nearestFirst(collectors, self) }
 }
 
