Start no response with a comment

Callers saw: a stream whose backend server sent a comment and then crashed before its first event was cut off, with status 200, instead of being sent to another backend server or refused. Cause: the first block of a stream started the response to the caller, also if it was a comment. Change: comments before the first event are kept, up to the size of an event, and sent with it. The text of a block is decoded once, not twice. Evidence: the row stream-comment-crash of the deadly prompt part fails without it, and also if a comment counts as an event, which did not test.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -46,17 +46,24 @@
       | stream-no-length, stream         | 2        |
       | stream-stall, stream             | 2        |
       | stream-stall-ping, stream        | 2        |
+      | stream-comment-crash             | 1        |
       | reset, stream                    | 2        |
       | silent, stream                   | 2        |
 
+  Scenario: a comment before the first event reaches the caller with it
+    Given a forwarding VM with 1 backend servers that stream-comment-crash
+    When a caller sends a request to /stream/1
+    Then the caller gets every event once and the end of the stream
+    And the response contains the comment ": wait" before its first event
+
   Scenario: an accepted stream is resumed on another backend server even if its key has been withdrawn
     Given a forwarding VM with 2 backend servers that stream-stall, stream
     When a caller sends a request to /stream/1 and its key is withdrawn after 100 ms
     Then the caller gets every event once and the end of the stream
 
-  # Guards against requests that share a deadly prompt part and crash one backend server after the other.
-  Scenario: a prompt part that crashes backend servers is refused, and prompts with its other parts are served
-    Given a forwarding VM with 4 backend servers that stream-crash
+  # Guards against requests that share a deadly prompt part and crash one backend server after the other, also if these send a comment first.
+  Scenario Outline: a prompt part on which backend servers <crash> is refused, and prompts with its other parts are served
+    Given a forwarding VM with 4 backend servers that <crash>
     When a caller sends the prompt shared,topic,deadly,own-1
     Then the caller gets status 502 with the body "-"
     And the backend servers received 2 requests
@@ -66,6 +73,11 @@
     Then the caller is told to come back when the quarantine ends
     And the backend servers received 3 requests
 
+    Examples:
+      | crash                |
+      | stream-crash         |
+      | stream-comment-crash |
+
   # Guards against a VM that starts after the crashes, or restarts, and sends the deadly part to engines again.
   Scenario: a VM that starts later refuses a quarantined prompt part
     Given a forwarding VM with 4 backend servers that stream-crash
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -367,6 +367,11 @@
   assert.equal(ended, 'closed')
 })
 
+Then('the response contains the comment {string} before its first event', function (this: ForwardingWorld, comment: string) {
+  const { body } = this.responses.at(-1)!
+  assert.ok(body.includes(comment) && body.indexOf(comment) < body.indexOf('id: 1'))
+})
+
 Then("the caller's response ends without the last chunk", function (this: ForwardingWorld) {
   assert.ok(!this.responses.at(-1)!.body.endsWith('0\r\n\r\n'))
 })
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -7,7 +7,7 @@
   | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
-  | 'stream-crash' | 'stream' | 'stream-break-mid-event' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-low-confidence' | 'stream-slow'
+  | 'stream-crash' | 'stream-comment-crash' | 'stream' | 'stream-break-mid-event' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-low-confidence' | 'stream-slow'
 
 export interface ScriptedBackend {
   address: string
@@ -109,6 +109,7 @@
     write()
   }
   const filler = 'x'.repeat(16 * 1024)
+  const isDeadlyPrompt = /^x-test-prompt: .*\bdeadly\b/m.test(head)
   const behaviours: Record<BackendBehaviour, () => void> = {
     answer: () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
     // Ends the backend server at requests to a path with "deadly": after the head of the response to a stream or a path with "late".
@@ -145,10 +146,17 @@
     'stream-endless-chunk-extension': () => writeEndlessly(chunked + chunk(event(after + 1)) + '5;', filler),
     // Ends a response to a prompt with the part "deadly" before the first event.
     'stream-crash': () => {
-      if (!/^x-test-prompt: .*\bdeadly\b/m.test(head)) return behaviours.stream()
+      if (!isDeadlyPrompt) return behaviours.stream()
       socket.write(chunked)
       setTimeout(() => socket.destroy(), 20)
     },
+    // The same after a comment.
+    'stream-comment-crash': () => {
+      const commented = chunked + chunk(': wait\n\n')
+      if (!isDeadlyPrompt) return finish(commented + all.map(chunk).join('') + '0\r\n\r\n')
+      socket.write(commented)
+      setTimeout(() => socket.destroy(), 20)
+    },
     stream: () => finish(chunked + all.map(chunk).join('') + '0\r\n\r\n'),
     'stream-break-mid-event': () => {
       socket.write(chunked + chunk(event(after + 1) + event(after + 2).slice(0, 8)))
--- a/src/core/forwarding/event-stream.ts
+++ b/src/core/forwarding/event-stream.ts
@@ -32,7 +32,8 @@
       let start = 0
       for (let end = findEventEnd(data, start); end !== -1; end = findEventEnd(data, start)) {
         const bytes = data.subarray(start, end)
-        events.push({ bytes, id: parseEventId(bytes), hasContent: CONTENT_LINE.test(bytes.toString('latin1')) })
+        const text = bytes.toString('latin1')
+        events.push({ bytes, id: parseEventId(text), hasContent: CONTENT_LINE.test(text) })
         start = end
       }
       buffered = data.subarray(start)
@@ -51,7 +52,7 @@
   return -1
 }
 
-function parseEventId (bytes: Buffer): number | undefined {
-  const match = /^id: ?(\d+)\s*$/m.exec(bytes.toString('latin1'))
+function parseEventId (text: string): number | undefined {
+  const match = /^id: ?(\d+)\s*$/m.exec(text)
   return match ? Number(match[1]) : undefined
 }
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -63,6 +63,8 @@
   let firstEventMs: number | undefined
   let lastEventMs = clock.now()
   let isCallerBlocked = false
+  /** Comments before the first event. */
+  const earlyComments: Buffer[] = []
 
   return new Promise(resolve => {
     let isSettled = false
@@ -97,6 +99,18 @@
       lastEventMs = clock.now()
     }
 
+    function startResponse (): void {
+      if (caller.hasStarted()) return
+      caller.startResponse(head.status, head.headers)
+      for (const bytes of earlyComments.splice(0)) caller.write(bytes)
+    }
+
+    /** Returns false when the caller reads more slowly than data arrives. */
+    function writeToCaller (bytes: Buffer): boolean {
+      startResponse()
+      return caller.write(bytes)
+    }
+
     body.on('data', (chunk: Buffer) => {
       backend.lastReceivedMs = clock.now()
       for (const event of splitter.push(chunk)) {
@@ -106,16 +120,17 @@
           if (event.id > lastEventId + 1) return settle('broken', 'event missing')
         }
         if (event.hasContent) recordProgress()
-        if (!caller.hasStarted()) caller.startResponse(head.status, head.headers)
         if (event.id !== undefined) lastEventId = event.id
-        if (!caller.write(event.bytes)) pauseUntilDrained()
+        // The response does not start with a comment, so that another backend server can still give it.
+        if (!event.hasContent && !caller.hasStarted()) earlyComments.push(event.bytes)
+        else if (!writeToCaller(event.bytes)) pauseUntilDrained()
       }
-      if (splitter.bufferedBytes() > MAX_EVENT_BYTES) settle('broken', 'event too large')
+      if (splitter.bufferedBytes() + earlyComments.reduce((sum, { length }) => sum + length, 0) > MAX_EVENT_BYTES) settle('broken', 'event too large')
     })
     body.on('end', () => {
       // An unframed stream may have been truncated between two events, so it must be resumed at another backend server to find its end.
       if (!isFramed(body) || !body.complete || exchange.hasConnectionFailed() || splitter.bufferedBytes() > 0) return settle('broken', 'stream truncated')
-      if (!caller.hasStarted()) caller.startResponse(head.status, head.headers)
+      startResponse()
       caller.end()
       settle('complete', 'complete')
     })
