Measure times on both clocks in one place

The start of a relay names its period, and the head of the module says what roots are. No change of behaviour.

--- a/src/core/clock/index.ts
+++ b/src/core/clock/index.ts
@@ -19,6 +19,21 @@
   every(ms: number, run: () => void): TimerCancel
 }
 
+/** A time on both clocks. */
+export interface Instant { monotonicMs: number, wallMs: number }
+
+export function readInstant (clock: Clock): Instant {
+  return { monotonicMs: clock.now(), wallMs: clock.wallMs() }
+}
+
+/**
+ * Time since an instant in milliseconds, by the clock that shows more: the monotonic clock stops while a VM is frozen, and
+ * the wall clock can be set back.
+ */
+export function longestElapsedMs (clock: Clock, { monotonicMs, wallMs }: Instant): number {
+  return Math.max(clock.now() - monotonicMs, clock.wallMs() - wallMs)
+}
+
 export const systemClock: Clock = {
   now: () => performance.now(),
   wallMs: () => Date.now(),
--- a/src/core/feed-relay/constants.ts
+++ b/src/core/feed-relay/constants.ts
@@ -17,6 +17,8 @@
 export const MIN_HOLD_MS = 350
 /** Time for which a VM that starts looks for a relay before it follows the store. If all VMs start together, the roots need about a second. */
 export const START_RELAY_WAIT_MS = 2500
+/** Period at which a VM that starts checks whether the list of the VMs has been read; a call takes a few milliseconds. */
+export const LIST_CHECK_MS = 30
 /** Mean pause between two attempts to find a relay in that time. */
 export const START_RETRY_MS = 150
 /** Number of relays that are polled one after the other before the store is followed directly; busy relays are often silent together. */
--- a/src/core/feed-relay/index.ts
+++ b/src/core/feed-relay/index.ts
@@ -1,16 +1,17 @@
 /**
- * Replicates the store's objects to all VMs with few calls to the store: some VMs, the relays, follow the store and the
- * others follow a relay. A VM follows the store directly while it is a root, knows too few other VMs, or finds no relay
- * with current copies. A VM that starts reads only the list of the VMs from the store and then looks for a relay. A relay's response contains the age of the store's confirmation, so that a VM knows the age of
- * its data whatever the source.
+ * Replicates the store's objects to all VMs with few calls to the store: some VMs, the roots, follow the store and the
+ * others follow a root or a relay. A VM follows the store directly while it is a root, knows too few other VMs, or finds
+ * no relay with current copies. A VM that starts reads only the list of the VMs from the store and then looks for a
+ * relay. A relay's response contains the age of the store's confirmation, so that a VM knows the age of its data whatever
+ * the source.
  */
-import type { Clock, TimerCancel } from '../clock/index.ts'
+import { readInstant, type Clock, type TimerCancel } from '../clock/index.ts'
 import { errorMessage } from '../errors/index.ts'
 import type { VmId } from '../ids/index.ts'
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { createObjectFeed, isAfter, type ObjectFeed, type ObjectStore, type Revision, type StoredObject } from '../object-feed/index.ts'
-import { COALESCE_MS, MAX_CONFIRMATION_AGE_MS, MAX_RELAYS_TRIED, MIN_HOLD_MS, POLL_HOLD_MS, POLL_TIMEOUT_MS, RELAY_BACKOFF_MS, ROLE_CHECK_PERIOD_MS, START_RELAY_WAIT_MS, START_RETRY_MS } from './constants.ts'
+import { COALESCE_MS, LIST_CHECK_MS, MAX_CONFIRMATION_AGE_MS, MAX_RELAYS_TRIED, MIN_HOLD_MS, POLL_HOLD_MS, POLL_TIMEOUT_MS, RELAY_BACKOFF_MS, ROLE_CHECK_PERIOD_MS, START_RELAY_WAIT_MS, START_RETRY_MS } from './constants.ts'
 import { chooseRelays, type PlacedVm } from './relay-choice.ts'
 import { createReplica, type Replica } from './replica.ts'
 import type { FeedPoll, FeedPollResponse, KindSubscription, KindUpdate, RelayedObject } from './types.ts'
@@ -26,7 +27,7 @@
   confirmationKind: string
   /** Kind that names the other VMs; a VM that starts reads it from the store before it looks for a relay. */
   vmKind: string
-  /** Live VMs. */
+  /** Live VMs; may leave out this one. */
   liveVms: () => readonly PlacedVm[]
   poll(to: VmId, poll: FeedPoll, timeoutMs: number): Promise<FeedPollResponse>
   clock: Clock
@@ -136,7 +137,7 @@
     feed.start()
     for (;;) {
       if (!running || replica.isLoaded()) return
-      await clock.sleep(START_RETRY_MS / 5)
+      await clock.sleep(LIST_CHECK_MS)
     }
   }
 
@@ -165,7 +166,7 @@
   }
 
   async function pollRelay (relay: VmId): Promise<boolean> {
-    const sentAt = { monotonicMs: clock.now(), wallMs: clock.wallMs() }
+    const sentAt = readInstant(clock)
     const knownRevisions = Object.fromEntries([...kinds].map(([kind, { replica }]) => [kind, replica.revision() ?? null]))
     // The first poll to a new relay is not held, so that the VM gets its data immediately.
     const holdMs = source === relay ? POLL_HOLD_MS : 0
--- a/src/core/feed-relay/replica.ts
+++ b/src/core/feed-relay/replica.ts
@@ -3,7 +3,7 @@
  * order, and keeps the most recent changes for the VMs that poll this one. When the store has been restored from an older
  * copy, what the copy lacks or has back is withheld for a time, because its writers write it again.
  */
-import type { Clock, TimerCancel } from '../clock/index.ts'
+import { longestElapsedMs, type Clock, type TimerCancel } from '../clock/index.ts'
 import { isAfter, isSameRevision, type Change, type Revision, type SendTime, type StoredObject } from '../object-feed/index.ts'
 import { LARGE_OBJECT_BYTES, MAX_RECENT_CHANGES, RECOVERY_REPORT_MS, RESTORED_HOLD_MS } from './constants.ts'
 import type { KindSubscription, KindUpdate, RelayedObject } from './types.ts'
@@ -108,9 +108,9 @@
     onStoreRecovered?.()
   }
 
-  /** Time since the store confirmed this copy: the longer of the times that the two clocks measure. */
+  /** Time since the store confirmed this copy. */
   function ageMs (): number {
-    return Math.max(clock.now() - confirmed.monotonicMs, clock.wallMs() - confirmed.wallMs)
+    return longestElapsedMs(clock, confirmed)
   }
 
   return {
--- a/src/core/forwarding/config-lease.ts
+++ b/src/core/forwarding/config-lease.ts
@@ -5,7 +5,7 @@
  * can be set, so the age of the confirmation is the longer of the times that the two clocks measure. A store that was
  * restored to an older configuration confirms nothing until the latest one is written again, or the time for that is over.
  */
-import type { Clock } from '../clock/index.ts'
+import { longestElapsedMs, type Clock, type Instant } from '../clock/index.ts'
 import type { SendTime } from '../object-feed/types.ts'
 
 export interface ConfigLease {
@@ -36,20 +36,18 @@
 const REWRITE_TIME_MS = 2000
 
 export function createConfigLease ({ maxAgeMs, strict, clock }: ConfigLeaseOptions): ConfigLease {
-  let confirmedMs = -Infinity
-  let confirmedWallMs = -Infinity
+  let confirmed: Instant = { monotonicMs: -Infinity, wallMs: -Infinity }
   /** Monotonic time until which confirmations prove nothing, because the store was restored. */
   let unprovenUntilMs = -Infinity
   const waiters = new Set<() => void>()
 
-  const ageMs = () => Math.max(clock.now() - confirmedMs, clock.wallMs() - confirmedWallMs)
-  const isValid = () => (strict ? ageMs() < maxAgeMs - SAFETY_MARGIN_MS : confirmedMs !== -Infinity)
+  const ageMs = () => longestElapsedMs(clock, confirmed)
+  const isValid = () => (strict ? ageMs() < maxAgeMs - SAFETY_MARGIN_MS : confirmed.monotonicMs !== -Infinity)
 
   return {
-    renew ({ monotonicMs, wallMs }) {
-      if (monotonicMs < confirmedMs || monotonicMs < unprovenUntilMs) return
-      confirmedMs = monotonicMs
-      confirmedWallMs = wallMs
+    renew (sent) {
+      if (sent.monotonicMs < confirmed.monotonicMs || sent.monotonicMs < unprovenUntilMs) return
+      confirmed = sent
       if (!isValid()) return
       for (const finishWait of [...waiters]) finishWait()
     },
--- a/src/core/object-feed/index.ts
+++ b/src/core/object-feed/index.ts
@@ -4,7 +4,7 @@
  * then reports the discarded history and the feed lists again. The objects are also listed periodically, so that the
  * position is renewed before it falls out of the history.
  */
-import type { Clock } from '../clock/index.ts'
+import { readInstant, type Clock } from '../clock/index.ts'
 import { errorMessage } from '../errors/index.ts'
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
@@ -74,15 +74,14 @@
   }
 
   async function fetchNext (isCurrentRun: () => boolean): Promise<void> {
-    const sentMs = clock.now()
-    const sentAt = { monotonicMs: sentMs, wallMs: clock.wallMs() }
-    if (position === undefined || sentMs - lastListMs >= relistMs) {
+    const sentAt = readInstant(clock)
+    if (position === undefined || sentAt.monotonicMs - lastListMs >= relistMs) {
       const snapshot = await source.list(kind)
       if (!isCurrentRun()) return
       recordResponse()
       if (position !== undefined && isAfter(position, snapshot.revision)) return await discardList(snapshot.revision)
       position = snapshot.revision
-      lastListMs = sentMs
+      lastListMs = sentAt.monotonicMs
       onSnapshot(snapshot.objects, snapshot.revision)
       loaded = true
       onConfirmed?.(sentAt)
--- a/src/core/object-feed/types.ts
+++ b/src/core/object-feed/types.ts
@@ -1,4 +1,5 @@
 /** Interface of the object store, and its objects and changes. */
+import type { Instant } from '../clock/index.ts'
 import type { Revision } from './revision.ts'
 
 export type { Revision } from './revision.ts'
@@ -42,5 +43,5 @@
   delete(kind: string, name: string): Promise<void>
 }
 
-/** Time at which a call was sent, on both clocks: the monotonic clock stops while a VM is frozen, and the wall clock can be set. */
-export interface SendTime { monotonicMs: number, wallMs: number }
+/** Time at which a call was sent. */
+export type SendTime = Instant
