Hold back shares of a limit also when the fleet outgrows it

A cold backend server gets more requests than it bears while the fleet grows from fewer VMs than the limit has requests to more. Found by reading. Cause: a VM that came into a lender's share waited only if lenders had the limit before; the others may still use a share each. Only the last change of the VMs counted, and only if the VM had asked for its share before it. Change: a VM uses the smallest of its shares under all lists of the VMs of the last 2.1 s. The shares are a module of their own. New scenarios for what had no test of its own: a loan for a backend server that leaves, that expires or whose request ends meanwhile; loans between real VMs; lenders asked by one VM; the local backend server among those compared; memory of recent responses; relays that a starting VM has not met. Each fails with its mechanism taken out.

--- a/features/capacity-loan.feature
+++ b/features/capacity-loan.feature
@@ -27,16 +27,23 @@
       | 195 |
 
   # Guards against a limit that is used twice while the VMs learn at different times that one of them has left or joined.
-  Scenario Outline: a limit holds while <change>
-    Given 59 VMs and 1 backend servers that bear 20 requests a second each
+  Scenario Outline: the limit of <vms> VMs holds while <change>
+    Given <vms> VMs and 1 backend servers that bear 20 requests a second each
     When <change>, known to each VM within 1000 ms
     And the VMs send 600 requests a second to backend servers at random for 5000 ms
     Then no backend server got more than 19 requests in any second
 
     Examples:
-      | change           |
-      | 3 lenders leave  |
-      | 10 VMs join      |
+      | vms | change          |
+      | 59  | 3 lenders leave |
+      | 59  | 10 VMs join     |
+      | 14  | 10 VMs join     |
+
+  # Guards against links between all pairs of VMs, which cost more than the loans.
+  Scenario: a VM borrows from few others, whichever backend servers it uses
+    Given 195 VMs and 55 backend servers that bear 20 requests a second each
+    When the VMs send 600 requests a second to backend servers at random for 5000 ms
+    Then no VM has asked more than 12 others for loans
 
   Scenario: a VM that gets no answer from a lender asks another one
     Given 59 VMs and 55 backend servers that bear 20 requests a second each
@@ -66,13 +73,27 @@
       | {"backendServer":7}     |
       | {"backendServer":"gone"} |
 
+  # Guards against a loan that is used after what permitted the request has changed.
+  Scenario Outline: a borrowed request is <result> if <event> while the lender answers
+    Given a request to a service whose limits are lent
+    When capacity is reserved for it and <event> while the lender answers
+    Then the borrowed request is <result>
+
+    Examples:
+      | event                     | result   |
+      | nothing changes           | used     |
+      | the backend server leaves | not used |
+      | the loan expires          | not used |
+      | the request ends          | not used |
+
   # Guards against VMs that all choose the same backend server, because all know the same old loads.
   Scenario Outline: <vms> VMs that act on the same old loads do not choose the same backend server
     Given 55 backend servers in 6 data centres with loads from 4 to 12
     When each of <vms> VMs chooses a backend server by the same loads
     Then no backend server was chosen by more than <most> VMs
+    And at least <local> of the VMs have chosen one in their own data centre
 
     Examples:
-      | vms | most |
-      | 195 | 20   |
-      | 340 | 33   |
+      | vms | most | local |
+      | 195 | 20   | 65    |
+      | 340 | 33   | 113   |
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -205,6 +205,13 @@
       | 1900 | accepted |
       | 2100 | refused  |
 
+  # Guards against memory that grows with the requests.
+  Scenario: recent responses are kept for 2000 parts and 4 s at most
+    Given recent responses to 2001 parts of requests
+    Then the responses to the latest 2000 parts are known
+    When 4100 ms pass and there is a response to one more part
+    Then the responses to the latest 1 parts are known
+
   # Guards against a prompt part that turns deadly and is spared because it was sound before.
   Scenario: a part that engines crash on while they run it is refused, whatever responses came before
     Given 9 VMs that exchange evidence about prompt parts
--- a/features/steps/capacity-loan.ts
+++ b/features/steps/capacity-loan.ts
@@ -1,12 +1,15 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { createBackendPool, type Backend, type BackendPool } from '../../src/core/backend-pool/index.ts'
+import { createBackendPool, type Backend, type BackendPool, type Reservation } from '../../src/core/backend-pool/index.ts'
 import { createCapacityLoans, type CapacityLoans, type Loan } from '../../src/core/capacity-loan/index.ts'
 import { createManualClock, type Clock, type ManualClock } from '../../src/core/clock/index.ts'
 import { PeerError } from '../../src/core/errors/index.ts'
+import type { ForwardedRequest, RequestProgress } from '../../src/core/forwarding/forward.ts'
+import { createCapacity } from '../../src/core/forwarding-vm/capacity.ts'
 import { brandId, type BackendServerId, type DataCentreId, type VmId } from '../../src/core/ids/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createCapacityQueue } from '../../src/core/placement/capacity-queue.ts'
 import { chooseBackend, STALE_LOAD_SAMPLES } from '../../src/core/placement/index.ts'
 import { createRandom } from '../../src/standin/random.ts'
 import { backendEntry } from '../support/forwarding-vm-harness.ts'
@@ -25,6 +28,8 @@
   names: VmId[]
   vms: Map<VmId, LoanVm>
   silent: Set<VmId>
+  /** VMs that each VM has asked for a loan. */
+  askedLenders: Map<VmId, Set<VmId>>
   random: () => number
   limit: number
   /** Times of the requests to each backend server. */
@@ -34,6 +39,7 @@
   loan: Loan
   backends: Backend[]
   chosen: Map<Backend, number>
+  chosenLocally: number
 }
 
 const backendIds = (count: number) => Array.from({ length: count }, (_, index) => brandId<BackendServerId>(`server-${index}`))
@@ -47,8 +53,9 @@
   const loans = createCapacityLoans({
     pool,
     self,
-    liveVms: () => vm.known,
+    isLive: name => vm.known.includes(name),
     async request (to, body, timeoutMs) {
+      world.askedLenders.get(self)!.add(to)
       if (world.silent.has(to)) {
         await clock.sleep(timeoutMs)
         throw new PeerError('peer_timeout')
@@ -64,13 +71,14 @@
   })
   const vm: LoanVm = { pool, loans, known: world.names }
   world.vms.set(self, vm)
+  world.askedLenders.set(self, new Set())
   for (const id of world.sends.keys()) pool.apply({ ...backendEntry('127.0.0.1:1'), id })
 }
 
 Given(/^(\d+) VMs and (\d+) backend servers that bear (\d+) requests a second each$/, async function (this: LoanWorld, vms: string, servers: string, limit: string) {
   const names = Array.from({ length: Number(vms) }, (_, index) => brandId<VmId>(`vm-${index}`))
   const sends = new Map(backendIds(Number(servers)).map(id => [id, [] as number[]]))
-  Object.assign(this, { clock: createManualClock({ wallStartMs: 1_000_000 }), wallShiftMs: 0, names, vms: new Map(), silent: new Set(), random: createRandom(11), limit: Number(limit), sends, asked: 0, permitted: 0 })
+  Object.assign(this, { clock: createManualClock({ wallStartMs: 1_000_000 }), wallShiftMs: 0, names, vms: new Map(), silent: new Set(), askedLenders: new Map(), random: createRandom(11), limit: Number(limit), sends, asked: 0, permitted: 0 })
   for (const name of names) addVm(this, name)
   await this.clock.advance(1100)
 })
@@ -111,6 +119,11 @@
   }
 })
 
+Then(/^no VM has asked more than (\d+) others for loans$/, function (this: LoanWorld, max: string) {
+  const most = Math.max(...[...this.askedLenders.values()].map(({ size }) => size))
+  assert.ok(most > 0 && most <= Number(max), `${most} VMs`)
+})
+
 Then(/^the backend servers got at least (\d+) requests a second$/, function (this: LoanWorld, min: string) {
   const times = [...this.sends.values()].flat()
   assert.ok(times.length * 1000 / (Math.max(...times) - Math.min(...times)) >= Number(min), `${times.length} requests`)
@@ -122,7 +135,7 @@
   await this.clock.advance(200)
   const before = [...this.vms.values()]
   const [first] = before[0]!.pool.all()
-  const lenders = before[0]!.pool.lendersOf(first!)!.slice(0, 3)
+  const lenders = before[0]!.pool.lendersOf(first!).slice(0, 3)
   const joining = Array.from({ length: 10 }, (_, index) => brandId<VmId>(`late-vm-${index}`))
   const isLeaving = change === '3 lenders leave'
   this.names = isLeaving ? this.names.filter(vm => !lenders.includes(vm)) : [...this.names, ...joining]
@@ -139,7 +152,7 @@
 When(/^a VM borrows a request and then (?:is frozen for )?(\d+) ms( pass)?$/, async function (this: LoanWorld, ms: string, passes: string | null) {
   const { pool, loans } = this.vms.get(this.names.find(name => {
     const vm = this.vms.get(name)!
-    return !vm.pool.lendersOf([...vm.pool.all()][0]!)!.includes(name)
+    return !vm.pool.lendersOf([...vm.pool.all()][0]!).includes(name)
   })!)!
   const borrowing = loans.borrow([...pool.all()][0]!)
   await this.clock.advance(10)
@@ -155,6 +168,44 @@
   assert.deepEqual(this.vms.get(this.names[0]!)!.loans.accept(JSON.parse(body)), { isGranted: false })
 })
 
+interface CapacityWorld { clock: ManualClock, backend: Backend, reservations: number }
+
+Given('a request to a service whose limits are lent', function (this: CapacityWorld) {
+  this.clock = createManualClock()
+  const pool = createBackendPool({ cold: { limit: () => 0, vms: () => [], self: brandId<VmId>('vm-0') }, clock: this.clock, log: silentLog, metrics: createMetrics() })
+  pool.apply({ ...backendEntry('127.0.0.1:1'), id: brandId<BackendServerId>('server-0') })
+  this.backend = [...pool.all()][0]!
+  this.reservations = 0
+})
+
+When(/^capacity is reserved for it and (.*) while the lender answers$/, async function (this: CapacityWorld, event: string) {
+  const { backend, clock } = this
+  const progress = { isFinished: false, model: undefined } as RequestProgress
+  let isPermitted = true
+  let isValid = true
+  const capacity = createCapacity({
+    pool: { eligible: () => [backend], isLent: () => true, rateWaitMs: () => Infinity, reserve: () => { this.reservations++; return {} as Reservation } },
+    assignments: { prepare: () => ({ choose: isUsable => (isPermitted && isUsable(backend) ? backend : undefined), permits: () => isPermitted }), modelWeight: () => 1 },
+    loans: {
+      async borrow () {
+        if (event === 'the backend server leaves') isPermitted = false
+        if (event === 'the loan expires') isValid = false
+        if (event === 'the request ends') progress.isFinished = true
+        return { isValid: () => isValid }
+      }
+    },
+    queue: createCapacityQueue(clock),
+    clock,
+    random: () => 0.5
+  })
+  const forwarded = { request: { promptTokens: 10 }, service: backend.entry.service } as ForwardedRequest
+  const reserving = capacity.reserve(forwarded, progress, 1000)
+  await clock.advance(1500)
+  await reserving
+})
+
+Then(/^the borrowed request is (used|not used)$/, function (this: CapacityWorld, result: string) { assert.equal(this.reservations, result === 'used' ? 1 : 0) })
+
 Given(/^(\d+) backend servers in (\d+) data centres with loads from (\d+) to (\d+)$/, function (this: LoanWorld, count: string, _dataCentres: string, from: string, to: string) {
   const pool = createBackendPool({ cold: { limit: () => 0, vms: () => [], self: brandId<VmId>('vm-0') }, clock: createManualClock(), log: silentLog, metrics: createMetrics() })
   backendIds(Number(count)).forEach((id, index) => {
@@ -167,13 +218,19 @@
 When(/^each of (\d+) VMs chooses a backend server by the same loads$/, function (this: LoanWorld, count: string) {
   const random = createRandom(5)
   this.chosen = new Map()
+  this.chosenLocally = 0
   for (let i = 0; i < Number(count); i++) {
     const { dataCentre } = placeVm(brandId<VmId>(`vm-${i}`))
     const backend = chooseBackend({ candidates: this.backends, affinityKey: undefined, dataCentre, othersLoad: () => 0, samples: STALE_LOAD_SAMPLES, random })!
+    if (backend.entry.dataCentre === dataCentre) this.chosenLocally++
     this.chosen.set(backend, (this.chosen.get(backend) ?? 0) + 1)
   }
 })
 
+Then(/^at least (\d+) of the VMs have chosen one in their own data centre$/, function (this: LoanWorld, min: string) {
+  assert.ok(this.chosenLocally >= Number(min), `${this.chosenLocally} VMs`)
+})
+
 Then(/^no backend server was chosen by more than (\d+) VMs$/, function (this: LoanWorld, max: string) {
   const busiest = Math.max(...this.chosen.values())
   assert.ok(busiest <= Number(max), `${busiest} VMs`)
--- /dev/null
+++ b/features/steps/forwarding-fleet.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
+import type { KindSubscription } from '../../src/core/feed-relay/index.ts'
+import { createFleet, type Fleet } from '../../src/core/fleet/index.ts'
+import { brandId, type VmId } from '../../src/core/ids/index.ts'
+import { silentLog } from '../../src/core/logging/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import { rendezvousOrder } from '../../src/core/placement/rendezvous.ts'
+import { backendEntry, exchangeBytes, harnessSettings, KINDS, startForwardingVmHarness, type ForwardingVmHarness, type RawResponse } from '../support/forwarding-vm-harness.ts'
+import { createMemoryStore, type MemoryStore } from '../support/memory-store.ts'
+import { startScriptedBackend, type ScriptedBackend } from '../support/scripted-backend.ts'
+
+interface FleetWorld {
+  store: MemoryStore
+  vms: ForwardingVmHarness[]
+  backend: ScriptedBackend
+  responses: (RawResponse & { afterMs: number })[]
+}
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
+/** Less the safety factor and rounded down, this is the one request a second. */
+const COLD_RATE = 2
+const OTHER_VM = brandId<VmId>('vm-other')
+let requests = 0
+
+After({ tags: '@forwarding-fleet' }, async function (this: Partial<FleetWorld>) {
+  for (const { vm } of this.vms ?? []) await vm.close()
+  await this.backend?.close()
+})
+
+async function isReady ({ settings }: ForwardingVmHarness): Promise<boolean> {
+  return await fetch(`http://${settings.readinessAddress}/`).then(({ status }) => status === 200, () => false)
+}
+
+async function send (world: FleetWorld, { settings }: ForwardingVmHarness): Promise<void> {
+  const sentMs = performance.now()
+  const bytes = `GET /open/1 HTTP/1.1\r\nhost: desk.example\r\nx-test-id: fleet-${requests++}\r\nx-test-wait-ms: 2500\r\nconnection: close\r\n\r\n`
+  const response = await exchangeBytes(settings.callerAddress, bytes)
+  world.responses.push({ ...response, afterMs: performance.now() - sentMs })
+}
+
+Given(/^(\d+) forwarding VMs and a backend server that bears 1 request a second$/, { timeout: 20_000 }, async function (this: FleetWorld, count: string) {
+  Object.assign(this, { store: createMemoryStore(), vms: [], responses: [], backend: await startScriptedBackend() })
+  this.store.put(KINDS.backendServers, 'backend-0', backendEntry(this.backend.address))
+  const names = Array.from({ length: Number(count) }, (_, index) => brandId<VmId>(`vm-${index}`))
+  // The last one to start is not a root.
+  for (const vm of rendezvousOrder('feed-root', names)) {
+    const overrides = { vm, coldOvershoot: 1, coldSlack: 0 }
+    this.vms.push(await startForwardingVmHarness({ store: this.store, coldRate: COLD_RATE, overrides }))
+    await sleep(300)
+  }
+  for (const vm of this.vms) while (!await isReady(vm)) await sleep(20)
+  // The last VM that joined changes the lenders.
+  await sleep(2200)
+})
+
+When(/^each of the VMs gets a request, (\d+) ms after the one before$/, { timeout: 20_000 }, async function (this: FleetWorld, ms: string) {
+  for (const vm of this.vms) {
+    await send(this, vm)
+    await sleep(Number(ms))
+  }
+})
+
+When(/^each of the VMs gets (\d+) requests at once$/, async function (this: FleetWorld, count: string) {
+  await Promise.all(this.vms.flatMap(vm => Array.from({ length: Number(count) }, () => send(this, vm))))
+})
+
+Then('all of them are answered', function (this: FleetWorld) {
+  assert.deepEqual(this.responses.map(({ status }) => status), this.vms.map(() => 200))
+})
+
+Then(/^at least 1 of them is answered, and the others are refused as not run within (\d+) ms$/, function (this: FleetWorld, ms: string) {
+  const answered = this.responses.filter(({ status }) => status === 200)
+  const refused = this.responses.filter(({ status }) => status === 503)
+  assert.ok(answered.length >= 1)
+  assert.equal(answered.length + refused.length, this.responses.length)
+  assert.equal(this.backend.received.length, answered.length)
+  for (const { afterMs } of refused) assert.ok(afterMs <= Number(ms), `after ${Math.round(afterMs)} ms`)
+})
+
+Then('the backend server got at most 1 request in any second', function (this: FleetWorld) {
+  const times = this.backend.receivedAtMs
+  assert.ok(times.every((atMs, index) => index === 0 || atMs - times[index - 1]! >= 1000), times.map(Math.round).join())
+})
+
+Then(/^the store was asked for the configuration by (\d+) VMs only$/, function (this: FleetWorld, count: string) {
+  assert.equal(this.store.calls.filter(call => call === `list ${KINDS.config}`).length, Number(count))
+})
+
+interface StartWorld { clock: ManualClock, fleet: Fleet }
+
+Given('a VM that has just read the entry of another one and has not met it', function (this: StartWorld) {
+  this.clock = createManualClock()
+  const subscriptions: KindSubscription[] = []
+  this.fleet = createFleet({
+    settings: harnessSettings([1, 1, 1, 1, 1]),
+    store: createMemoryStore(),
+    follow (subscription) {
+      subscriptions.push(subscription)
+      return { isLoaded: () => true, confirmedMs: () => 0 }
+    },
+    clock: this.clock,
+    log: silentLog,
+    metrics: createMetrics(),
+    random: Math.random
+  })
+  const spec = { boot: 'boot-2', callerAddress: '127.0.0.1:2', peerAddress: '127.0.0.1:3', dataCentre: 'dc-2' }
+  subscriptions[0]!.onSnapshot([{ name: OTHER_VM, revision: { era: 0, number: 1 }, spec, status: undefined }])
+})
+
+Then(/^it (may|does not) use the other one as a relay$/, function (this: StartWorld, expected: string) {
+  assert.equal(this.fleet.relayCandidates().some(({ vm }) => vm === OTHER_VM), expected === 'may')
+})
+
+When(/^(\d+) ms pass without a sign of the other one$/, async function (this: StartWorld, ms: string) { await this.clock.advance(Number(ms)) })
--- a/features/steps/prompt-parts.ts
+++ b/features/steps/prompt-parts.ts
@@ -7,6 +7,7 @@
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { rendezvousOrder } from '../../src/core/placement/rendezvous.ts'
 import { createPartQuarantine, type PartQuarantine } from '../../src/core/quarantine/request-parts.ts'
+import { createRecentSurvivals, type RecentSurvivals } from '../../src/core/quarantine/recent-survivals.ts'
 import { startConnectedExchange } from '../support/load-exchange.ts'
 
 interface PartsWorld {
@@ -65,6 +66,25 @@
   this.vms.at(-1)!.quarantine.recordSurvival([request], this.clock.now())
 })
 
+interface SurvivalsWorld { clock: ManualClock, survivals: RecentSurvivals, count: number }
+
+Given(/^recent responses to (\d+) parts of requests$/, function (this: SurvivalsWorld, count: string) {
+  this.clock = createManualClock()
+  this.survivals = createRecentSurvivals(this.clock)
+  this.count = Number(count)
+  for (let i = 0; i < this.count; i++) this.survivals.record([`part-${i}`], this.clock.now())
+})
+
+When(/^(\d+) ms pass and there is a response to one more part$/, async function (this: SurvivalsWorld, ms: string) {
+  await this.clock.advance(Number(ms))
+  this.survivals.record([`part-${this.count++}`], this.clock.now())
+})
+
+Then(/^the responses to the latest (\d+) parts are known$/, function (this: SurvivalsWorld, known: string) {
+  const isKnown = Array.from({ length: this.count }, (_, i) => this.survivals.begunMs(`part-${i}`) !== undefined)
+  assert.deepEqual([isKnown.indexOf(true), isKnown.filter(Boolean).length], [this.count - Number(known), Number(known)])
+})
+
 Then(/^the (prompt|request) (\S+) is (refused|accepted) on all VMs$/, function (this: PartsWorld, what: string, name: string, expected: string) {
   const parts = what === 'prompt' ? partsOf(name) : [name]
   const states = this.vms.map(({ quarantine }) => (quarantine.remainingMs(parts) > 0 ? 'refused' : 'accepted'))
--- a/features/support/forwarding-vm-harness.ts
+++ b/features/support/forwarding-vm-harness.ts
@@ -128,16 +128,10 @@
   }
 }
 
-export interface ForwardingVmHarness {
-  vm: ForwardingVm
-  store: MemoryStore
-  settings: ForwardingVmSettings
-}
-
-export async function startForwardingVmHarness ({ clock = systemClock, configured = true, coldRate, store = createMemoryStore(), overrides = {} }: { clock?: Clock, configured?: boolean, coldRate?: number, store?: MemoryStore, overrides?: Partial<ForwardingVmSettings> } = {}): Promise<ForwardingVmHarness> {
-  const ports = await findFreePorts(5)
+/** Settings of a VM that uses five ports of the loopback address. */
+export function harnessSettings (ports: readonly number[]): ForwardingVmSettings {
   const addressAt = (index: number) => `127.0.0.1:${ports[index]}`
-  const settings: ForwardingVmSettings = {
+  return {
     vm: HARNESS_VM,
     dataCentre: brandId<DataCentreId>('dc-1'),
     region: brandId<RegionId>('region-1'),
@@ -162,9 +156,18 @@
     coldOvershoot: 1.5,
     coldSlack: 5,
     sessionMs: 5000,
-    maxAddressTtlMs: 5000,
-    ...overrides
+    maxAddressTtlMs: 5000
   }
+}
+
+export interface ForwardingVmHarness {
+  vm: ForwardingVm
+  store: MemoryStore
+  settings: ForwardingVmSettings
+}
+
+export async function startForwardingVmHarness ({ clock = systemClock, configured = true, coldRate, store = createMemoryStore(), overrides = {} }: { clock?: Clock, configured?: boolean, coldRate?: number, store?: MemoryStore, overrides?: Partial<ForwardingVmSettings> } = {}): Promise<ForwardingVmHarness> {
+  const settings = { ...harnessSettings(await findFreePorts(5)), ...overrides }
   if (configured) store.put(KINDS.config, 'main', trafficConfig(1, { coldRate }))
   const vm = await startForwardingVm({ settings, adapter, store, clock, log: { ...silentLog, request () {} } })
   return { vm, store, settings }
--- a/src/core/backend-pool/constants.ts
+++ b/src/core/backend-pool/constants.ts
@@ -27,5 +27,7 @@
 export const REQUESTS_PER_LENDER = 3
 /** Groups of backend servers with the same lenders. A link between two VMs costs as much as tens of loans, and one group would depend on a few VMs. */
 export const LENDER_GROUPS = 2
-/** Time after a change of the VMs before a VM uses a share that another one may still use: a window of the limit and the delay until all have read the change. */
+/** Time after a change of the VMs before a VM uses requests that another one may still use: a window of the limit and the delay until all have read the change. */
 export const SHARE_HANDOVER_MS = 2100
+/** Orders of the VMs that are kept; more than the backend servers of a large site, and bounded because these come and go. */
+export const MAX_CACHED_ORDERS = 1000
--- a/src/core/backend-pool/index.ts
+++ b/src/core/backend-pool/index.ts
@@ -7,24 +7,13 @@
 import type { BackendServerId, DataCentreId, ServiceId, VmId } from '../ids/index.ts'
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import { hashText, rendezvousOrder } from '../placement/rendezvous.ts'
-import { BACKEND_ENTRY_EXPIRY_MS, COLD_SAFETY_FACTOR, COLD_WINDOW_MS, FAILURE_RATE_WEIGHT, FIRST_SUSPENSION_MS, LENDER_GROUPS, MAX_SUSPENSION_MS, NAMED_LIMIT_WINDOW_MS, REQUESTS_PER_LENDER, SHARE_HANDOVER_MS, STORE_RECOVERY_GRACE_MS } from './constants.ts'
+import { BACKEND_ENTRY_EXPIRY_MS, COLD_SAFETY_FACTOR, COLD_WINDOW_MS, FAILURE_RATE_WEIGHT, FIRST_SUSPENSION_MS, MAX_SUSPENSION_MS, NAMED_LIMIT_WINDOW_MS, STORE_RECOVERY_GRACE_MS } from './constants.ts'
+import { createLimitShares } from './limit-shares.ts'
 import { createNamedLimits, type NamedLimits } from './named-limits.ts'
 import type { Backend, BackendEntry, RequestLoad, Reservation } from './types.ts'
 
 export type * from './types.ts'
 
-/** Order in which the VMs get shares of a backend server's limits. */
-interface ShareOrder {
-  /** Registered VMs that the order was computed from. */
-  vms: readonly VmId[]
-  order: readonly VmId[]
-  rank: number
-  /** Rank before the VMs changed. */
-  previousRank: number
-  changedMs: number
-}
-
 export interface ColdRequestLimit {
   /** Requests per second that one cold backend server of a service may get from all VMs together; 0 for no limit. */
   limit(service: ServiceId): number
@@ -69,11 +58,10 @@
    * request, in milliseconds; 0 if they do now, Infinity if a share is nothing.
    */
   rateWaitMs(backend: Backend): number
-  /**
-   * The VMs that hold the limits of a backend server and lend requests to the others; undefined if each VM has a share of
-   * its own, or there are no limits.
-   */
-  lendersOf(backend: Backend): readonly VmId[] | undefined
+  /** Whether other VMs hold a limit of a backend server and lend requests. */
+  isLent(backend: Backend): boolean
+  /** The VMs that lend requests to a backend server within all of its limits. */
+  lendersOf(backend: Backend): readonly VmId[]
   /** Takes one request from this VM's shares for another VM, which may send it within `forMs`; returns whether one was left. */
   lend(backendServer: BackendServerId, forMs: number): boolean
   /**
@@ -91,11 +79,6 @@
   all(): Iterable<Backend>
 }
 
-/** All VMs if there are enough requests for each; otherwise as many as get a few each, so that a request is lent in one round trip. */
-function countHolders (limit: number, vmCount: number): number {
-  return limit >= vmCount ? vmCount : Math.max(1, Math.ceil(limit / REQUESTS_PER_LENDER))
-}
-
 const coldRequests = (rate: number) => Math.floor(rate * COLD_SAFETY_FACTOR)
 
 /** At least one request in the window is permitted, because only an answer shows that the limit has ended. */
@@ -104,8 +87,7 @@
 export function createBackendPool ({ cold, clock, log, metrics }: BackendPoolOptions): BackendPool {
   const backends = new Map<BackendServerId, Backend>()
   const namedLimits = createNamedLimits({ isKnown: id => backends.has(id), clock, log })
-  /** Rank of this VM among the VMs in the rendezvous order of a backend server, cached with the VMs that it was computed for. */
-  const shareOrders = new Map<string, ShareOrder>()
+  const shares = createLimitShares({ vms: cold.vms, self: cold.self, clock })
   /** Recent sends to backend servers that were removed; the entry of such a one may be written again. */
   const departedSends = new Map<BackendServerId, number[]>()
   const createdMs = clock.now()
@@ -146,7 +128,6 @@
   /** Removes the backend server, but keeps the count of its recent sends for the window of the cold limit. */
   function detach ({ entry: { id }, recentSends }: Backend): void {
     backends.delete(id)
-    shareOrders.delete(id)
     departedSends.set(id, recentSends)
     clock.after(NAMED_LIMIT_WINDOW_MS, () => {
       if (departedSends.get(id) !== recentSends) return
@@ -183,24 +164,11 @@
     return [...backends.values()].filter(({ entry }) => entry.service === service)
   }
 
-  /** This VM's share of a number of requests. If there are more VMs than requests, a few of them have shares and lend them to the others. */
-  function shareOf (limit: number, backend: Backend): number {
-    const holders = countHolders(limit, cold.vms().length)
-    const isLent = holders < cold.vms().length
-    const { rank: currentRank, previousRank, changedMs } = isLent ? lenderOrderOf(backend) : shareOrderOf(backend.entry.id)
-    // The VM that had the share before may have used it until it knew of the change.
-    const isSettling = isLent && clock.now() - changedMs < SHARE_HANDOVER_MS
-    const rank = isSettling ? Math.max(currentRank, previousRank) : currentRank
-    if (rank >= holders) return 0
-    const basePerVm = Math.floor(limit / holders)
-    return basePerVm + (rank < limit - basePerVm * holders ? 1 : 0)
-  }
-
-  /** Numbers of requests that a backend server may get in the windows of its limits. */
-  function limitsOf ({ entry: { id, service } }: Backend): number[] {
-    const coldRate = cold.limit(service)
+  /** Smallest number of requests that the limits of a backend server permit in their windows; Infinity without limits. */
+  function smallestLimit ({ entry: { id, service } }: Backend): number {
+    const coldLimit = cold.limit(service)
     const named = namedLimits.get(id)
-    return [...coldRate === 0 ? [] : [coldRequests(coldRate)], ...named ? [namedRequests(named.rate)] : []]
+    return Math.min(coldLimit === 0 ? Infinity : coldRequests(coldLimit), named ? namedRequests(named.rate) : Infinity)
   }
 
   /** Time until one more request may follow the earlier ones, of which a window may contain `share`; 0 if it may now. */
@@ -213,13 +181,13 @@
     const limit = cold.limit(backend.entry.service)
     if (limit === 0) return 0
     // The other VMs, or the process before a restart, may have used this VM's share until shortly before the start.
-    return Math.max(coldStartMs() - clock.now(), waitMs(backend.recentSends, shareOf(coldRequests(limit), backend), COLD_WINDOW_MS))
+    return Math.max(coldStartMs() - clock.now(), waitMs(backend.recentSends, shares.shareOf(backend.entry.id, coldRequests(limit)), COLD_WINDOW_MS))
   }
 
-  function namedWaitMs ({ entry: { id }, recentSends }: Backend, shareOfLimit: (limit: number) => number): number {
+  function namedWaitMs ({ entry: { id }, recentSends }: Backend): number {
     const limit = namedLimits.get(id)
     if (!limit) return 0
-    return waitMs(recentSends.filter(sentMs => sentMs >= limit.sinceMs), shareOfLimit(namedRequests(limit.rate)), NAMED_LIMIT_WINDOW_MS)
+    return waitMs(recentSends.filter(sentMs => sentMs >= limit.sinceMs), shares.shareOf(id, namedRequests(limit.rate)), NAMED_LIMIT_WINDOW_MS)
   }
 
   function reserve (backend: Backend, { running, prompt }: RequestLoad, { isLent = false }: ReserveOptions = {}): Reservation {
@@ -259,34 +227,10 @@
     if (recentSends.length > 1 && recentSends.at(-2)! > sentMs) recentSends.sort((left, right) => left - right)
   }
 
-  /** Cached, because ordering all VMs for each request would take most of the CPU time in a large fleet. */
-  function shareOrderOf (key: string): ShareOrder {
-    const vms = cold.vms()
-    const cached = shareOrders.get(key)
-    if (cached?.vms === vms) return cached
-    const order = rendezvousOrder(key, vms)
-    const rank = order.indexOf(cold.self)
-    const shareOrder = { vms, order, rank, previousRank: cached?.rank ?? rank, changedMs: cached ? clock.now() : -Infinity }
-    shareOrders.set(key, shareOrder)
-    return shareOrder
-  }
-
-  /** Order in which the VMs hold a limit and lend it; the same for many backend servers, so that a VM needs links to few lenders. */
-  function lenderOrderOf ({ entry: { id } }: Backend): ShareOrder {
-    return shareOrderOf(`lenders-${hashText(id) % LENDER_GROUPS}`)
-  }
-
   function rateWaitMs (backend: Backend): number {
     const oldestMs = clock.now() - NAMED_LIMIT_WINDOW_MS
     if (backend.recentSends.length > 0 && backend.recentSends[0]! < oldestMs) backend.recentSends = backend.recentSends.filter(sentMs => sentMs >= oldestMs)
-    return Math.max(coldWaitMs(backend), namedWaitMs(backend, requests => shareOf(requests, backend)))
-  }
-
-  /** The VMs that have a share in all limits of a backend server; undefined if all VMs have one. */
-  function lendersOf (backend: Backend): readonly VmId[] | undefined {
-    const vmCount = cold.vms().length
-    const holders = Math.min(...limitsOf(backend).map(limit => countHolders(limit, vmCount)))
-    return holders < vmCount ? lenderOrderOf(backend).order.slice(0, holders) : undefined
+    return Math.max(coldWaitMs(backend), namedWaitMs(backend))
   }
 
   return {
@@ -315,7 +259,8 @@
     list: ofService,
     namedLimits,
     rateWaitMs,
-    lendersOf,
+    isLent: backend => shares.isLent(smallestLimit(backend)),
+    lendersOf: backend => shares.lendersOf(backend.entry.id, smallestLimit(backend)),
     lend (id, forMs) {
       const backend = backends.get(id)
       if (!backend || rateWaitMs(backend) > 0) return false
--- a/src/core/capacity-loan/index.ts
+++ b/src/core/capacity-loan/index.ts
@@ -6,7 +6,7 @@
  * the borrower may use it, so the sum over all VMs stays within the limit.
  */
 import type { Backend, BackendPool } from '../backend-pool/index.ts'
-import type { Clock } from '../clock/index.ts'
+import { longestElapsedMs, readInstant, type Clock } from '../clock/index.ts'
 import { brandId, type BackendServerId, type VmId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { LOAN_TIMEOUT_MS, LOAN_VALIDITY_MS, MAX_LENDERS_ASKED } from './constants.ts'
@@ -24,8 +24,8 @@
 export interface CapacityLoansOptions {
   pool: Pick<BackendPool, 'lend' | 'lendersOf'>
   self: VmId
-  /** Live VMs; others are not asked. */
-  liveVms: () => readonly VmId[]
+  /** Whether a VM is live; others are not asked. */
+  isLive(vm: VmId): boolean
   request(to: VmId, body: LoanRequest, timeoutMs: number): Promise<LoanResponse>
   clock: Clock
   metrics: Metrics
@@ -33,26 +33,24 @@
 }
 
 export interface CapacityLoans {
-  /** Asks the holders of a backend server's limits for one request; resolves with `undefined` if none has one left or answers. Never rejects. */
+  /** Asks lenders of a backend server for one request; resolves with `undefined` if none has one left or answers. Never rejects. */
   borrow(backend: Backend): Promise<Loan | undefined>
   /** Answers the request of another VM. */
   accept(body: unknown): LoanResponse
 }
 
-export function createCapacityLoans ({ pool, self, liveVms, request, clock, metrics, random }: CapacityLoansOptions): CapacityLoans {
-  /** Live holders of the limits, in random order, so that their loans are used evenly. */
+export function createCapacityLoans ({ pool, self, isLive, request, clock, metrics, random }: CapacityLoansOptions): CapacityLoans {
+  /** Live lenders from a random one on, so that their loans are used evenly. */
   function chooseLenders (backend: Backend): VmId[] {
-    const live = new Set(liveVms())
-    const lenders = (pool.lendersOf(backend) ?? []).filter(vm => vm !== self && live.has(vm))
+    const lenders = pool.lendersOf(backend).filter(vm => vm !== self && isLive(vm))
     const first = Math.floor(random() * lenders.length)
     return [...lenders.slice(first), ...lenders.slice(0, first)].slice(0, MAX_LENDERS_ASKED)
   }
 
+  /** Created when it is requested, which is before the lender grants it. */
   function createLoan (): Loan {
-    const sentMs = clock.now()
-    const sentWallMs = clock.wallMs()
-    // The monotonic clock stops while a VM is frozen. The loan began after the request for it was sent.
-    return { isValid: () => Math.max(clock.now() - sentMs, clock.wallMs() - sentWallMs) < LOAN_VALIDITY_MS }
+    const requestedAt = readInstant(clock)
+    return { isValid: () => longestElapsedMs(clock, requestedAt) < LOAN_VALIDITY_MS }
   }
 
   return {
--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -203,6 +203,8 @@
     },
     /** VMs that respond to pings, including this one. */
     liveVms: (): readonly VmId[] => membership.available().map(({ vm }) => vm),
+    isLive: (vm: VmId): boolean => isLiveOrSuspect(membership.get(vm)),
+    /** The members behind `liveVms`. */
     available: (): readonly Member[] => membership.available(),
     /** VMs that may relay the store: the live ones, and while this VM starts also those that it has not met yet. */
     relayCandidates (): readonly PlacedVm[] {
--- a/src/core/forwarding-vm/assignment.ts
+++ b/src/core/forwarding-vm/assignment.ts
@@ -58,7 +58,7 @@
   function hasAlternative ({ request, service }: ForwardedRequest, excluded: ReadonlySet<Backend>): boolean {
     const rule = trials.versionRule(service, request.session ?? request.id!, { version: undefined, hasFailed: true })
     return pool.eligible(service).some(backend =>
-      !excluded.has(backend) && rule.allows(backend.entry.version) && hasCapacity(backend) && (pool.rateWaitMs(backend) === 0 || pool.lendersOf(backend) !== undefined))
+      !excluded.has(backend) && rule.allows(backend.entry.version) && hasCapacity(backend) && (pool.isLent(backend) || pool.rateWaitMs(backend) === 0))
   }
 
   /** Limits the candidates to a share of the backend servers; rendezvous hashing makes all VMs select the same ones. */
@@ -90,3 +90,5 @@
 
   return { prepare, hasAlternative, modelWeight, meanLoad }
 }
+
+export type Assignments = ReturnType<typeof createAssignments>
--- a/src/core/forwarding-vm/constants.ts
+++ b/src/core/forwarding-vm/constants.ts
@@ -28,3 +28,11 @@
 export const MIN_REPORTED_LOAD = 0.01
 /** Time for which a stopping VM waits for the store to remove its entry; leaves time to end before SIGKILL. */
 export const UNREGISTER_TIMEOUT_MS = 300
+/** Longest wait for capacity at a backend server. The limits that bursts reach are counted over one second. */
+export const MAX_CAPACITY_WAIT_MS = 1100
+/** Share of the time left before the deadline that a request may wait for capacity. */
+export const CAPACITY_WAIT_SHARE = 0.25
+/** Backend servers that are asked about, through the VMs that hold their limits, before a request pauses. */
+export const MAX_LOANS_REFUSED = 4
+/** Mean pause before a request asks for capacity again; the limits are counted over a second. */
+export const LOAN_RETRY_MS = 80
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -33,6 +33,7 @@
 import { createFleet } from '../fleet/index.ts'
 import { ACCEPT_AFTER_STOP_MS, ADDRESS_TTL_S, MAX_ADDRESSES, MIN_REPORTED_LOAD, RELIST_HISTORY_SHARE, STOP_CHECK_PERIOD_MS, STOP_GRACE_SHARE, UNREGISTER_TIMEOUT_MS } from './constants.ts'
 import { createAssignments } from './assignment.ts'
+import { createCapacity } from './capacity.ts'
 import { createConfigExchange } from './config-exchange.ts'
 import { createFeeds } from './feeds.ts'
 import type { ForwardingVmSettings, PlatformAdapter } from './types.ts'
@@ -231,7 +232,7 @@
   const loans = createCapacityLoans({
     pool,
     self: settings.vm,
-    liveVms: () => fleet.liveVms(),
+    isLive: fleet.isLive,
     request: (to, body, timeoutMs) => fleet.peers.request(to, 'capacity.borrow', body, { timeoutMs }),
     clock,
     metrics,
@@ -239,18 +240,14 @@
   })
   fleet.peers.handle('capacity.borrow', loans.accept)
 
+  const capacity = createCapacity({ pool, assignments, loans, queue: capacityQueue, clock, random })
+
   const forwarder = createForwarder({
     codec: adapter,
-    prepareAssignment: assignments.prepare,
+    reserveCapacity: capacity.reserve,
+    onCapacityFreed: capacityQueue.wake,
     hasAlternative: assignments.hasAlternative,
-    hasOwnShare: backend => pool.rateWaitMs(backend) === 0,
-    isLent: backend => pool.lendersOf(backend) !== undefined,
-    lendsCapacity: service => pool.eligible(service).some(backend => pool.lendersOf(backend) !== undefined),
-    borrow: loans.borrow,
-    mayGainCapacity: (service, withinMs) => pool.eligible(service).some(backend => pool.rateWaitMs(backend) <= withinMs),
-    modelWeight: assignments.modelWeight,
     minConfidence: service => escalationConfidence(assignments.meanLoad(service)),
-    capacityQueue,
     retryAllowance,
     recheckAccess ({ request, route, team }) {
       if (!needsKey(route.allowsAnonymous)) return undefined
@@ -258,7 +255,6 @@
       return request.key !== undefined && table!.team(request.key)?.id === team?.id ? undefined : 'unauthenticated'
     },
     partQuarantine,
-    reserve: pool.reserve,
     recordNamedLimit: (backend, rate) => pool.namedLimits.record(backend.entry.id, rate),
     recordConnectFailure: backend => pool.recordConnectFailure(backend),
     recordMisdirected: backend => pool.recordMisdirected(backend),
--- a/src/core/forwarding/constants.ts
+++ b/src/core/forwarding/constants.ts
@@ -35,16 +35,8 @@
 export const SILENT_SERVER_STALL_FACTOR = 0.75
 /** Period of the checks for stalled streams and late responses. */
 export const STALL_CHECK_PERIOD_MS = 150
-/** Longest wait for capacity at a backend server. The limits that bursts reach are counted over one second. */
-export const MAX_CAPACITY_WAIT_MS = 1100
-/** Share of the time left before the deadline that a request may wait for capacity. */
-export const CAPACITY_WAIT_SHARE = 0.25
 /**
  * Share of the retry allowance that may be used to get a response from a larger model. The rest is for requests that
  * would otherwise fail, for example when backend servers crash under load.
  */
 export const ESCALATION_SHARE = 0.75
-/** Backend servers that are asked about, through the VMs that hold their limits, before a request pauses. */
-export const MAX_LOANS_REFUSED = 4
-/** Mean pause before a request asks for capacity again; the limits are counted over a second. */
-export const LOAN_RETRY_MS = 80
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -3,19 +3,14 @@
  * no attempt is possible before the deadline. The error that the caller receives depends on what was sent: it states
  * that the request was not run only when no backend server can have run it.
  */
-import type { ReserveOptions } from '../backend-pool/index.ts'
-import type { Backend, RequestLoad, Reservation } from '../backend-pool/types.ts'
-import type { Loan } from '../capacity-loan/index.ts'
-import type { Clock } from '../clock/index.ts'
-import type { Assignment } from '../forwarding-vm/assignment.ts'
+import type { Backend, Reservation } from '../backend-pool/types.ts'
+import { longestElapsedMs, readInstant, type Clock } from '../clock/index.ts'
 import { GatewayError, type ErrorName } from '../errors/index.ts'
 import type { ModelId, ServiceId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
-import { requestLoad } from '../placement/index.ts'
-import type { CapacityQueue } from '../placement/capacity-queue.ts'
 import type { PartQuarantine } from '../quarantine/request-parts.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
-import { CAPACITY_WAIT_SHARE, DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, LOAN_RETRY_MS, MAX_CAPACITY_WAIT_MS, MAX_CONNECT_ATTEMPTS, MAX_LOANS_REFUSED, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
+import { DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CONNECT_ATTEMPTS, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
 import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, type AttemptOutcome } from './attempt-outcome.ts'
 import { pollAfter } from './poll-after.ts'
 import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome, type CrashEvidence } from './crash-evidence.ts'
@@ -48,33 +43,20 @@
 
 export interface ForwarderOptions {
   codec: Codec
-  /** Load of a request to a model, relative to the most expensive one. */
-  modelWeight(service: ServiceId, model: ModelId | undefined): number
   /** Confidence, from 0 to 100, below which a response is discarded and the request escalated to the largest model. */
   minConfidence(service: ServiceId): number
-  capacityQueue: CapacityQueue
-  /** Determines the permitted versions for one attempt; the returned assignment chooses a backend server with capacity. */
-  prepareAssignment(forwarded: ForwardedRequest, earlier: EarlierSends): Assignment
+  /** Reserves capacity for one attempt, within the time left; resolves with `undefined` if no backend server has room. */
+  reserveCapacity(forwarded: ForwardedRequest, progress: RequestProgress, remainingMs: number): Promise<Reservation | undefined>
+  /** Called when capacity for a service has become free. */
+  onCapacityFreed(service: ServiceId): void
   /** Whether a backend server that is not excluded currently has capacity for a repeated request. */
   hasAlternative(forwarded: ForwardedRequest, excluded: ReadonlySet<Backend>): boolean
-  /** Whether waiting for capacity can succeed: the rate limits of at least one eligible backend server permit a request within that time, even if all are currently full. */
-  mayGainCapacity(service: ServiceId, withinMs: number): boolean
   /** The allowance of retries that this VM may send to a service. */
   retryAllowance(service: ServiceId): RetryAllowance
   /** Checks access again right before a request is sent; the request is not sent if an error is returned. */
   recheckAccess(forwarded: ForwardedRequest): ErrorName | undefined
   /** Refuses requests that crash backend servers. */
   partQuarantine: PartQuarantine
-  /** Takes capacity of a backend server for one request. */
-  reserve(backend: Backend, load: RequestLoad, options?: ReserveOptions): Reservation
-  /** Whether this VM's own shares of the rate limits permit a request to a backend server now. */
-  hasOwnShare(backend: Backend): boolean
-  /** Whether other VMs lend requests to a backend server. */
-  isLent(backend: Backend): boolean
-  /** Whether that holds for any backend server of a service. */
-  lendsCapacity(service: ServiceId): boolean
-  /** Asks other VMs for a request to a backend server. */
-  borrow(backend: Backend): Promise<Loan | undefined>
   /** Records the request rate that a backend server named as its limit in an answer, or that it named none. */
   recordNamedLimit(backend: Backend, rate: number | undefined): void
   recordConnectFailure(backend: Backend): void
@@ -90,7 +72,7 @@
 
 const NONE_EXCLUDED: ReadonlySet<Backend> = new Set()
 
-interface RequestProgress extends EarlierSends {
+export interface RequestProgress extends EarlierSends {
   /** Number of times that the request was sent to a backend server, including the current attempt. */
   attempts: number
   connectAttempts: number
@@ -108,7 +90,7 @@
 }
 
 export function createForwarder (options: ForwarderOptions) {
-  const { codec, prepareAssignment, retryAllowance, recheckAccess, partQuarantine, clock, metrics, log, random } = options
+  const { codec, retryAllowance, recheckAccess, partQuarantine, clock, metrics, log, random } = options
 
   /** Forwards the request and sends the response to the caller; never rejects. */
   async function forward (forwarded: ForwardedRequest): Promise<void> {
@@ -170,12 +152,12 @@
     if (isQuarantined(progress)) return quarantineOutcome(progress)
     if (progress.attempts >= route.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
     if (progress.connectAttempts >= MAX_CONNECT_ATTEMPTS) return { kind: 'failed', error: noAttemptError, reason: 'connection attempt limit reached' }
-    const reservation = await reserveBackend(forwarded, progress, deadlineMs - clock.now())
+    const reservation = await options.reserveCapacity(forwarded, progress, deadlineMs - clock.now())
     const obstacle = findObstacle(forwarded, progress, deadlineMs, reservation)
     if (reservation && !obstacle) return await send(forwarded, progress, deadlineMs, reservation)
     if (reservation) {
       reservation.cancel()
-      options.capacityQueue.wake(service)
+      options.onCapacityFreed(service)
     }
     return obstacle ?? { kind: 'failed', error: noAttemptError, reason: 'no backend server has room' }
   }
@@ -211,10 +193,8 @@
     const call = {
       backendServer: backend.entry.id, team: team?.id, remainingMs, urgency: urgencyOf(route, team), model: progress.model, lastEventId: progress.lastEventId
     }
-    const permittedAt = { monotonicMs: clock.now(), wallMs: clock.wallMs() }
-    // The monotonic clock stops while a process is frozen.
-    const wasPaused = () => Math.max(clock.now() - permittedAt.monotonicMs, clock.wallMs() - permittedAt.wallMs) > MAX_SEND_DELAY_MS
-    const mayStillSend = () => !wasPaused() && (progress.attempts > 1 || recheckAccess(forwarded) === undefined)
+    const permittedAt = readInstant(clock)
+    const mayStillSend = () => longestElapsedMs(clock, permittedAt) <= MAX_SEND_DELAY_MS && (progress.attempts > 1 || recheckAccess(forwarded) === undefined)
     const exchange = startExchange({ backend, request, call, body, codec, mayStillSend })
     progress.currentExchange = exchange
     progress.triedBackends.add(backend)
@@ -265,7 +245,7 @@
       reservation.release()
       backend.onRemoved.delete(onBackendRemoved)
       progress.currentExchange = undefined
-      options.capacityQueue.wake(service)
+      options.onCapacityFreed(service)
     }
   }
 
@@ -289,50 +269,6 @@
     return wasTaken
   }
 
-  /** Reserves capacity at a backend server, and waits for it if there is none. */
-  async function reserveBackend (forwarded: ForwardedRequest, progress: RequestProgress, remainingMs: number): Promise<Reservation | undefined> {
-    const { request, service, route, team } = forwarded
-    const assignment = prepareAssignment(forwarded, progress)
-    const load = requestLoad(request.promptTokens, options.modelWeight(service, progress.model))
-    const tryReserve = () => {
-      const backend = assignment.choose(options.hasOwnShare)
-      return backend && options.reserve(backend, load)
-    }
-    const timeoutMs = Math.min(MAX_CAPACITY_WAIT_MS, remainingMs * CAPACITY_WAIT_SHARE)
-    if (options.lendsCapacity(service)) return await borrowCapacity(assignment, load, progress, clock.now() + timeoutMs)
-    const reserved = options.capacityQueue.size(service) === 0 ? tryReserve() : undefined
-    if (reserved || !options.mayGainCapacity(service, timeoutMs)) return reserved
-    return await options.capacityQueue.wait(service, {
-      urgency: urgencyOf(route, team),
-      timeoutMs,
-      tryPlace: tryReserve,
-      isCancelled: () => progress.isFinished
-    })
-  }
-
-  /**
-   * Reserves capacity where other VMs hold the rate limits of some backend servers. Goes on to the next backend server if
-   * no request is left for one, and starts again after a short pause until `untilMs`.
-   */
-  async function borrowCapacity (assignment: Assignment, load: RequestLoad, progress: RequestProgress, untilMs: number): Promise<Reservation | undefined> {
-    for (;;) {
-      const refusing = new Set<Backend>()
-      while (refusing.size < MAX_LOANS_REFUSED) {
-        const backend = assignment.choose(candidate => !refusing.has(candidate) && (options.hasOwnShare(candidate) || options.isLent(candidate)))
-        if (!backend) break
-        if (options.hasOwnShare(backend)) return options.reserve(backend, load)
-        const loan = await options.borrow(backend)
-        if (progress.isFinished) return undefined
-        // The backend server may have left or filled up meanwhile, and this process may have been paused.
-        if (loan?.isValid() && assignment.permits(backend)) return options.reserve(backend, load, { isLent: true })
-        refusing.add(backend)
-      }
-      if (clock.now() >= untilMs) return undefined
-      await clock.sleep(LOAN_RETRY_MS * (0.5 + random()))
-      if (progress.isFinished) return undefined
-    }
-  }
-
   interface AttemptResponse {
     backend: Backend
     exchange: Exchange
