Count malformed requests for loans as bad input

A lender refused them without a trace. Like other malformed messages between VMs they are counted now. The rows of the scenario state the counts; they fail without the change.

--- a/features/capacity-loan.feature
+++ b/features/capacity-loan.feature
@@ -63,15 +63,16 @@
       | 300 ms pass             | expired |
       | is frozen for 300 ms    | expired |
 
-  Scenario Outline: a request for a loan of <body> is refused
+  Scenario Outline: a request for a loan of <body> is refused and counted <bad> times as bad input
     Given 59 VMs and 1 backend servers that bear 20 requests a second each
     Then a VM refuses the request for a loan <body>
+    And it has counted <bad> bad requests for loans
 
     Examples:
-      | body                    |
-      | null                    |
-      | {"backendServer":7}     |
-      | {"backendServer":"gone"} |
+      | body                     | bad |
+      | null                     | 1   |
+      | {"backendServer":7}      | 1   |
+      | {"backendServer":"gone"} | 0   |
 
   # Guards against a loan that is used after what permitted the request has changed.
   Scenario Outline: a borrowed request is <result> if <event> while the lender answers
--- a/features/steps/capacity-loan.ts
+++ b/features/steps/capacity-loan.ts
@@ -8,7 +8,7 @@
 import { createCapacity } from '../../src/core/forwarding-vm/capacity.ts'
 import { brandId, type BackendServerId, type DataCentreId, type VmId } from '../../src/core/ids/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
-import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createMetrics, type Metrics } from '../../src/core/metrics/index.ts'
 import { createCapacityQueue } from '../../src/core/placement/capacity-queue.ts'
 import { chooseBackend, STALE_LOAD_SAMPLES } from '../../src/core/placement/index.ts'
 import { createRandom } from '../../src/standin/random.ts'
@@ -20,7 +20,7 @@
 /** Time of a message from one VM to another. */
 const MESSAGE_MS = 2
 
-interface LoanVm { pool: BackendPool, loans: CapacityLoans, known: readonly VmId[] }
+interface LoanVm { pool: BackendPool, loans: CapacityLoans, metrics: Metrics, known: readonly VmId[] }
 
 interface LoanWorld {
   clock: ManualClock
@@ -50,6 +50,7 @@
   const pool = createBackendPool({
     cold: { limit: () => world.limit, vms: () => vm.known, self }, clock, log: silentLog, metrics: createMetrics()
   })
+  const metrics = createMetrics()
   const loans = createCapacityLoans({
     pool,
     self,
@@ -66,10 +67,10 @@
       return response
     },
     clock,
-    metrics: createMetrics(),
+    metrics,
     random
   })
-  const vm: LoanVm = { pool, loans, known: world.names }
+  const vm: LoanVm = { pool, loans, metrics, known: world.names }
   world.vms.set(self, vm)
   world.askedLenders.set(self, new Set())
   for (const id of world.sends.keys()) pool.apply({ ...backendEntry('127.0.0.1:1'), id })
@@ -168,6 +169,10 @@
   assert.deepEqual(this.vms.get(this.names[0]!)!.loans.accept(JSON.parse(body)), { isGranted: false })
 })
 
+Then(/^it has counted (\d+) bad requests for loans$/, function (this: LoanWorld, count: string) {
+  assert.equal(this.vms.get(this.names[0]!)!.metrics.value('bad_input', 'loan_request'), Number(count))
+})
+
 interface CapacityWorld { clock: ManualClock, backend: Backend, reservations: number }
 
 Given('a request to a service whose limits are lent', function (this: CapacityWorld) {
--- a/src/core/capacity-loan/index.ts
+++ b/src/core/capacity-loan/index.ts
@@ -69,7 +69,11 @@
     },
     accept (body) {
       const { backendServer } = (body ?? {}) as Partial<LoanRequest>
-      const isGranted = typeof backendServer === 'string' && pool.lend(brandId<BackendServerId>(backendServer), LOAN_VALIDITY_MS)
+      if (typeof backendServer !== 'string') {
+        metrics.count('bad_input', 'loan_request')
+        return { isGranted: false }
+      }
+      const isGranted = pool.lend(brandId<BackendServerId>(backendServer), LOAN_VALIDITY_MS)
       if (isGranted) metrics.count('capacity_loans', 'lent')
       return { isGranted }
     }
