Abandon a response only once its replacement has capacity

Callers saw: a stream that had begun ends without its last chunk, or a request with an answer in hand gets a 502, though its backend server was at work. Cause: the retry was taken and the pool was asked whether a backend server had room, and the capacity itself was reserved after the response had been abandoned. Other VMs that lend a limit may refuse or be silent, a roll-out may permit fewer backend servers for the repeat than were asked about, and waiting is bounded; then nothing is left for the caller. Change: the retry and the capacity, a loan included, are reserved while the attempt runs. It is abandoned in the turn in which it has them and is still late, and otherwise goes on; the retry is given back.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -162,6 +162,21 @@
       | stream-pause          | the retry budget is used up      | 2 backend servers and no retries left  | /stream/1  |
       | stream-low-confidence | the retry budget is used up      | 2 backend servers and no retries left  | /cascade/1 |
 
+  # Guards against ending a running response for capacity that other VMs hold and then do not lend.
+  Scenario Outline: a response with <behaviour> is not abandoned when no other VM lends capacity
+    Given a forwarding VM among 20 that do not answer, which lends the limit of the first of 2 backend servers that answer, answer, <behaviour>
+    When a caller sends a request to /open/1
+    And a caller sends a request to /open/1
+    And a caller sends a request to <path>
+    Then the caller gets every event once and the end of the stream
+    And the backend servers received 3 requests
+
+    Examples:
+      | behaviour             | path       |
+      | stream-pause          | /stream/1  |
+      | stream-late           | /stream/1  |
+      | stream-low-confidence | /cascade/1 |
+
   Scenario: an error response of a backend server is forwarded when the retry budget is used up
     Given a forwarding VM with 2 backend servers and no retries left that answer-500
     When a caller sends a request to /read/1
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -7,7 +7,7 @@
   | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
-  | 'stream-crash' | 'stream-comment-crash' | 'stream' | 'stream-break-mid-event' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-low-confidence' | 'stream-slow'
+  | 'stream-crash' | 'stream-comment-crash' | 'stream' | 'stream-break-mid-event' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-late' | 'stream-low-confidence' | 'stream-slow'
 
 export interface ScriptedBackend {
   address: string
@@ -173,6 +173,7 @@
       socket.write(chunked + chunk(event(after + 1)))
       setTimeout(() => finish(all.slice(1).map(chunk).join('') + '0\r\n\r\n'), 900)
     },
+    'stream-late': () => { setTimeout(behaviours.stream, 900) },
     'stream-low-confidence': () => finish(stream + 'x-test-confidence: 5\r\ntransfer-encoding: chunked\r\n\r\n' + all.map(chunk).join('') + '0\r\n\r\n'),
     'stream-slow': () => {
       socket.write(chunked)
--- a/src/core/forwarding-vm/assignment.ts
+++ b/src/core/forwarding-vm/assignment.ts
@@ -54,13 +54,6 @@
     }
   }
 
-  /** Whether a backend server that is not excluded currently has capacity for a repeated request. */
-  function hasAlternative ({ request, service }: ForwardedRequest, excluded: ReadonlySet<Backend>): boolean {
-    const rule = trials.versionRule(service, request.session ?? request.id!, { version: undefined, hasFailed: true })
-    return pool.eligible(service).some(backend =>
-      !excluded.has(backend) && rule.allows(backend.entry.version) && hasCapacity(backend) && (pool.isLent(backend) || pool.rateWaitMs(backend) === 0))
-  }
-
   /** Limits the candidates to a share of the backend servers; rendezvous hashing makes all VMs select the same ones. */
   function limitToShare (backends: Backend[], share: number): Backend[] {
     if (share >= 1) return backends
@@ -88,7 +81,7 @@
     return backends.reduce((sum, backend) => sum + backend.load + loads.othersLoad(backend.entry.id), 0) / Math.max(1, backends.length)
   }
 
-  return { prepare, hasAlternative, modelWeight, meanLoad }
+  return { prepare, modelWeight, meanLoad }
 }
 
 export type Assignments = ReturnType<typeof createAssignments>
--- a/src/core/forwarding-vm/capacity.ts
+++ b/src/core/forwarding-vm/capacity.ts
@@ -5,7 +5,7 @@
 import type { Backend, BackendPool, RequestLoad, Reservation } from '../backend-pool/index.ts'
 import type { CapacityLoans } from '../capacity-loan/index.ts'
 import type { Clock } from '../clock/index.ts'
-import type { ForwardedRequest, RequestProgress } from '../forwarding/forward.ts'
+import type { ForwardedRequest, Replacement, RequestProgress } from '../forwarding/forward.ts'
 import { urgencyOf } from '../forwarding/route-table.ts'
 import type { CapacityQueue } from '../placement/capacity-queue.ts'
 import { requestLoad } from '../placement/index.ts'
@@ -24,6 +24,8 @@
 export interface Capacity {
   /** Resolves with `undefined` if no backend server has room within a part of the time left, in milliseconds. Never rejects. */
   reserve(forwarded: ForwardedRequest, progress: RequestProgress, remainingMs: number): Promise<Reservation | undefined>
+  /** Reserves capacity for an attempt that replaces a running one; resolves with `undefined` if no backend server has room now. Never rejects. */
+  reserveReplacement(forwarded: ForwardedRequest, progress: RequestProgress, replacement: Replacement): Promise<Reservation | undefined>
 }
 
 export function createCapacity ({ pool, assignments, loans, queue, clock, random }: CapacityOptions): Capacity {
@@ -33,10 +35,11 @@
    * Borrows a request where this VM has none of its own. Goes on to the next backend server if no request is left for one,
    * and starts again after a short pause until `untilMs`.
    */
-  async function borrow (assignment: Assignment, load: RequestLoad, progress: RequestProgress, untilMs: number): Promise<Reservation | undefined> {
+  async function borrow (assignment: Assignment, load: RequestLoad, progress: RequestProgress, { untilMs, excluded = [] }: { untilMs: number, excluded?: Iterable<Backend> }): Promise<Reservation | undefined> {
     for (;;) {
-      const refused = new Set<Backend>()
-      while (refused.size < MAX_LOANS_REFUSED) {
+      const refused = new Set<Backend>(excluded)
+      const maxRefused = refused.size + MAX_LOANS_REFUSED
+      while (refused.size < maxRefused) {
         const backend = assignment.choose(candidate => !refused.has(candidate) && (pool.isLent(candidate) || hasOwnShare(candidate)))
         if (!backend) break
         if (hasOwnShare(backend)) return pool.reserve(backend, load)
@@ -58,7 +61,7 @@
       const assignment = assignments.prepare(forwarded, progress)
       const load = requestLoad(request.promptTokens, assignments.modelWeight(service, progress.model))
       const timeoutMs = Math.min(MAX_CAPACITY_WAIT_MS, remainingMs * CAPACITY_WAIT_SHARE)
-      if (pool.eligible(service).some(pool.isLent)) return await borrow(assignment, load, progress, clock.now() + timeoutMs)
+      if (pool.eligible(service).some(pool.isLent)) return await borrow(assignment, load, progress, { untilMs: clock.now() + timeoutMs })
       const tryReserve = () => {
         const backend = assignment.choose(hasOwnShare)
         return backend && pool.reserve(backend, load)
@@ -68,6 +71,14 @@
       const mayGainCapacity = () => pool.eligible(service).some(backend => pool.rateWaitMs(backend) <= timeoutMs)
       if (reserved || !mayGainCapacity()) return reserved
       return await queue.wait(service, { urgency: urgencyOf(route, team), timeoutMs, tryPlace: tryReserve, isCancelled: () => progress.isFinished })
+    },
+    async reserveReplacement (forwarded, progress, { excluded, hasFailed, model }) {
+      const { request, service } = forwarded
+      const assignment = assignments.prepare(forwarded, { triedBackends: progress.triedBackends, hasFailed })
+      const load = requestLoad(request.promptTokens, assignments.modelWeight(service, model))
+      if (pool.eligible(service).some(pool.isLent)) return await borrow(assignment, load, progress, { untilMs: clock.now(), excluded })
+      const backend = assignment.choose(candidate => !excluded.has(candidate) && hasOwnShare(candidate))
+      return backend && pool.reserve(backend, load)
     }
   }
 }
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -246,7 +246,7 @@
     codec: adapter,
     reserveCapacity: capacity.reserve,
     onCapacityFreed: capacityQueue.wake,
-    hasAlternative: assignments.hasAlternative,
+    reserveReplacement: capacity.reserveReplacement,
     minConfidence: service => escalationConfidence(assignments.meanLoad(service)),
     retryAllowance,
     recheckAccess ({ request, route, team }) {
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -41,6 +41,15 @@
   hasFailed: boolean
 }
 
+/** An attempt that is to replace a running one. */
+export interface Replacement {
+  /** Backend servers that must not get it. */
+  excluded: ReadonlySet<Backend>
+  /** Whether a backend server has failed, rather than answered with low confidence. */
+  hasFailed: boolean
+  model: ModelId | undefined
+}
+
 export interface ForwarderOptions {
   codec: Codec
   /** Confidence, from 0 to 100, below which a response is discarded and the request escalated to the largest model. */
@@ -49,8 +58,8 @@
   reserveCapacity(forwarded: ForwardedRequest, progress: RequestProgress, remainingMs: number): Promise<Reservation | undefined>
   /** Called when capacity for a service has become free. */
   onCapacityFreed(service: ServiceId): void
-  /** Whether a backend server that is not excluded currently has capacity for a repeated request. */
-  hasAlternative(forwarded: ForwardedRequest, excluded: ReadonlySet<Backend>): boolean
+  /** Reserves capacity for another attempt while one is running, without waiting for it; resolves with `undefined` if no backend server has room. */
+  reserveReplacement(forwarded: ForwardedRequest, progress: RequestProgress, replacement: Replacement): Promise<Reservation | undefined>
   /** The allowance of retries that this VM may send to a service. */
   retryAllowance(service: ServiceId): RetryAllowance
   /** Checks access again right before a request is sent; the request is not sent if an error is returned. */
@@ -83,6 +92,9 @@
   triedBackends: Set<Backend>
   /** Whether the retry for the next attempt has already been taken from the allowance. */
   retryReserved: boolean
+  /** Capacity for the next attempt, reserved while the current one is running. */
+  replacement: Reservation | undefined
+  isReservingReplacement: boolean
   isAbandoned: boolean
   crashEvidence: CrashEvidence
   currentExchange: Exchange | undefined
@@ -105,6 +117,8 @@
       triedBackends: new Set(),
       hasFailed: false,
       retryReserved: false,
+      replacement: undefined,
+      isReservingReplacement: false,
       isAbandoned: false,
       crashEvidence: createCrashEvidence(forwarded, { quarantine: partQuarantine, log }),
       currentExchange: undefined,
@@ -142,6 +156,7 @@
       }
     } finally {
       cancelDeadline()
+      releaseReplacement(forwarded, progress)
     }
   }
 
@@ -152,7 +167,8 @@
     if (isQuarantined(progress)) return quarantineOutcome(progress)
     if (progress.attempts >= route.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
     if (progress.connectAttempts >= MAX_CONNECT_ATTEMPTS) return { kind: 'failed', error: noAttemptError, reason: 'connection attempt limit reached' }
-    const reservation = await options.reserveCapacity(forwarded, progress, deadlineMs - clock.now())
+    const reservation = progress.replacement ?? await options.reserveCapacity(forwarded, progress, deadlineMs - clock.now())
+    progress.replacement = undefined
     const obstacle = findObstacle(forwarded, progress, deadlineMs, reservation)
     if (reservation && !obstacle) return await send(forwarded, progress, deadlineMs, reservation)
     if (reservation) {
@@ -203,18 +219,24 @@
       progress.hasFailed ||= end === 'failed'
       observation.end(progress.isAbandoned ? 'abandoned' : end)
     }
-    const reserveFailover = () => reserveRetry(forwarded, progress, deadlineMs, progress.triedBackends)
-    const reserveRepeat = (fraction = 1) => reserveRetry(forwarded, progress, deadlineMs, NONE_EXCLUDED, fraction)
-    const onBackendRemoved = () => { if (reserveFailover()) exchange.abort('backend server gone') }
+    const reserveFailover = (isDue: () => boolean) => reserveReplacement(forwarded, progress, deadlineMs, { excluded: progress.triedBackends, hasFailed: true, model: progress.model, isDue })
+    const reserveRepeat = (repeat: Pick<ReplacementRequest, 'hasFailed' | 'model' | 'fraction'>) => reserveReplacement(forwarded, progress, deadlineMs, { excluded: NONE_EXCLUDED, ...repeat })
+    let awaitsResponse = true
+    const abandonFor = async (reason: string, isDue: () => boolean) => {
+      const isReserved = await reserveFailover(isDue)
+      if (isReserved) exchange.abort(reason)
+      return isReserved
+    }
+    const onBackendRemoved = () => void abandonFor('backend server gone', () => true)
     backend.onRemoved.add(onBackendRemoved)
     const sentMs = clock.now()
     // A request that must run once and is already running is not given up on a suspicion.
     const cancelQuarantineWatch = route.kind === 'non_idempotent' ? () => {} : progress.crashEvidence.watch(() => exchange.abort(QUARANTINE_REASON))
-    const cancelResponseTimer = pollAfter(clock, firstResponseTimeoutMs(route), () => {
-      const reserved = reserveFailover()
-      if (reserved) exchange.abort('no response in time')
-      return reserved
-    })
+    const stopResponsePoll = pollAfter(clock, firstResponseTimeoutMs(route), () => abandonFor('no response in time', () => awaitsResponse))
+    const cancelResponseTimer = () => {
+      awaitsResponse = false
+      stopResponsePoll()
+    }
     try {
       const result = await exchange.result
       if (result.kind !== 'head') {
@@ -249,18 +271,45 @@
     }
   }
 
+  interface ReplacementRequest extends Replacement {
+    /** Part of the retry allowance that may be used. Default: all. */
+    fraction?: number
+    /** Whether the running attempt is still to be replaced once the capacity is there. Default: it is. */
+    isDue?: () => boolean
+  }
+
   /**
-   * Takes the retry for another attempt from the given fraction of the allowance, if the request may be repeated and a
-   * backend server that is not excluded has capacity for it. A response is abandoned for a better or faster one only
-   * after such a reservation, because a late or low-confidence response is better than none.
+   * Takes a retry and capacity for another attempt, if the request may be repeated, and returns whether it has them. A running
+   * attempt is abandoned only after that and in the same turn, because a late or low-confidence response is better than none.
    */
-  function reserveRetry (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, excluded: ReadonlySet<Backend>, fraction = 1): boolean {
+  async function reserveReplacement (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { fraction, isDue = () => true, ...replacement }: ReplacementRequest): Promise<boolean> {
     const { route, service } = forwarded
-    if (progress.retryReserved) return true
-    if (!isRepeatable(route) || progress.attempts >= route.maxAttempts || deadlineMs - clock.now() < MIN_ATTEMPT_MS) return false
-    if (!options.hasAlternative(forwarded, excluded)) return false
-    progress.retryReserved = takeRetry(service, fraction)
-    return progress.retryReserved
+    const exchange = progress.currentExchange
+    if (progress.isReservingReplacement || !mayRepeat(route, progress) || deadlineMs - clock.now() < MIN_ATTEMPT_MS) return false
+    if (!takeRetry(service, fraction)) return false
+    progress.isReservingReplacement = true
+    const reservation = await options.reserveReplacement(forwarded, progress, replacement)
+    progress.isReservingReplacement = false
+    progress.replacement = reservation
+    progress.retryReserved = true
+    const isStillRunning = !progress.isFinished && progress.currentExchange === exchange
+    if (reservation && isStillRunning && isDue()) return true
+    releaseReplacement(forwarded, progress)
+    return false
+  }
+
+  /** Returns what was reserved for an attempt that is not made. */
+  function releaseReplacement ({ service }: ForwardedRequest, progress: RequestProgress): void {
+    if (progress.retryReserved) retryAllowance(service).giveBack()
+    progress.retryReserved = false
+    if (!progress.replacement) return
+    progress.replacement.cancel()
+    progress.replacement = undefined
+    options.onCapacityFreed(service)
+  }
+
+  function mayRepeat (route: Route, { attempts, connectAttempts }: RequestProgress): boolean {
+    return isRepeatable(route) && attempts < route.maxAttempts && connectAttempts < MAX_CONNECT_ATTEMPTS
   }
 
   function takeRetry (service: ServiceId, fraction = 1): boolean {
@@ -278,10 +327,10 @@
     recordSurvival(): void
     recordEvent(): void
     endAttempt(end: RequestEnd): void
-    /** Takes a retry from the allowance if a backend server that the request was not sent to yet has capacity. */
-    reserveFailover(): boolean
-    /** Takes a retry from a fraction of the allowance if any backend server has capacity, including the current one. */
-    reserveRepeat(fraction?: number): boolean
+    /** Takes a retry and capacity at a backend server that the request was not sent to yet, for a replacement that is still due then. */
+    reserveFailover(isDue: () => boolean): Promise<boolean>
+    /** Takes a retry and capacity at any backend server, including the current one. */
+    reserveRepeat(options: Pick<ReplacementRequest, 'hasFailed' | 'model' | 'fraction'>): Promise<boolean>
     endPrompt(): void
     cancelResponseTimer(): void
   }
@@ -304,20 +353,20 @@
       return retryOrFail(route, backend, 'response is not authentic')
     }
     const failed = head.status >= 500
-    if (failed && !caller.hasStarted() && response.reserveRepeat()) {
+    if (failed && !caller.hasStarted() && await response.reserveRepeat({ hasFailed: true, model: progress.model })) {
       if (route.kind !== 'streaming') response.recordSurvival()
       exchange.abort('failed')
       endAttempt('failed')
       return { kind: 'next', reason: `status ${head.status}`, backend }
     }
     if (route.kind === 'streaming' && head.status < 300) {
-      if (shouldEscalate(forwarded, progress, head) && response.reserveRepeat(ESCALATION_SHARE)) {
-        const { models } = route
+      const model = route.models[route.models.length - 1]
+      if (shouldEscalate(forwarded, progress, head) && await response.reserveRepeat({ hasFailed: progress.hasFailed, model, fraction: ESCALATION_SHARE })) {
         exchange.abort('low confidence')
         recordEvent()
         endAttempt('completed')
         metrics.count('escalations', 'low_confidence')
-        progress.model = models[models.length - 1]
+        progress.model = model
         return { kind: 'next', reason: `confidence ${head.confidence}`, backend }
       }
       const relayed = await relayEvents({ ...response, onFirstEvent: response.recordSurvival, caller, route, lastEventId: progress.lastEventId, clock })
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -20,6 +20,7 @@
     })
     body.on('end', () => resolve(body.complete && !exchange.hasConnectionFailed() ? Buffer.concat(chunks) : undefined))
     body.on('close', () => resolve(undefined))
+    if (body.destroyed) resolve(undefined)
   })
 }
 
@@ -37,8 +38,8 @@
   route: Route
   /** Id of the last event that the caller received; the next event must follow it without a gap. */
   lastEventId: number | undefined
-  /** Reserves an attempt at another backend server; when it returns true, the stream must be resumed there. */
-  reserveFailover(): boolean
+  /** Reserves an attempt at another backend server that is still due then; after true, the stream must be resumed there in the same turn. */
+  reserveFailover(isDue: () => boolean): Promise<boolean>
   /** Removes the load of the prompt from the backend server; called at the first event. */
   endPrompt(): void
   cancelResponseTimer(): void
@@ -68,7 +69,7 @@
 
   return new Promise(resolve => {
     let isSettled = false
-    const cancelStallCheck = clock.every(STALL_CHECK_PERIOD_MS, checkStall)
+    const cancelStallCheck = clock.every(STALL_CHECK_PERIOD_MS, () => void resumeIfStalled())
 
     function settle (kind: EventRelayResult['kind'], reason: string): void {
       if (isSettled) return
@@ -79,12 +80,17 @@
       resolve({ kind, reason, endedBeforeFirstEvent, lastEventId })
     }
 
-    /** Ends a stalled stream so that it is resumed at another backend server; sooner if its backend server sends nothing on any connection. */
-    function checkStall (): void {
-      if (firstEventMs === undefined || isCallerBlocked) return
+    /** A stream stalls sooner if its backend server sends nothing on any connection. */
+    function isStalled (): boolean {
+      if (isSettled || firstEventMs === undefined || isCallerBlocked) return false
       const gapMs = clock.now() - lastEventMs
       const isServerSilent = clock.now() - backend.lastReceivedMs > route.maxEventGapMs * SILENT_SERVER_STALL_FACTOR
-      if (gapMs > route.maxEventGapMs * (isServerSilent ? SILENT_SERVER_STALL_FACTOR : STALL_FACTOR) && reserveFailover()) settle('broken', 'stalled')
+      return gapMs > route.maxEventGapMs * (isServerSilent ? SILENT_SERVER_STALL_FACTOR : STALL_FACTOR)
+    }
+
+    /** Ends a stalled stream so that it is resumed at another backend server. */
+    async function resumeIfStalled (): Promise<void> {
+      if (isStalled() && await reserveFailover(isStalled)) settle('broken', 'stalled')
     }
 
     /** A comment is no progress: a stalled backend server may go on sending them. */
@@ -136,6 +142,8 @@
     })
     body.on('close', () => settle('broken', 'connection closed'))
     body.on('error', error => settle('broken', error.message))
+    // The connection may have ended while a replacement was being reserved.
+    if (body.destroyed) settle('broken', 'connection closed')
 
     function pauseUntilDrained (): void {
       isCallerBlocked = true
--- a/src/core/forwarding/retry-allowance.ts
+++ b/src/core/forwarding/retry-allowance.ts
@@ -18,6 +18,8 @@
   recordRequest(): void
   /** Takes one retry if the window has one left; a `fraction` below 1 leaves the rest of the allowance for other retries. */
   tryTake(fraction?: number): boolean
+  /** Returns a retry that was taken and is not sent. */
+  giveBack(): void
 }
 
 /** Share of the limit that is used. Requests at the edge of this VM's window may be outside the window in which the backend servers count. */
@@ -47,6 +49,10 @@
       if (retries + 1 > fraction * SAFETY_FACTOR * (share * requests + slack / Math.max(1, vmCount()))) return false
       bucket.retries++
       return true
+    },
+    giveBack () {
+      const taken = buckets.findLast(({ retries }) => retries > 0)
+      if (taken) taken.retries--
     }
   }
 }
