Read what has arrived before judging that nothing arrived in time

Callers saw: streams whose events had arrived were given up for another backend server, and requests whose response had arrived got a 504, after a pause of the VM's own process (a slow core, a long garbage collection, a large configuration). Cause: after a pause, Node runs the timers that are due before it reads its sockets. The checks for stalled streams, late responses, the deadline and the connection timeout took the pause of this process for the silence of the other one. Change: these timers first let the event loop read once, and judge then. The connection timeout has no scenario of its own.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -177,6 +177,18 @@
       | stream-late           | /stream/1  |
       | stream-low-confidence | /cascade/1 |
 
+  # Guards against a pause of the VM's own process that is taken for the silence of a backend server.
+  Scenario: a stream whose events arrived while the process was paused is not abandoned
+    Given a forwarding VM and 2 backend servers that send an event each 250 ms
+    When a caller sends a request to /stream/1 and the process is paused for 1000 ms after 300 ms
+    Then the caller gets every event once and the end of the stream
+    And the backend servers got 1 request
+
+  Scenario: a response that arrived while the process was paused is delivered after its deadline
+    Given a forwarding VM and 1 backend servers that send an event each 50 ms
+    When a caller sends a request to /short/1 and the process is paused for 1000 ms after 20 ms
+    Then the caller gets status 200
+
   Scenario: an error response of a backend server is forwarded when the retry budget is used up
     Given a forwarding VM with 2 backend servers and no retries left that answer-500
     When a caller sends a request to /read/1
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -1,19 +1,17 @@
 import assert from 'node:assert/strict'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import { brandId, type BackendServerId, type DataCentreId, type VmId } from '../../src/core/ids/index.ts'
-import { COLD_SAFETY_FACTOR, COLD_WINDOW_MS } from '../../src/core/backend-pool/constants.ts'
-import { createLimitShares } from '../../src/core/backend-pool/limit-shares.ts'
+import { brandId, type DataCentreId, type VmId } from '../../src/core/ids/index.ts'
+import { COLD_WINDOW_MS } from '../../src/core/backend-pool/constants.ts'
 import { systemClock } from '../../src/core/clock/index.ts'
 import { FLEET_COALESCE_MS, FLEET_KIND, KEY_KIND, KEY_NAME } from '../../src/core/fleet/constants.ts'
 import { ACCEPT_AFTER_STOP_MS, BACKENDS_COALESCE_MS, STOP_CHECK_PERIOD_MS } from '../../src/core/forwarding-vm/constants.ts'
 import { PART_KIND, QUARANTINE_DURATION_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from '../../src/core/quarantine/constants.ts'
 import { exchangeBytes, backendEntry, KINDS, startForwardingVmHarness, trafficConfig, type ForwardingVmHarness, type RawResponse, HARNESS_VM } from '../support/forwarding-vm-harness.ts'
-import { hashText } from '../../src/core/placement/rendezvous.ts'
 import { keepConnection, type KeptConnection } from '../support/kept-connections.ts'
 import { createMemoryStore } from '../support/memory-store.ts'
 import { startScriptedBackend, STREAM_EVENTS, type BackendBehaviour, type ScriptedBackend } from '../support/scripted-backend.ts'
 
-interface ForwardingWorld {
+export interface ForwardingWorld {
   keptConnections: KeptConnection[]
   harness: ForwardingVmHarness
   secondVm: ForwardingVmHarness
@@ -33,10 +31,8 @@
 
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
 let requests = 0
-/** Requests a second to a cold backend server; fewer than the VMs of the fleets here, so that few of them lend the limit. */
-const SMALL_LIMIT = 18
 
-function requestBytes (path: string, { host = 'desk.example', key = 'good-key', id = `request-${requests++}`, extra = '', body = '' } = {}): string {
+export function requestBytes (path: string, { host = 'desk.example', key = 'good-key', id = `request-${requests++}`, extra = '', body = '' } = {}): string {
   const headerLines = [`POST ${path} HTTP/1.1`, `host: ${host}`, 'connection: close', 'x-test-wait-ms: 2500', 'x-test-backend: forged', 'x-test-team: forged']
   if (id) headerLines.push(`x-test-id: ${id}`)
   if (key) headerLines.push(`authorization: Bearer ${key}`)
@@ -44,14 +40,14 @@
   return [...headerLines, ...extra ? [extra] : [], '', body].join('\r\n')
 }
 
-async function send (world: ForwardingWorld, bytes: string): Promise<void> {
+export async function send (world: ForwardingWorld, bytes: string): Promise<void> {
   const sentMs = performance.now()
   const response = await exchangeBytes(world.harness.settings.callerAddress, bytes)
   world.lastResponseMs = performance.now() - sentMs
   world.responses = [...world.responses ?? [], response]
 }
 
-async function isReady (world: ForwardingWorld): Promise<boolean> {
+export async function isReady (world: ForwardingWorld): Promise<boolean> {
   return (await fetch(`http://${world.harness.settings.readinessAddress}/`)).status === 200
 }
 
@@ -127,35 +123,6 @@
   assert.ok(readyMs >= FLEET_COALESCE_MS + COLD_WINDOW_MS, `ready after ${readyMs} ms`)
 })
 
-/** Ids of the form `backend-N`, the first one of a backend server whose limit this VM lends and then ones whose limit only the other VMs lend. */
-function backendIdsByLender (vms: readonly VmId[]): BackendServerId[] {
-  const shares = createLimitShares({ vms: () => vms, self: HARNESS_VM, clock: systemClock })
-  const ids = Array.from({ length: 20 }, (_, index) => brandId<BackendServerId>(`backend-${index}`))
-  const isLentByThisVm = (id: BackendServerId) => shares.lendersOf(id, SMALL_LIMIT).includes(HARNESS_VM)
-  return [ids.find(isLentByThisVm)!, ...ids.filter(id => !isLentByThisVm(id))]
-}
-
-Given(/^a forwarding VM among (\d+) that do not answer, which lends the limit of the first of (\d+) backend servers that (.*)$/, { timeout: 10_000 }, async function (this: ForwardingWorld, others: string, count: string, behaviours: string) {
-  const store = createMemoryStore()
-  // The names are chosen so that this VM is a lender of one group of backend servers and not of the other.
-  const namings = Array.from({ length: 100 }, (_, salt) => Array.from({ length: Number(others) }, (_, index) => brandId<VmId>(`vm-${hashText(`${salt}/${index}`)}`)))
-  const names = namings.find(vms => {
-    const [first, second] = backendIdsByLender([HARNESS_VM, ...vms])
-    return first !== undefined && second !== undefined
-  })!
-  for (const name of names) store.put(FLEET_KIND, name, { boot: `boot-${name}`, callerAddress: '127.0.0.1:1', peerAddress: '127.0.0.1:1', dataCentre: 'dc-1' })
-  this.harness = await startForwardingVmHarness({ store, coldRate: Math.ceil(SMALL_LIMIT / COLD_SAFETY_FACTOR), overrides: { coldOvershoot: 1, coldSlack: 0 } })
-  this.backends = []
-  const script = { behaviours: behaviours.split(', ') as BackendBehaviour[] }
-  for (const id of backendIdsByLender([HARNESS_VM, ...names]).slice(0, Number(count))) {
-    const backend = await startScriptedBackend(script)
-    this.backends.push(backend)
-    store.put(KINDS.backendServers, id, backendEntry(backend.address))
-  }
-  while (!await isReady(this)) await sleep(5)
-  await sleep(2 * BACKENDS_COALESCE_MS + 50)
-})
-
 Given('a forwarding VM without configuration', async function (this: ForwardingWorld) {
   this.harness = await startForwardingVmHarness({ configured: false })
   await sleep(50)
--- a/src/core/forwarding/exchange.ts
+++ b/src/core/forwarding/exchange.ts
@@ -6,6 +6,7 @@
 import { Agent, request as httpRequest, type IncomingMessage } from 'node:http'
 import type { Backend } from '../backend-pool/types.ts'
 import { CONNECT_TIMEOUT_MS, MAX_INTERIM_RESPONSES } from './constants.ts'
+import { readPendingInput } from './pending-input.ts'
 import type { BackendCall, BackendResponseHead, CallerRequest } from './types.ts'
 
 /** Encodes and decodes headers; the platform's adapter provides it. */
@@ -75,7 +76,9 @@
     fail(error.message)
   })
   outgoing.on('close', () => fail('connection closed'))
-  const timer = setTimeout(() => { if (!connected) fail('connect timeout') }, connectTimeoutMs)
+  const timer = setTimeout(() => {
+    void readPendingInput().then(() => { if (!connected) fail('connect timeout') })
+  }, connectTimeoutMs)
 
   /** The headers are sent with the body, so nothing leaves before this. */
   function send (): void {
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -12,6 +12,7 @@
 import type { DecisionLog } from '../logging/decision-log.ts'
 import { DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CONNECT_ATTEMPTS, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
 import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, type AttemptOutcome } from './attempt-outcome.ts'
+import { readPendingInput } from './pending-input.ts'
 import { pollAfter } from './poll-after.ts'
 import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome, type CrashEvidence } from './crash-evidence.ts'
 import { startExchange, type Codec, type Exchange } from './exchange.ts'
@@ -124,10 +125,7 @@
       currentExchange: undefined,
       isFinished: false
     }
-    const cancelDeadline = clock.after(Math.max(0, deadlineMs - clock.now()), () => {
-      if (progress.isFinished) return
-      finish(progress.mayHaveRun || progress.currentExchange ? 'backend_timeout' : 'overloaded', 'deadline')
-    })
+    const cancelDeadline = clock.after(Math.max(0, deadlineMs - clock.now()), () => void endAtDeadline())
     caller.onDisconnect(() => {
       if (progress.isFinished) return
       progress.isFinished = true
@@ -137,6 +135,11 @@
     })
     retryAllowance(service).recordRequest()
 
+    async function endAtDeadline (): Promise<void> {
+      await readPendingInput()
+      finish(progress.mayHaveRun || progress.currentExchange ? 'backend_timeout' : 'overloaded', 'deadline')
+    }
+
     function finish (error: ErrorName, reason: string): void {
       if (progress.isFinished) return
       progress.isFinished = true
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -6,6 +6,7 @@
 import { MAX_BUFFERED_RESPONSE_BYTES, MAX_EVENT_BYTES, SILENT_SERVER_STALL_FACTOR, STALL_CHECK_PERIOD_MS, STALL_FACTOR } from './constants.ts'
 import { createEventSplitter } from './event-stream.ts'
 import type { Exchange } from './exchange.ts'
+import { readPendingInput } from './pending-input.ts'
 import type { BackendResponseHead, Route } from './types.ts'
 
 /** Reads the complete body; `undefined` when it was truncated or is too large to buffer. */
@@ -90,6 +91,8 @@
 
     /** Ends a stalled stream so that it is resumed at another backend server. */
     async function resumeIfStalled (): Promise<void> {
+      if (!isStalled()) return
+      await readPendingInput()
       if (isStalled() && await reserveFailover(isStalled)) settle('broken', 'stalled')
     }
 
