Keep the retry of an attempt whose connection fails

Callers saw: a stream that broke is cut, although a backend server has room for the rest of it. Cause: each attempt took a retry from the allowance, also one whose connection was refused, so that nothing was sent. The next attempt needed another retry, and failed when none was left. Change: such an attempt leaves its retry to the next one, as it leaves its number of attempts.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -177,6 +177,12 @@
       | stream-late           | /stream/1  |
       | stream-low-confidence | /cascade/1 |
 
+  # Guards against retries that are used up by connections on which nothing was sent.
+  Scenario: a broken stream is resumed with its only retry although a connection is refused
+    Given a forwarding VM with one retry, a backend server that stream-break-mid-event, one that refuses connections and one that stream
+    When a caller sends a request to /stream/1
+    Then the caller gets every event once and the end of the stream
+
   # Guards against a pause of the VM's own process that is taken for the silence of a backend server.
   Scenario: a stream whose events arrived while the process was paused is not abandoned
     Given a forwarding VM and 2 backend servers that send an event each 250 ms
--- a/features/steps/abandoned-attempts.ts
+++ b/features/steps/abandoned-attempts.ts
@@ -6,7 +6,7 @@
 import { systemClock } from '../../src/core/clock/index.ts'
 import { FLEET_KIND } from '../../src/core/fleet/constants.ts'
 import { BACKENDS_COALESCE_MS } from '../../src/core/forwarding-vm/constants.ts'
-import { brandId, type BackendServerId, type VmId } from '../../src/core/ids/index.ts'
+import { brandId, type BackendServerId, type DataCentreId, type VmId } from '../../src/core/ids/index.ts'
 import { hashText } from '../../src/core/placement/rendezvous.ts'
 import { backendEntry, HARNESS_VM, KINDS, startForwardingVmHarness } from '../support/forwarding-vm-harness.ts'
 import { createMemoryStore } from '../support/memory-store.ts'
@@ -73,3 +73,14 @@
 Then(/^the backend servers got (\d+) requests?$/, async function (this: AbandonedAttemptWorld, count: string) {
   assert.equal(await this.workerBackends.countReceived(), Number(count))
 })
+
+Given(/^a forwarding VM with one retry, a backend server that (\S+), one that refuses connections and one that (\S+)$/, async function (this: AbandonedAttemptWorld, first: BackendBehaviour, last: BackendBehaviour) {
+  const store = createMemoryStore()
+  // Among equal loads, backend servers are chosen in the order of their names, those of the VM's data centre first.
+  this.harness = await startForwardingVmHarness({ store, random: () => 0.5, overrides: { retryShare: 0, retrySlack: 2 } })
+  this.backends = await Promise.all([first, 'answer' as const, last].map(behaviour => startScriptedBackend({ behaviours: [behaviour] })))
+  await this.backends[1]!.close()
+  this.backends.forEach(({ address }, index) => store.put(KINDS.backendServers, `backend-${index}`, backendEntry(address, { dataCentre: brandId<DataCentreId>(index < 2 ? 'dc-1' : 'dc-2') })))
+  while (!await isReady(this)) await sleep(5)
+  await sleep(2 * BACKENDS_COALESCE_MS + 50)
+})
--- a/features/support/forwarding-vm-harness.ts
+++ b/features/support/forwarding-vm-harness.ts
@@ -166,10 +166,10 @@
   settings: ForwardingVmSettings
 }
 
-export async function startForwardingVmHarness ({ clock = systemClock, configured = true, coldRate, store = createMemoryStore(), overrides = {} }: { clock?: Clock, configured?: boolean, coldRate?: number, store?: MemoryStore, overrides?: Partial<ForwardingVmSettings> } = {}): Promise<ForwardingVmHarness> {
+export async function startForwardingVmHarness ({ clock = systemClock, configured = true, coldRate, store = createMemoryStore(), overrides = {}, random }: { clock?: Clock, configured?: boolean, coldRate?: number, store?: MemoryStore, overrides?: Partial<ForwardingVmSettings>, random?: () => number } = {}): Promise<ForwardingVmHarness> {
   const settings = { ...harnessSettings(await findFreePorts(5)), ...overrides }
   if (configured) store.put(KINDS.config, 'main', trafficConfig(1, { coldRate }))
-  const vm = await startForwardingVm({ settings, adapter, store, clock, log: { ...silentLog, request () {} } })
+  const vm = await startForwardingVm({ settings, adapter, store, clock, random, log: { ...silentLog, request () {} } })
   return { vm, store, settings }
 }
 
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -247,6 +247,8 @@
         if (result.kind !== 'lost') {
           progress.connectAttempts++
           progress.attempts--
+          // Nothing was sent, so the retry that was taken for this attempt is still there.
+          progress.retryReserved = progress.attempts > 0
           progress.hasFailed = true
           endAttempt('not_run')
           if (result.kind === 'not_sent') options.recordConnectFailure(backend)
