Connect a replacement before the running response is abandoned

Callers saw: a response is given up for a backend server that has ended or cannot be reached, and has to start again elsewhere, or ends when no other attempt is left. Cause: the connection to the other backend server was opened after the running response had been abandoned. A backend server that has ended stays in the store for seconds. Change: the connection is opened along with the reservation, within 100 ms, while the response goes on. If that fails, the retry and the capacity are returned and the response is kept.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -177,6 +177,19 @@
       | stream-late           | /stream/1  |
       | stream-low-confidence | /cascade/1 |
 
+  # Guards against ending a running response for a backend server that has ended, too.
+  Scenario Outline: a response with <behaviour> is not abandoned when the other backend server cannot be reached
+    Given a forwarding VM with a backend server that <behaviour> and one that refuses connections
+    When a caller sends a request to <path>
+    Then the caller gets every event once and the end of the stream
+    And the backend servers received 1 request
+
+    Examples:
+      | behaviour             | path       |
+      | stream-pause          | /stream/1  |
+      | stream-late           | /stream/1  |
+      | stream-low-confidence | /cascade/1 |
+
   # Guards against retries that are used up by connections on which nothing was sent.
   Scenario: a broken stream is resumed with its only retry although a connection is refused
     Given a forwarding VM with one retry, a backend server that stream-break-mid-event, one that refuses connections and one that stream
--- a/features/steps/abandoned-attempts.ts
+++ b/features/steps/abandoned-attempts.ts
@@ -6,6 +6,7 @@
 import { systemClock } from '../../src/core/clock/index.ts'
 import { FLEET_KIND } from '../../src/core/fleet/constants.ts'
 import { BACKENDS_COALESCE_MS } from '../../src/core/forwarding-vm/constants.ts'
+import type { ForwardingVmSettings } from '../../src/core/forwarding-vm/index.ts'
 import { brandId, type BackendServerId, type DataCentreId, type VmId } from '../../src/core/ids/index.ts'
 import { hashText } from '../../src/core/placement/rendezvous.ts'
 import { backendEntry, HARNESS_VM, KINDS, startForwardingVmHarness } from '../support/forwarding-vm-harness.ts'
@@ -74,13 +75,21 @@
   assert.equal(await this.workerBackends.countReceived(), Number(count))
 })
 
-Given(/^a forwarding VM with one retry, a backend server that (\S+), one that refuses connections and one that (\S+)$/, async function (this: AbandonedAttemptWorld, first: BackendBehaviour, last: BackendBehaviour) {
+/** Starts a VM that chooses among equal loads in the order of the behaviours, one data centre each, and `undefined` for a backend server that has ended. */
+async function startVmWithOrderedBackends (world: AbandonedAttemptWorld, behaviours: (BackendBehaviour | undefined)[], overrides: Partial<ForwardingVmSettings>): Promise<void> {
   const store = createMemoryStore()
-  // Among equal loads, backend servers are chosen in the order of their names, those of the VM's data centre first.
-  this.harness = await startForwardingVmHarness({ store, random: () => 0.5, overrides: { retryShare: 0, retrySlack: 2 } })
-  this.backends = await Promise.all([first, 'answer' as const, last].map(behaviour => startScriptedBackend({ behaviours: [behaviour] })))
-  await this.backends[1]!.close()
-  this.backends.forEach(({ address }, index) => store.put(KINDS.backendServers, `backend-${index}`, backendEntry(address, { dataCentre: brandId<DataCentreId>(index < 2 ? 'dc-1' : 'dc-2') })))
-  while (!await isReady(this)) await sleep(5)
+  world.harness = await startForwardingVmHarness({ store, random: () => 0.5, overrides })
+  world.backends = await Promise.all(behaviours.map(behaviour => startScriptedBackend({ behaviours: [behaviour ?? 'answer'] })))
+  await Promise.all(world.backends.filter((_, index) => behaviours[index] === undefined).map(async backend => await backend.close()))
+  world.backends.forEach(({ address }, index) => store.put(KINDS.backendServers, `backend-${index}`, backendEntry(address, { dataCentre: brandId<DataCentreId>(`dc-${index + 1}`) })))
+  while (!await isReady(world)) await sleep(5)
   await sleep(2 * BACKENDS_COALESCE_MS + 50)
+}
+
+Given(/^a forwarding VM with one retry, a backend server that (\S+), one that refuses connections and one that (\S+)$/, async function (this: AbandonedAttemptWorld, first: BackendBehaviour, last: BackendBehaviour) {
+  await startVmWithOrderedBackends(this, [first, undefined, last], { retryShare: 0, retrySlack: 2 })
+})
+
+Given(/^a forwarding VM with a backend server that (\S+) and one that refuses connections$/, async function (this: AbandonedAttemptWorld, behaviour: BackendBehaviour) {
+  await startVmWithOrderedBackends(this, [behaviour, undefined], {})
 })
--- a/src/core/forwarding/constants.ts
+++ b/src/core/forwarding/constants.ts
@@ -2,6 +2,8 @@
 
 /** Timeout for connecting to a backend server. A round trip takes a few milliseconds; a lost packet is retransmitted after a second. */
 export const CONNECT_TIMEOUT_MS = 400
+/** Timeout of the connection for an attempt that replaces a running one, which goes on meanwhile. */
+export const REPLACEMENT_CONNECT_TIMEOUT_MS = 100
 /** Time from the checks of a request to its sending after which they must be repeated: the process was paused, as a connection takes less. */
 export const MAX_SEND_DELAY_MS = 500
 /** Connections that may fail for one request before any byte is sent; they do not count as attempts. */
--- a/src/core/forwarding/exchange.ts
+++ b/src/core/forwarding/exchange.ts
@@ -4,6 +4,7 @@
  * what repeating one request costs.
  */
 import { Agent, request as httpRequest, type IncomingMessage } from 'node:http'
+import { connect, type Socket } from 'node:net'
 import type { Backend } from '../backend-pool/types.ts'
 import { CONNECT_TIMEOUT_MS, MAX_INTERIM_RESPONSES } from './constants.ts'
 import { readPendingInput } from './pending-input.ts'
@@ -45,13 +46,37 @@
   codec: Codec
   /** Whether the request may still be sent; asked in the turn in which its bytes are written. Default: always. */
   mayStillSend?: () => boolean
+  /** Open connection to the backend server that has not been used yet. Default: a new one. */
+  connection?: Socket | undefined
   connectTimeoutMs?: number
 }
 
 const agent = new Agent({ keepAlive: false, maxSockets: Infinity })
 
-export function startExchange ({ backend, request, call, body, codec, mayStillSend = () => true, connectTimeoutMs = CONNECT_TIMEOUT_MS }: ExchangeOptions): Exchange {
-  const [host, port] = backend.entry.address.split(':')
+/** Opens a connection before the request for it is due; resolves with `undefined` if that fails or takes longer. */
+export function openConnection ({ entry: { address } }: Backend, timeoutMs: number): Promise<Socket | undefined> {
+  const socket = connect({ ...parseAddress(address), noDelay: true })
+  return new Promise(resolve => {
+    const timer = setTimeout(() => void readPendingInput().then(() => { settle(false) }), timeoutMs)
+    function settle (isOpen: boolean): void {
+      clearTimeout(timer)
+      if (!isOpen) socket.destroy()
+      resolve(isOpen ? socket : undefined)
+    }
+    socket.once('connect', () => { settle(true) })
+    // Also keeps a connection that fails before its request from ending the process.
+    socket.on('error', () => { settle(false) })
+  })
+}
+
+function parseAddress (address: string): { host: string, port: number } {
+  const [host, port] = address.split(':')
+  return { host: host!, port: Number(port) }
+}
+
+export function startExchange ({ backend, request, call, body, codec, mayStillSend = () => true, connection, connectTimeoutMs = CONNECT_TIMEOUT_MS }: ExchangeOptions): Exchange {
+  const { host, port } = parseAddress(backend.entry.address)
+  const transport = connection ? { createConnection: () => connection } : { agent }
   let connected = false
   let connectionFailed = false
   let aborted = false
@@ -59,7 +84,7 @@
   const result = new Promise<ExchangeResult>(resolve => { settle = resolve })
 
   const headers = codec.encodeBackendRequest(request, call, body?.length ?? 0)
-  const outgoing = httpRequest({ agent, host, port, method: request.method, path: request.target, headers, setHost: false } as object, incoming => {
+  const outgoing = httpRequest({ ...transport, host, port, method: request.method, path: request.target, headers, setHost: false } as object, incoming => {
     const head = codec.decodeBackendHead(request, incoming.statusCode!, incoming.headers, incoming.rawHeaders)
     // Prevents an unhandled 'error' event; the reader of the body detects the failure itself.
     incoming.on('error', () => {})
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -3,6 +3,7 @@
  * no attempt is possible before the deadline. The error that the caller receives depends on what was sent: it states
  * that the request was not run only when no backend server can have run it.
  */
+import type { Socket } from 'node:net'
 import type { Backend, Reservation } from '../backend-pool/types.ts'
 import { longestElapsedMs, readInstant, type Clock } from '../clock/index.ts'
 import { GatewayError, type ErrorName } from '../errors/index.ts'
@@ -10,12 +11,12 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { PartQuarantine } from '../quarantine/request-parts.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
-import { DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CONNECT_ATTEMPTS, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
+import { DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CONNECT_ATTEMPTS, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, REPLACEMENT_CONNECT_TIMEOUT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
 import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, type AttemptOutcome } from './attempt-outcome.ts'
 import { readPendingInput } from './pending-input.ts'
 import { pollAfter } from './poll-after.ts'
 import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome, type CrashEvidence } from './crash-evidence.ts'
-import { startExchange, type Codec, type Exchange } from './exchange.ts'
+import { openConnection, startExchange, type Codec, type Exchange } from './exchange.ts'
 import { isFramed, readResponse, relayEvents } from './relay.ts'
 import type { RetryAllowance } from './retry-allowance.ts'
 import { isRepeatable, urgencyOf } from './route-table.ts'
@@ -42,6 +43,9 @@
   hasFailed: boolean
 }
 
+/** Capacity for an attempt, and a connection if it has been opened already. */
+interface ReservedAttempt { reservation: Reservation, connection?: Socket }
+
 /** An attempt that is to replace a running one. */
 export interface Replacement {
   /** Backend servers that must not get it. */
@@ -93,8 +97,8 @@
   triedBackends: Set<Backend>
   /** Whether the retry for the next attempt has already been taken from the allowance. */
   retryReserved: boolean
-  /** Capacity for the next attempt, reserved while the current one is running. */
-  replacement: Reservation | undefined
+  /** What the next attempt needs, reserved while the current one is running. */
+  replacement: ReservedAttempt | undefined
   isReservingReplacement: boolean
   isAbandoned: boolean
   crashEvidence: CrashEvidence
@@ -170,14 +174,11 @@
     if (isQuarantined(progress)) return quarantineOutcome(progress)
     if (progress.attempts >= route.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
     if (progress.connectAttempts >= MAX_CONNECT_ATTEMPTS) return { kind: 'failed', error: noAttemptError, reason: 'connection attempt limit reached' }
-    const reservation = progress.replacement ?? await options.reserveCapacity(forwarded, progress, deadlineMs - clock.now())
+    const { reservation, connection } = progress.replacement ?? { reservation: await options.reserveCapacity(forwarded, progress, deadlineMs - clock.now()) }
     progress.replacement = undefined
     const obstacle = findObstacle(forwarded, progress, deadlineMs, reservation)
-    if (reservation && !obstacle) return await send(forwarded, progress, deadlineMs, reservation)
-    if (reservation) {
-      reservation.cancel()
-      options.onCapacityFreed(service)
-    }
+    if (reservation && !obstacle) return await send(forwarded, progress, deadlineMs, { reservation, connection })
+    if (reservation) cancelReserved(service, { reservation, connection })
     return obstacle ?? { kind: 'failed', error: noAttemptError, reason: 'no backend server has room' }
   }
 
@@ -202,7 +203,7 @@
     return isRefused
   }
 
-  async function send (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, reservation: Reservation): Promise<AttemptOutcome> {
+  async function send (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { reservation, connection }: ReservedAttempt): Promise<AttemptOutcome> {
     const { request, route, service, team, body } = forwarded
     const { backend } = reservation
     const remainingMs = deadlineMs - clock.now()
@@ -214,7 +215,7 @@
     }
     const permittedAt = readInstant(clock)
     const mayStillSend = () => longestElapsedMs(clock, permittedAt) <= MAX_SEND_DELAY_MS && (progress.attempts > 1 || recheckAccess(forwarded) === undefined)
-    const exchange = startExchange({ backend, request, call, body, codec, mayStillSend })
+    const exchange = startExchange({ backend, request, call, body, codec, mayStillSend, connection })
     progress.currentExchange = exchange
     progress.triedBackends.add(backend)
     const observation = options.observe(backend, forwarded, progress.attempts === 1 && progress.connectAttempts === 0)
@@ -284,7 +285,7 @@
   }
 
   /**
-   * Takes a retry and capacity for another attempt, if the request may be repeated, and returns whether it has them. A running
+   * Takes a retry, capacity and a connection for another attempt, if the request may be repeated, and returns whether it has them. A running
    * attempt is abandoned only after that and in the same turn, because a late or low-confidence response is better than none.
    */
   async function reserveReplacement (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { fraction, isDue = () => true, ...replacement }: ReplacementRequest): Promise<boolean> {
@@ -293,23 +294,40 @@
     if (progress.isReservingReplacement || !mayRepeat(route, progress) || deadlineMs - clock.now() < MIN_ATTEMPT_MS) return false
     if (!takeRetry(service, fraction)) return false
     progress.isReservingReplacement = true
-    const reservation = await options.reserveReplacement(forwarded, progress, replacement)
+    const reserved = await connectReplacement(forwarded, progress, replacement)
     progress.isReservingReplacement = false
-    progress.replacement = reservation
-    progress.retryReserved = true
     const isStillRunning = !progress.isFinished && progress.currentExchange === exchange
-    if (reservation && isStillRunning && isDue()) return true
-    releaseReplacement(forwarded, progress)
-    return false
+    if (!reserved || !isStillRunning || !isDue()) {
+      if (reserved) cancelReserved(service, reserved)
+      retryAllowance(service).giveBack()
+      return false
+    }
+    progress.replacement = reserved
+    progress.retryReserved = true
+    return true
+  }
+
+  async function connectReplacement (forwarded: ForwardedRequest, progress: RequestProgress, replacement: Replacement): Promise<ReservedAttempt | undefined> {
+    const reservation = await options.reserveReplacement(forwarded, progress, replacement)
+    if (!reservation) return undefined
+    const connection = await openConnection(reservation.backend, REPLACEMENT_CONNECT_TIMEOUT_MS)
+    if (connection) return { reservation, connection }
+    options.recordConnectFailure(reservation.backend)
+    cancelReserved(forwarded.service, { reservation })
+    return undefined
   }
 
   /** Returns what was reserved for an attempt that is not made. */
   function releaseReplacement ({ service }: ForwardedRequest, progress: RequestProgress): void {
     if (progress.retryReserved) retryAllowance(service).giveBack()
     progress.retryReserved = false
-    if (!progress.replacement) return
-    progress.replacement.cancel()
+    if (progress.replacement) cancelReserved(service, progress.replacement)
     progress.replacement = undefined
+  }
+
+  function cancelReserved (service: ServiceId, { reservation, connection }: ReservedAttempt): void {
+    connection?.destroy()
+    reservation.cancel()
     options.onCapacityFreed(service)
   }
 
