Answer every request that arrives behind another one on a connection

Callers that write several requests on a connection before they read the responses got one response and then the end of the connection, during a stop and behind a response without a length, although all requests had run. Bytes that could not be read, and a head that was late, replaced the responses to earlier requests by a 400 or 408. Requests that waited when their connection ended counted as open for good, so that the next stop lasted until the end of its grace time.

Node emits all requests of a connection at once and ends the connection after a response that closes it. The requests of a connection are now handled one after the other, each with its deadline from its receipt. During a stop the last response that is due closes the connection, and nothing behind a response that closes the connection is handled. At most 16 requests wait; the next one is refused as not run and closes the connection. A 400 or 408 follows the responses to earlier requests.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -412,6 +412,65 @@
     Then no connection ended without an answer to a request that had been sent
     And every caller was told to close its connection or found it closed while it was idle
 
+  # Guards against requests that run behind a response that ends their connection.
+  Scenario Outline: <count> requests to <path> that are written at once are answered one after the other
+    Given a forwarding VM with a backend server that answer-late and has 64 slots
+    When a caller writes <count> requests to <path> at once
+    Then the caller gets the statuses 200, 200, 200
+    And only the last response closes the connection
+    And the backend servers received <count> requests
+    And the backend server had at most 1 requests open at the same time
+
+    Examples:
+      | count | path     |
+      | 3     | /read/1  |
+      | 3     | /order/1 |
+
+  Scenario: requests that are written at once while a VM stops are all answered
+    Given a forwarding VM with 8000 ms of grace and a backend server that answer-late
+    When a caller writes 3 requests to /order/1 at once while the VM stops
+    Then the caller gets the statuses 200, 200, 200
+    And only the last response closes the connection
+    And the backend servers received 3 requests
+
+  Scenario: no request runs behind a response without a length
+    Given a forwarding VM with a backend server that no-length and has 64 slots
+    When a caller writes 3 requests to /order/1 at once
+    Then the caller gets the statuses 200 and then the end of the connection
+    And the backend servers received 1 request
+
+  Scenario: a request that arrives behind the start of a response that closes the connection does not run
+    Given a forwarding VM with 8000 ms of grace and a backend server that stream-slow
+    When a caller writes a request to /stream/1 while the VM stops, and another one when its response starts
+    Then the caller gets the statuses 200 and then the end of the connection
+    And the backend servers received 1 request
+
+  Scenario: requests beyond those that may wait on a connection are refused
+    Given a forwarding VM with a backend server that answer and has 64 slots
+    When a caller writes 40 requests to /order/1 at once
+    Then the caller gets status 200 17 times and status 503 with the delay of a retry
+    And only the last response closes the connection
+    And the backend servers received 17 requests
+
+  # Guards against an error response that takes the place of the responses to earlier requests.
+  Scenario Outline: requests before <bytes> are answered first
+    Given a forwarding VM with a backend server that <behaviour> and has 64 slots
+    When a caller writes 2 requests to <path> at once and <bytes>
+    Then the caller gets the statuses <statuses>
+    And the backend servers received 2 requests
+
+    Examples:
+      | behaviour    | path      | bytes                     | statuses      |
+      | answer-late  | /order/1  | bytes that are no request | 200, 200, 400 |
+      | stream-pause | /stream/1 | a part of a head          | 200, 200, 408 |
+
+  # Guards against requests that count as open after their connection has ended.
+  Scenario: a stop does not wait for requests whose caller has left while they waited
+    Given a forwarding VM with 8000 ms of grace and a backend server that silent
+    When a caller writes 3 requests to /order/1 at once and leaves
+    Then a stop takes at most 5000 ms
+    And the backend servers received 1 request
+
   # Guards against other VMs that take over the parts of limits that a leaving VM still uses.
   Scenario: a leaving VM stays registered until nothing that it has sent counts against a limit
     Given a forwarding VM with 1 backend servers that answer
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -80,6 +80,10 @@
   await startVmWithBackends(this, 1, behaviours, {}, Number(slots))
 })
 
+Given(/^a forwarding VM with (\d+) ms of grace and a backend server that (\S+)$/, async function (this: ForwardingWorld, stopGraceMs: string, behaviours: string) {
+  await startVmWithBackends(this, 1, behaviours, { overrides: { stopGraceMs: Number(stopGraceMs) } }, 64)
+})
+
 Given('a forwarding VM that has just started and knows a cold backend server', async function (this: ForwardingWorld) {
   const backend = await startScriptedBackend()
   const store = createMemoryStore()
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -3,7 +3,7 @@
 
 /** How a backend server responds to one request. */
 export type BackendBehaviour =
-  | 'answer' | 'crash' | 'answer-limited' | 'answer-500' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
+  | 'answer' | 'answer-late' | 'crash' | 'answer-limited' | 'answer-500' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
   | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
@@ -112,6 +112,7 @@
   const isDeadlyPrompt = /^x-test-prompt: .*\bdeadly\b/m.test(head)
   const behaviours: Record<BackendBehaviour, () => void> = {
     answer: () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
+    'answer-late': () => setTimeout(() => behaviours.answer(), 100),
     // Ends the backend server at requests to a path with "deadly": after the head of the response to a stream or a path with "late".
     crash: () => {
       const isStream = head.includes('/stream/')
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -281,8 +281,9 @@
   const callerServer = createCallerServer({
     decode: adapter.decodeCallerRequest,
     table: () => table,
-    handle: (request, body, caller) => { void admit(request, body, caller, clock.now()) },
+    handle: (request, body, caller, receivedMs) => { void admit(request, body, caller, receivedMs) },
     isClosing: () => stoppingSinceMs !== undefined,
+    clock,
     metrics
   })
 
@@ -292,7 +293,7 @@
       log.request('refused', { id: request.id, error, configVersion: table?.version, proofAgeMs: Math.round(configLease.ageMs()) })
       caller.fail(new GatewayError(error, { retryAfterMs: RETRY_AFTER_S * 1000 }))
     }
-    if (stoppingSinceMs !== undefined && clock.now() - stoppingSinceMs > ACCEPT_AFTER_STOP_MS) return refuse('vm_leaving')
+    if (stoppingSinceMs !== undefined && receivedMs - stoppingSinceMs > ACCEPT_AFTER_STOP_MS) return refuse('vm_leaving')
     if (!table || !isLoaded()) return refuse('vm_not_ready')
     const allowsAnonymous = table.match(request.host, request.target)?.allowsAnonymous ?? false
     // Requests with an unknown route or key wait as well, because a newer configuration may contain it.
--- a/src/core/forwarding/caller-connection.ts
+++ b/src/core/forwarding/caller-connection.ts
@@ -29,9 +29,11 @@
   outgoing: ServerResponse
   /** Whether the connection must be closed after the response. */
   isClosing: () => boolean
+  /** Called when a response starts after which the connection is closed. */
+  onClosing: () => void
 }
 
-export function createCallerConnection ({ incoming, outgoing, isClosing }: CallerConnectionOptions): CallerConnection {
+export function createCallerConnection ({ incoming, outgoing, isClosing, onClosing }: CallerConnectionOptions): CallerConnection {
   let isFinished = false
 
   function responseHeaders (headers: readonly string[]): string[] {
@@ -39,7 +41,10 @@
     for (let i = 0; i < headers.length; i += 2) {
       if (headers[i]!.toLowerCase() !== 'content-length') result.push(headers[i]!, headers[i + 1]!)
     }
-    if (isClosing()) result.push('Connection', 'close')
+    if (isClosing()) {
+      result.push('Connection', 'close')
+      onClosing()
+    }
     return result
   }
 
@@ -50,6 +55,7 @@
       if (!isFramed) {
         outgoing.useChunkedEncodingByDefault = false
         outgoing.shouldKeepAlive = false
+        onClosing()
       } else if (status !== 204 && status !== 304) framedHeaders.push('Content-Length', String(body.length))
       outgoing.writeHead(status, framedHeaders)
       outgoing.end(incoming.method === 'HEAD' ? undefined : body)
@@ -73,7 +79,10 @@
       const body = Buffer.from(JSON.stringify({ error: { type: kind, message, hint } }))
       const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)]
       if (httpStatus === NOT_RUN_STATUS && retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1000).toFixed(2))
-      if (isClosing() || !incoming.complete) headers.push('Connection', 'close')
+      if (isClosing() || !incoming.complete) {
+        headers.push('Connection', 'close')
+        onClosing()
+      }
       outgoing.writeHead(httpStatus, headers)
       outgoing.end(body)
     },
--- a/src/core/forwarding/constants.ts
+++ b/src/core/forwarding/constants.ts
@@ -27,6 +27,8 @@
 export const RETRY_AFTER_JITTER_S = 0.6
 /** Time that a request with a key waits for a newer confirmation of the configuration before it is refused. */
 export const CONFIRMATION_WAIT_MS = 500
+/** Requests of one connection that may wait behind the one that is handled; each may hold a complete body. */
+export const MAX_WAITING_REQUESTS = 16
 /** Added to the configured idle timeout, so that a connection is not closed at the moment when a caller reuses it. */
 export const IDLE_TIMEOUT_MARGIN_MS = 2000
 /** Timeout for the first event, as a multiple of the target latency, after which a resumable stream is started at another backend server. */
--- a/src/core/forwarding/server.ts
+++ b/src/core/forwarding/server.ts
@@ -4,11 +4,14 @@
  * on the connection.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import type { Clock } from '../clock/index.ts'
 import { GatewayError, type ErrorName } from '../errors/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { createCallerConnection, type CallerConnection } from './caller-connection.ts'
-import { IDLE_TIMEOUT_MARGIN_MS } from './constants.ts'
+import { IDLE_TIMEOUT_MARGIN_MS, RETRY_AFTER_S } from './constants.ts'
+import { createRequestQueue, type RequestQueue } from './request-queue.ts'
 import type { RouteTable } from './route-table.ts'
 import type { CallerLimits, CallerRequest } from './types.ts'
 
@@ -21,9 +24,13 @@
   decode(method: string, target: string, headers: IncomingMessage['headers'], raw: string[]): CallerRequest
   /** The route table of the current configuration; `undefined` before the first one is loaded. */
   table: () => RouteTable | undefined
-  /** Handles a request after its body has been received completely. */
-  handle(request: CallerRequest, body: Buffer | undefined, caller: CallerConnection): void
+  /**
+   * Handles a request after its body has been received completely, which was at the monotonic time `receivedMs`, and after
+   * the earlier requests of its connection have been answered.
+   */
+  handle(request: CallerRequest, body: Buffer | undefined, caller: CallerConnection, receivedMs: number): void
   isClosing: () => boolean
+  clock: Clock
   metrics: Metrics
 }
 
@@ -34,42 +41,56 @@
   openRequests(): number
 }
 
-export function createCallerServer ({ decode, table, handle, isClosing, metrics }: CallerServerOptions): CallerServer {
+export function createCallerServer ({ decode, table, handle, isClosing, clock, metrics }: CallerServerOptions): CallerServer {
   let openRequests = 0
   const server = createServer({ maxHeaderSize: MAX_PARSER_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_PERIOD_MS, requestTimeout: 0 }, receive)
+  const requestQueues = new WeakMap<Duplex, RequestQueue>()
+  server.on('connection', (socket: Socket) => { requestQueues.set(socket, createRequestQueue(socket)) })
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
     metrics.count('bad_input', error.code ?? 'unreadable')
     if (error.code === 'ECONNRESET' || !socket.writable) return socket.destroy()
     const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request'
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    requestQueues.get(socket)!.endWith(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   })
 
   function receive (incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const queue = requestQueues.get(incoming.socket)!
+    const queued = queue.add(outgoing, () => { openRequests-- })
+    if (!queued) return metrics.count('refusals', 'connection_closing')
     openRequests++
-    outgoing.once('close', () => { openRequests-- })
-    const caller = createCallerConnection({ incoming, outgoing, isClosing })
+    const caller = createCallerConnection({
+      incoming,
+      outgoing,
+      // The last response that is due closes the connection, so that all requests that were received are answered.
+      isClosing: () => (isClosing() || queue.isFull()) && !queue.hasWaiting(),
+      onClosing: queue.close
+    })
+    const refuse = (error: ErrorName) => queued.run(() => {
+      metrics.count('refusals', error)
+      caller.fail(new GatewayError(error, { retryAfterMs: RETRY_AFTER_S * 1000 }))
+    })
+    if (queued.isExcess) return refuse('overloaded')
     const request = decode(incoming.method!, incoming.url!, incoming.headers, incoming.rawHeaders)
     const limits = table()?.limits
-    if (limits && headerBytes(incoming.rawHeaders) > limits.maxHeaderBytes) return refuse(caller, 'headers_too_large')
+    if (limits && headerBytes(incoming.rawHeaders) > limits.maxHeaderBytes) return refuse('headers_too_large')
     const maxBytes = limits?.maxBodyBytes ?? 0
-    if (limits && Number(incoming.headers['content-length'] ?? 0) > maxBytes) return refuse(caller, 'body_too_large')
+    if (limits && Number(incoming.headers['content-length'] ?? 0) > maxBytes) return refuse('body_too_large')
     const hasBody = incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
+    const accept = (body?: Buffer) => {
+      const receivedMs = clock.now()
+      queued.run(() => handle(request, body, caller, receivedMs))
+    }
     if (!hasBody) {
       incoming.resume()
-      handle(request, undefined, caller)
+      accept()
       return
     }
     readBody(incoming, limits ? maxBytes : Infinity, body => {
-      if (body) handle(request, body, caller)
-      else refuse(caller, 'body_too_large')
+      if (body) accept(body)
+      else refuse('body_too_large')
     })
   }
 
-  function refuse (caller: CallerConnection, error: ErrorName): void {
-    metrics.count('refusals', error)
-    caller.fail(new GatewayError(error))
-  }
-
   return {
     server,
     applyLimits ({ headerTimeoutMs, idleTimeoutMs }) {
