End all parts of a stop within one deadline

Processes that were stopped were still there at the end of the grace time and were killed with their open requests. The parts of a stop added up: the wait for open requests lasted until 94% of the grace time, in steps of 200 ms, and the removal of the entry could take 300 ms more. With 8 s of grace and a store that did not answer, a stop with an open request took 7.94 s, without the end of the process; with an event loop that was blocked for 150 of every 180 ms it took 7.61 s.

The wait, the window of the limits and the removal now share one deadline at 92% of the grace time, and the removal keeps its 300 ms before it. A stop without open requests runs through the same steps as before.

The scenario on the window of the rate limits had 3 s of grace, which left a part of the window only; it now has the grace of the platform, 8 s, and covers the whole window.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -471,9 +471,22 @@
     Then a stop takes at most 5000 ms
     And the backend servers received 1 request
 
+  # Guards against a process that is killed because its stop lasts longer than the grace time.
+  Scenario Outline: a stop with an open request ends before the grace time when <state>
+    Given a forwarding VM with 8000 ms of grace and a backend server that silent
+    And <state>
+    When a caller waits for the response to /long/1
+    Then a stop takes at most 7600 ms
+    And the VM is <registered>
+
+    Examples:
+      | state                              | registered     |
+      | its store does not answer removals | registered     |
+      | its event loop is slow             | not registered |
+
   # Guards against other VMs that take over the parts of limits that a leaving VM still uses.
   Scenario: a leaving VM stays registered until nothing that it has sent counts against a limit
-    Given a forwarding VM with 1 backend servers that answer
+    Given a forwarding VM with 8000 ms of grace and a backend server that answer
     When the VM begins to stop
     Then the VM is registered
     When the VM accepts no more requests
--- a/features/steps/pipelining.ts
+++ b/features/steps/pipelining.ts
@@ -50,9 +50,3 @@
 Then('only the last response closes the connection', function (this: PipeliningWorld) {
   assert.deepEqual(this.pipelined.map(({ closes }) => closes), this.pipelined.map((_, index) => index === this.pipelined.length - 1))
 })
-
-Then(/^a stop takes at most (\d+) ms$/, { timeout: 20_000 }, async function (this: PipeliningWorld, ms: string) {
-  const startMs = performance.now()
-  await this.harness.vm.stop()
-  assert.ok(performance.now() - startMs <= Number(ms), `${performance.now() - startMs} ms`)
-})
--- a/features/support/memory-store.ts
+++ b/features/support/memory-store.ts
@@ -7,6 +7,8 @@
   remove(kind: string, name: string): void
   /** While set, all calls fail. */
   setDown(down: boolean): void
+  /** While set, removals get no response. */
+  setRemovalsSilent(silent: boolean): void
   /** While set, lists of the kind fail. */
   setListDown(kind: string, down: boolean): void
   /** Drops the history, so that watches from older revisions return undefined. */
@@ -33,6 +35,7 @@
   let revision = 1
   let oldestRevision = 0
   let down = false
+  let removalsSilent = false
   const kindsDown = new Set<string>()
   let changesHidden = false
 
@@ -74,6 +77,7 @@
       down = value
       for (const wake of [...waiting]) wake()
     },
+    setRemovalsSilent (value) { removalsSilent = value },
     setListDown (kind, value) {
       if (value) kindsDown.add(kind)
       else kindsDown.delete(kind)
@@ -144,6 +148,7 @@
     },
     async delete (kind, name) {
       recordCall(`delete ${kind}`)
+      if (removalsSilent) await new Promise(() => {})
       store.remove(kind, name)
     }
   }
--- a/src/core/forwarding-vm/constants.ts
+++ b/src/core/forwarding-vm/constants.ts
@@ -20,13 +20,13 @@
 export const MAX_ADDRESSES = 64
 /** Time after SIGTERM for which new requests are still accepted, because callers cache the address. */
 export const ACCEPT_AFTER_STOP_MS = 2500
-/** Share of the grace period after SIGTERM for which a stopping VM waits for open requests, so that it ends before SIGKILL. */
-export const STOP_GRACE_SHARE = 0.94
+/** Share of the grace period after SIGTERM within which all parts of a stop end; the rest covers timers that are late on a busy machine. */
+export const STOP_GRACE_SHARE = 0.92
 /** Period at which a stopping VM checks for open requests; also leaves time for the last response to be sent. */
 export const STOP_CHECK_PERIOD_MS = 200
 /** Loads below this are omitted from reports, because floating-point rounding leaves small remainders. */
 export const MIN_REPORTED_LOAD = 0.01
-/** Time for which a stopping VM waits for the store to remove its entry; leaves time to end before SIGKILL. */
+/** Time at the end of a stop for the store to remove the VM's entry; a response takes a few milliseconds. */
 export const UNREGISTER_TIMEOUT_MS = 300
 /** Longest wait for capacity at a backend server. The limits that bursts reach are counted over one second. */
 export const MAX_CAPACITY_WAIT_MS = 1100
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -31,11 +31,12 @@
 import { chooseCollectors } from '../feed-relay/relay-choice.ts'
 import { FLEET_KIND } from '../fleet/constants.ts'
 import { createFleet } from '../fleet/index.ts'
-import { ACCEPT_AFTER_STOP_MS, ADDRESS_TTL_S, MAX_ADDRESSES, MIN_REPORTED_LOAD, RELIST_HISTORY_SHARE, STOP_CHECK_PERIOD_MS, STOP_GRACE_SHARE, UNREGISTER_TIMEOUT_MS } from './constants.ts'
+import { ACCEPT_AFTER_STOP_MS, ADDRESS_TTL_S, MAX_ADDRESSES, MIN_REPORTED_LOAD, RELIST_HISTORY_SHARE } from './constants.ts'
 import { createAssignments } from './assignment.ts'
 import { createCapacity } from './capacity.ts'
 import { createConfigExchange } from './config-exchange.ts'
 import { createFeeds } from './feeds.ts'
+import { runStop } from './stop.ts'
 import type { ForwardingVmSettings, PlatformAdapter } from './types.ts'
 
 export type { ForwardingVmSettings, PlatformAdapter } from './types.ts'
@@ -347,15 +348,7 @@
       stoppingSinceMs = clock.now()
       log.info('VM stops', { openRequests: callerServer.openRequests() })
       void fleet.leave()
-      const endMs = stoppingSinceMs + settings.stopGraceMs * STOP_GRACE_SHARE
-      // Idle connections stay open: a caller may just have sent a request on one. Each response asks to close its connection.
-      while (clock.now() < endMs) {
-        await clock.sleep(STOP_CHECK_PERIOD_MS)
-        if (clock.now() - stoppingSinceMs > ACCEPT_AFTER_STOP_MS && callerServer.openRequests() === 0) break
-      }
-      // What this VM has sent in the last window counts against the limits until its end.
-      await clock.sleep(Math.max(0, Math.min(COLD_WINDOW_MS, endMs - clock.now())))
-      await Promise.race([fleet.unregister(), clock.sleep(UNREGISTER_TIMEOUT_MS)])
+      await runStop({ graceMs: settings.stopGraceMs, openRequests: callerServer.openRequests, unregister: fleet.unregister, clock })
       log.info('VM stopped', { openRequests: callerServer.openRequests() })
     },
     async close () {
--- /dev/null
+++ b/src/core/forwarding-vm/stop.ts
@@ -0,0 +1,33 @@
+/**
+ * The stop of a forwarding VM. The platform ends the process after the grace time, so all parts of the stop share one
+ * deadline before it: the wait for open requests, the window of the limits and the removal of the VM's entry.
+ */
+import { COLD_WINDOW_MS } from '../backend-pool/constants.ts'
+import type { Clock } from '../clock/index.ts'
+import { ACCEPT_AFTER_STOP_MS, STOP_CHECK_PERIOD_MS, STOP_GRACE_SHARE, UNREGISTER_TIMEOUT_MS } from './constants.ts'
+
+export interface StopOptions {
+  /** Time after which the platform ends the process, in milliseconds. */
+  graceMs: number
+  openRequests(): number
+  /** Removes the entry of this VM from the store. */
+  unregister(): Promise<void>
+  clock: Clock
+}
+
+/** Resolves when no requests are open and the entry has been removed, or when the deadline has come. */
+export async function runStop ({ graceMs, openRequests, unregister, clock }: StopOptions): Promise<void> {
+  const startMs = clock.now()
+  const endMs = startMs + graceMs * STOP_GRACE_SHARE
+  const removalMs = endMs - UNREGISTER_TIMEOUT_MS
+  const sleepAtMost = (ms: number, untilMs: number) => clock.sleep(Math.max(0, Math.min(ms, untilMs - clock.now())))
+
+  // Idle connections stay open: a caller may just have sent a request on one. Each response asks to close its connection.
+  while (clock.now() < removalMs) {
+    await sleepAtMost(STOP_CHECK_PERIOD_MS, removalMs)
+    if (clock.now() - startMs > ACCEPT_AFTER_STOP_MS && openRequests() === 0) break
+  }
+  // What this VM has sent in the last window counts against the limits until its end.
+  await sleepAtMost(COLD_WINDOW_MS, removalMs)
+  await Promise.race([unregister(), sleepAtMost(UNREGISTER_TIMEOUT_MS, endMs)])
+}
