Refuse requests whose head cannot be sent to a backend server

A caller could end the whole process, and with it all open requests, with one request: a tab or form feed in the path, an empty header name or a space in a header name. Node's parser accepts these and its client throws at them; the rejection of the request's handling is handled nowhere.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -311,16 +311,19 @@
     And the backend servers received 0 requests
 
     Examples:
-      | fault               | status |
-      | no key              | 401    |
-      | an unknown key      | 401    |
-      | an unknown host     | 404    |
-      | an unknown path     | 404    |
-      | no id               | 400    |
-      | a large body        | 413    |
-      | large headers       | 431    |
-      | two lengths         | 400    |
-      | length and chunks   | 400    |
+      | fault                    | status |
+      | no key                   | 401    |
+      | an unknown key           | 401    |
+      | an unknown host          | 404    |
+      | an unknown path          | 404    |
+      | no id                    | 400    |
+      | a tab in its path        | 400    |
+      | an empty header name     | 400    |
+      | a space in a header name | 400    |
+      | a large body             | 413    |
+      | large headers            | 431    |
+      | two lengths              | 400    |
+      | length and chunks        | 400    |
 
   Scenario: a withdrawn key stops working at once
     Given a forwarding VM with 1 backend servers that answer
--- a/src/core/forwarding/server.ts
+++ b/src/core/forwarding/server.ts
@@ -11,6 +11,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import { createCallerConnection, type CallerConnection } from './caller-connection.ts'
 import { IDLE_TIMEOUT_MARGIN_MS, RETRY_AFTER_S } from './constants.ts'
+import { isSendableRequest } from './message-head.ts'
 import { createRequestQueue, type RequestQueue } from './request-queue.ts'
 import type { RouteTable } from './route-table.ts'
 import type { CallerLimits, CallerRequest } from './types.ts'
@@ -71,6 +72,7 @@
     })
     if (queued.isExcess) return refuse('overloaded')
     const request = decode(incoming.method!, incoming.url!, incoming.headers, incoming.rawHeaders)
+    if (!isSendableRequest(incoming.url!, incoming.rawHeaders)) return refuse('bad_request')
     const limits = table()?.limits
     if (limits && headerBytes(incoming.rawHeaders) > limits.maxHeaderBytes) return refuse('headers_too_large')
     const maxBytes = limits?.maxBodyBytes ?? 0
