Do not forward response heads that Node cannot write

A backend server could end the whole process, and with it all open requests, with one marked response: a status below 100, an empty header name or a space in a header name. Node's parser accepts these and writeHead throws at them: for a plain response in a promise that nobody handles, for a stream in the handler of its data. A response with status 101 reached the caller as a change of the protocol.

Such a response now counts like one without the mark of the backend server: the request is repeated if it may be, and gets status 502 otherwise. The counter bad_input shows it as response_head.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -21,6 +21,10 @@
       | order | garbage                             | 502    | -      | 1        |
       | order | no-length-reset                     | 502    | -      | 1        |
       | order | extra-answer                        | 200    | whole  | 1        |
+      | order | low-status                          | 502    | -      | 1        |
+      | order | switch-protocols                    | 502    | -      | 1        |
+      | order | empty-header-name                   | 502    | -      | 1        |
+      | read  | low-status, answer                  | 200    | whole  | 2        |
       | short | silent                              | 504    | -      | 1        |
       | read  | answer                              | 200    | whole  | 1        |
       | read  | reset, answer                       | 200    | whole  | 2        |
@@ -47,6 +51,7 @@
       | stream-stall, stream             | 2        |
       | stream-stall-ping, stream        | 2        |
       | stream-comment-crash             | 1        |
+      | stream-empty-header-name, stream | 2        |
       | reset, stream                    | 2        |
       | silent, stream                   | 2        |
 
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -11,6 +11,7 @@
 import { createConfigLease } from '../forwarding/config-lease.ts'
 import { CONFIRMATION_WAIT_MS, RETRY_AFTER_S } from '../forwarding/constants.ts'
 import { createForwarder } from '../forwarding/forward.ts'
+import { refuseUnsendableHeads } from '../forwarding/message-head.ts'
 import { createRetryAllowance, type RetryAllowance } from '../forwarding/retry-allowance.ts'
 import { chooseService, createRouteTable, type RouteTable } from '../forwarding/route-table.ts'
 import { escalationConfidence } from '../cascade/confidence.ts'
@@ -244,7 +245,7 @@
   const capacity = createCapacity({ pool, assignments, loans, queue: capacityQueue, clock, random })
 
   const forwarder = createForwarder({
-    codec: adapter,
+    codec: refuseUnsendableHeads(adapter, () => metrics.count('bad_input', 'response_head')),
     reserveCapacity: capacity.reserve,
     onCapacityFreed: capacityQueue.wake,
     reserveReplacement: capacity.reserveReplacement,
