Open a connection for each health check and engine command

A health check could get a second copy of the report before it, and then each further check the report of the one before, as the connection stays one response behind; an order to an engine could take the response to another one for its own. Completions and service calls already open a connection each. Cause: the client kept connections for health checks and commands, and HTTP responses do not name their requests.

Evidence: a stand-in that sends a second response with another body.

Health checks and commands are few and have no price for connections at the gateway, so a new connection is preferred to a check of each response. The processor time of a health check was not measured.

--- a/features/engine.feature
+++ b/features/engine.feature
@@ -44,3 +44,24 @@
     Given a rating stand-in with quality 0.7, noise 0.1 and a share of 0.5
     When the rating stand-in gets 200 answers
     Then the rating stand-in published between 70 and 130 ratings between 0.6 and 0.8
+
+  # Guards against an answer that is taken for that to another request, because the connection is used again.
+  Scenario Outline: <calls> to one backend server get their own answers when a second copy of the first arrives <moment>
+    Given a backend server that sends a second answer <moment>
+    When two <calls> are made one after the other
+    Then each of the calls has got its own answer, and so has a third one
+
+    Examples:
+      | calls         | moment                                        |
+      | health checks | with the first answer                         |
+      | health checks | just after the first answer                   |
+      | health checks | 2 s after the first answer                    |
+      | health checks | in the same turn as the next request          |
+      | health checks | right after the next request                  |
+      | health checks | as a 408 in the same turn as the next request |
+      | service calls | with the first answer                         |
+      | service calls | just after the first answer                   |
+      | service calls | 2 s after the first answer                    |
+      | service calls | in the same turn as the next request          |
+      | service calls | right after the next request                  |
+      | service calls | as a 408 in the same turn as the next request |
--- a/features/steps/engine.ts
+++ b/features/steps/engine.ts
@@ -1,26 +1,31 @@
 import assert from 'node:assert/strict'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { systemClock } from '../../src/core/clock/index.ts'
-import { createEngineClient, prefixHashes, type CompletionRequest } from '../../src/core/engine/index.ts'
+import { createEngineClient, createServiceClient, prefixHashes, type CompletionRequest } from '../../src/core/engine/index.ts'
 import { brandId, randomId, type RequestId, type VersionId } from '../../src/core/ids/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { generateTokens, startEngine, type EngineOptions, type EngineStandIn } from '../../src/standin/engine/index.ts'
 import { startRating, type Rating, type RatingStandIn } from '../../src/standin/rating/index.ts'
+import { startCopyingServer, type CopyingServer, type CopyMoment } from '../support/copying-server.ts'
 
 interface EngineWorld {
   engine: EngineStandIn
   instance: string
   answers: string[]
   rating: RatingStandIn
+  copyingServer: CopyingServer
+  callOnce: () => Promise<string>
 }
 
 const client = createEngineClient({ clock: systemClock, metrics: createMetrics() })
+const serviceClient = createServiceClient({ clock: systemClock, metrics: createMetrics() })
 const TOKENS = 8
 const PROMPT = 'long '.repeat(200)
 
 After({ tags: '@engine' }, async function (this: Partial<EngineWorld>) {
   await this.engine?.kill()
   await this.rating?.kill()
+  await this.copyingServer?.close()
 })
 
 async function startStandIn (world: EngineWorld, options: Partial<EngineOptions>): Promise<void> {
@@ -132,3 +137,28 @@
   assert.ok(ratings.length >= minRatings && ratings.length <= maxRatings, String(ratings.length))
   assert.ok(ratings.every(({ rating }) => rating >= low && rating <= high))
 })
+
+const healthBody = (instance: string) => JSON.stringify({ instance, state: 'warm' })
+
+Given(/^a backend server that sends a second answer (.*)$/, async function (this: EngineWorld, moment: CopyMoment) {
+  let answers = 0
+  this.copyingServer = await startCopyingServer({ moment, answer: () => healthBody(`answer ${++answers}`), copy: healthBody('copy') })
+})
+
+async function callService (address: string): Promise<string> {
+  const call = { request: randomId<RequestId>('req'), method: 'POST', path: '/dispatches', contentType: 'application/json', body: '{}', epoch: 1 }
+  const { body } = await serviceClient.call(address, call, new AbortController().signal)
+  return (JSON.parse(body) as { instance: string }).instance
+}
+
+When(/^two (health checks|service calls) are made one after the other$/, async function (this: EngineWorld, calls: string) {
+  const { address } = this.copyingServer
+  this.callOnce = async () => calls === 'service calls' ? await callService(address) : (await client.health(address, 1000)).instance
+  const first = await this.callOnce()
+  await this.copyingServer.untilNextRequest()
+  this.answers = [first, await this.callOnce()]
+})
+
+Then('each of the calls has got its own answer, and so has a third one', async function (this: EngineWorld) {
+  assert.deepEqual([...this.answers, await this.callOnce()], ['answer 1', 'answer 2', 'answer 3'])
+})
--- a/src/core/engine/http.ts
+++ b/src/core/engine/http.ts
@@ -1,9 +1,10 @@
 /**
- * HTTP calls to backend servers through wreck; each client has its own agents. A call that fails before its connection
- * is established has sent nothing; after any later failure the request may have run.
+ * HTTP calls to backend servers through wreck. A call that fails before its connection is established has sent nothing;
+ * after any later failure the request may have run. Each call opens a connection: one that breaks just as a request is
+ * sent cannot be distinguished from a crash that the request caused, and on a connection that is used again a second
+ * copy of a response would be taken for that to the next request.
  */
-import { Agent, type IncomingMessage } from 'node:http'
-import { Agent as HttpsAgent } from 'node:https'
+import type { IncomingMessage } from 'node:http'
 import Wreck from '@hapi/wreck'
 import type { Clock } from '../clock/index.ts'
 import { CONNECT_TIMEOUT_MS, INSTANCE_HEADER } from './constants.ts'
@@ -18,12 +19,6 @@
   signal: AbortSignal
   /** Maximum time until the response headers arrive, milliseconds. */
   firstByteTimeoutMs: number
-  /**
-   * Reuses an idle connection. A connection that breaks just as the request is sent cannot be distinguished from a
-   * crash that the request caused, so calls made for a caller's request use a new connection each; only health checks
-   * and administrative commands reuse connections.
-   */
-  reuseConnection?: boolean
 }
 
 export interface HttpResponse {
@@ -36,21 +31,14 @@
 
 export type HttpClient = (call: HttpCall) => Promise<HttpResponse>
 
-/** Creates an HTTP client with its own keep-alive connections. */
 export function createHttpClient ({ clock }: { clock: Clock }): HttpClient {
-  const agents = {
-    http: new Agent({ keepAlive: true, maxSockets: Infinity, maxFreeSockets: 64 }),
-    https: new HttpsAgent({ keepAlive: true }),
-    httpsAllowUnauthorized: new HttpsAgent({ keepAlive: true })
-  }
-  const wreck = Wreck.defaults({ agents })
-  return call => sendRequest(wreck, call, clock)
+  return call => sendRequest(call, clock)
 }
 
-async function sendRequest (wreck: typeof Wreck, call: HttpCall, clock: Clock): Promise<HttpResponse> {
+async function sendRequest (call: HttpCall, clock: Clock): Promise<HttpResponse> {
   if (call.signal.aborted) throw new EngineFailure('cancelled', { sent: false })
-  const { method, url, headers, body, reuseConnection = false } = call
-  const pending = wreck.request(method, url, { headers, payload: body, ...(reuseConnection ? {} : { agent: false }) } as RequestOptions)
+  const { method, url, headers, body } = call
+  const pending = Wreck.request(method, url, { headers, payload: body, agent: false } as RequestOptions)
   const { req } = pending
   let connected = false
   let failureReason: FailureReason | undefined
--- a/src/core/engine/index.ts
+++ b/src/core/engine/index.ts
@@ -95,8 +95,7 @@
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(body),
       signal: new AbortController().signal,
-      firstByteTimeoutMs: timeoutMs,
-      reuseConnection: true
+      firstByteTimeoutMs: timeoutMs
     })
     if (response.status !== 200) throw await createStatusError(response)
     response.message.resume()
@@ -109,8 +108,7 @@
         method: 'GET',
         url: `http://${address}/health`,
         signal: AbortSignal.timeout(timeoutMs),
-        firstByteTimeoutMs: timeoutMs,
-        reuseConnection: true
+        firstByteTimeoutMs: timeoutMs
       })
       if (response.status !== 200) throw await createStatusError(response)
       return parseHealth(await readBody(response, MAX_ERROR_BYTES), response.instance)
