Test the object API client with second copies of answers

The client opens a connection for each read and write, because wreck's own agents keep none, so a late copy of an answer reaches no other request. The scenario guards against agents that keep connections: six moments at which a second answer arrives, two reads on two connections.

--- a/features/object-api.feature
+++ b/features/object-api.feature
@@ -66,3 +66,18 @@
       | a compacted start version | object_gone |
       | a cut connection          | no error    |
       | a silent server           | no error    |
+
+  # Guards against an answer that is taken for that to another request, because the connection is used again.
+  Scenario Outline: a read of the object API gets its own answer when a second copy of the one before arrives <moment>
+    Given an object API that sends a second answer <moment>
+    When the object API client reads Model/m and then Model/n
+    Then the object API client has got Model/m and Model/n
+
+    Examples:
+      | moment                                        |
+      | with the first answer                         |
+      | just after the first answer                   |
+      | 2 s after the first answer                    |
+      | in the same turn as the next request          |
+      | right after the next request                  |
+      | as a 408 in the same turn as the next request |
--- a/features/steps/object-api.ts
+++ b/features/steps/object-api.ts
@@ -5,6 +5,7 @@
 import { createMetrics, type Metrics } from '../../src/core/metrics/index.ts'
 import { createObjectApi, type ObjectApiClient, type WatchEvent } from '../../src/core/object-api/index.ts'
 import { startObjectApiServer, type ObjectApiServer } from '../../src/standin/object-api/index.ts'
+import { startCopyingServer, type CopyingServer, type CopyMoment } from '../support/copying-server.ts'
 
 const TIMEOUT_MS = 250
 const ORIGINAL = { text: 'original' }
@@ -27,6 +28,8 @@
   releaseAfterwards?: boolean
   writesBefore: number
   outcome: unknown
+  copyingServer: CopyingServer
+  readNames: string[]
 }
 
 function createClient (url: string, metrics: Metrics): ObjectApiClient {
@@ -59,6 +62,7 @@
 
 After({ tags: '@object-api' }, async function (this: Partial<ObjectApiWorld>) {
   await this.objectApiServer?.close()
+  await this.copyingServer?.close()
 })
 
 Given('an object API fault: {} on {}', async function (this: ObjectApiWorld, fault: string, operation: Operation) {
@@ -171,3 +175,22 @@
 Then('the object API watch ends with {}', function (this: ObjectApiWorld, result: string) {
   assert.equal(this.outcome, result === 'no error' ? 'success' : result)
 })
+
+const modelJson = (name: string) => JSON.stringify({ kind: 'Model', metadata: { name, resourceVersion: '4' }, spec: ORIGINAL })
+
+Given(/^an object API that sends a second answer (.*)$/, async function (this: ObjectApiWorld, moment: CopyMoment) {
+  const answer = (requestLine: string) => modelJson(/\/(\w+) HTTP/.exec(requestLine)![1]!)
+  this.copyingServer = await startCopyingServer({ moment, answer, copy: modelJson('copy') })
+  this.objectApiClient = createClient(`http://${this.copyingServer.address}`, createMetrics())
+})
+
+When('the object API client reads Model\\/m and then Model\\/n', async function (this: ObjectApiWorld) {
+  const first = await this.objectApiClient.get('Model', 'm')
+  await this.copyingServer.untilNextRequest()
+  this.readNames = [first.name, (await this.objectApiClient.get('Model', 'n')).name]
+})
+
+Then('the object API client has got Model\\/m and Model\\/n', function (this: ObjectApiWorld) {
+  assert.deepEqual(this.readNames, ['m', 'n'])
+  assert.equal(new Set(this.copyingServer.connections).size, 2)
+})
