Test peer links with second copies of answers

Answers on a peer link carry the number of their request, and a number that is no longer awaited is ignored, so a late copy cannot reach the next request.

--- a/features/peer.feature
+++ b/features/peer.feature
@@ -106,3 +106,18 @@
 
   Scenario: the peer frame decoder handles arbitrary input
     Then the peer frame decoder returns only valid frames or nothing, for random bytes and for corrupted frames with seed 20261204
+
+  # Guards against an answer that is taken for that to another request on the same connection.
+  Scenario Outline: a peer request gets its own answer when a second answer to the one before arrives <moment>
+    Given peer links of vm-1 and vm-2 with the key "first-shared-key"
+    And vm-9 is a peer that sends a second answer to the first request <moment>
+    When vm-1 sends 3 peer requests to vm-9 one after the other
+    Then each of the peer requests has got its own answer over one connection
+
+    Examples:
+      | moment                               |
+      | with the first answer                |
+      | 2 s after the first answer           |
+      | in the same turn as the next request |
+      | right after the next request         |
+      | after the time-out of the first      |
--- a/features/steps/peer.ts
+++ b/features/steps/peer.ts
@@ -36,6 +36,10 @@
   request?: Promise<unknown>
   failures: unknown[]
   outcomes?: PromiseSettledResult<unknown>[]
+  answers: unknown[]
+  /** Resolves when the next request should be sent; the caller sends it in the same turn. */
+  untilNextRequest: () => Promise<void>
+  expectedFirst: string
 }
 
 function identity (vm: string, boot = `boot-${vm}`): VmIdentity {
@@ -401,3 +405,46 @@
     assert.equal(kinds.includes(decodeFrame(bytes)?.kind), true)
   }), { seed, numRuns: 2000 })
 })
+
+/** Connects an authenticated peer to vm-1 that answers requests with their bodies and the first one also with a copy. */
+async function connectCopyingPeer (world: PeerWorld, moment: string): Promise<void> {
+  const socket = await openWebSocket(world)
+  await authenticate(socket)
+  let firstId: number | undefined
+  const sendCopy = () => socket.send(encodeFrame({ kind: 'answer', id: firstId!, body: 'copy' }))
+  socket.on('message', (data: Buffer) => {
+    const frame = decodeFrame(data)
+    if (frame?.kind !== 'request') return
+    const isFirst = firstId === undefined
+    firstId ??= frame.id
+    if (isFirst && moment === 'after the time-out of the first') return
+    if (!isFirst && moment === 'right after the next request') sendCopy()
+    socket.send(encodeFrame({ kind: 'answer', id: frame.id, body: frame.body }))
+    if (isFirst && moment === 'with the first answer') sendCopy()
+  })
+  world.untilNextRequest = async () => {
+    await world.clock.advance(moment === '2 s after the first answer' ? 2000 : 20)
+    if (moment === 'right after the next request' || moment === 'with the first answer') return
+    sendCopy()
+    if (moment !== 'in the same turn as the next request') await yieldToSockets()
+  }
+}
+
+Given(/^vm-9 is a peer that sends a second answer to the first request (.*)$/, async function (this: PeerWorld, moment: string) {
+  this.expectedFirst = moment === 'after the time-out of the first' ? 'peer_timeout' : 'body 0'
+  await connectCopyingPeer(this, moment)
+})
+
+When(/^vm-1 sends (\d+) peer requests to vm-9 one after the other$/, async function (this: PeerWorld, count: string) {
+  this.answers = []
+  for (let index = 0; index < Number(count); index++) {
+    const request = this.first.links.request('vm-9' as VmId, 'permit.request', `body ${index}`, { timeoutMs: 500 })
+    const error = await advanceUntilSettled(this, request)
+    this.answers.push(error ? (error as { kind?: string }).kind : await request)
+    if (index === 0) await this.untilNextRequest()
+  }
+})
+
+Then('each of the peer requests has got its own answer over one connection', function (this: PeerWorld) {
+  assert.deepEqual(this.answers, [this.expectedFirst, 'body 1', 'body 2'])
+})
