--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -3,7 +3,6 @@
  * no attempt is possible before the deadline. The error that the caller receives depends on what was sent: it states
  * that the request was not run only when no backend server can have run it.
  */
-import type { Socket } from 'node:net'
 import type { Backend, Reservation } from '../backend-pool/types.ts'
 import { longestElapsedMs, readInstant, type Clock } from '../clock/index.ts'
 import { GatewayError, type ErrorName } from '../errors/index.ts'
@@ -11,13 +10,14 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { PartQuarantine } from '../quarantine/request-parts.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
-import { DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CONNECT_ATTEMPTS, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, REPLACEMENT_CONNECT_TIMEOUT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
+import { DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CONNECT_ATTEMPTS, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
 import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, type AttemptOutcome } from './attempt-outcome.ts'
 import { readPendingInput } from './pending-input.ts'
 import { pollAfter } from './poll-after.ts'
 import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome, type CrashEvidence } from './crash-evidence.ts'
-import { openConnection, startExchange, type Codec, type Exchange } from './exchange.ts'
+import { startExchange, type Codec, type Exchange } from './exchange.ts'
 import { isFramed, readResponse, relayEvents } from './relay.ts'
+import { createReplacements, type ReplacementRequest, type ReplacementsOptions, type ReservedAttempt } from './replacement.ts'
 import type { RetryAllowance } from './retry-allowance.ts'
 import { isRepeatable, urgencyOf } from './route-table.ts'
 import type { RequestEnd, RequestObservation } from '../version-trial/index.ts'
@@ -43,18 +43,6 @@
   hasFailed: boolean
 }
 
-/** Capacity for an attempt, and a connection if it has been opened already. */
-interface ReservedAttempt { reservation: Reservation, connection?: Socket }
-
-/** An attempt that is to replace a running one. */
-export interface Replacement {
-  /** Backend servers that must not get it. */
-  excluded: ReadonlySet<Backend>
-  /** Whether a backend server has failed, rather than answered with low confidence. */
-  hasFailed: boolean
-  model: ModelId | undefined
-}
-
 export interface ForwarderOptions {
   codec: Codec
   /** Confidence, from 0 to 100, below which a response is discarded and the request escalated to the largest model. */
@@ -63,8 +51,8 @@
   reserveCapacity(forwarded: ForwardedRequest, progress: RequestProgress, remainingMs: number): Promise<Reservation | undefined>
   /** Called when capacity for a service has become free. */
   onCapacityFreed(service: ServiceId): void
-  /** Reserves capacity for another attempt while one is running, without waiting for it; resolves with `undefined` if no backend server has room. */
-  reserveReplacement(forwarded: ForwardedRequest, progress: RequestProgress, replacement: Replacement): Promise<Reservation | undefined>
+  /** Reserves capacity for an attempt while another one is running, without waiting for it; resolves with `undefined` if no backend server has room. */
+  reserveReplacement: ReplacementsOptions['reserveCapacity']
   /** The allowance of retries that this VM may send to a service. */
   retryAllowance(service: ServiceId): RetryAllowance
   /** Checks access again right before a request is sent; the request is not sent if an error is returned. */
@@ -109,6 +97,16 @@
 export function createForwarder (options: ForwarderOptions) {
   const { codec, retryAllowance, recheckAccess, partQuarantine, clock, metrics, log, random } = options
 
+  const replacements = createReplacements({
+    reserveCapacity: options.reserveReplacement,
+    recordConnectFailure: options.recordConnectFailure,
+    onCapacityFreed: options.onCapacityFreed,
+    takeRetry,
+    giveBackRetry: service => retryAllowance(service).giveBack(),
+    clock,
+    log
+  })
+
   /** Forwards the request and sends the response to the caller; never rejects. */
   async function forward (forwarded: ForwardedRequest): Promise<void> {
     const { request, route, service, caller, receivedMs } = forwarded
@@ -163,7 +161,7 @@
       }
     } finally {
       cancelDeadline()
-      releaseReplacement(forwarded, progress)
+      replacements.release(forwarded, progress)
     }
   }
 
@@ -178,7 +176,7 @@
     progress.replacement = undefined
     const obstacle = findObstacle(forwarded, progress, deadlineMs, reservation)
     if (reservation && !obstacle) return await send(forwarded, progress, deadlineMs, { reservation, connection })
-    if (reservation) cancelReserved(service, { reservation, connection })
+    if (reservation) replacements.cancel(service, { reservation, connection })
     return obstacle ?? { kind: 'failed', error: noAttemptError, reason: 'no backend server has room' }
   }
 
@@ -223,8 +221,8 @@
       progress.hasFailed ||= end === 'failed'
       observation.end(progress.isAbandoned ? 'abandoned' : end)
     }
-    const reserveFailover = (isDue: () => boolean) => reserveReplacement(forwarded, progress, deadlineMs, { excluded: progress.triedBackends, hasFailed: true, model: progress.model, isDue })
-    const reserveRepeat = (repeat: Pick<ReplacementRequest, 'hasFailed' | 'model' | 'fraction'>) => reserveReplacement(forwarded, progress, deadlineMs, { excluded: NONE_EXCLUDED, ...repeat })
+    const reserveFailover = (isDue: () => boolean) => replacements.reserve(forwarded, progress, deadlineMs, { excluded: progress.triedBackends, hasFailed: true, model: progress.model, isDue })
+    const reserveRepeat = (repeat: Pick<ReplacementRequest, 'hasFailed' | 'model' | 'fraction'>) => replacements.reserve(forwarded, progress, deadlineMs, { excluded: NONE_EXCLUDED, ...repeat })
     let awaitsResponse = true
     const abandonFor = async (reason: string, isDue: () => boolean) => {
       const isReserved = await reserveFailover(isDue)
@@ -277,64 +275,6 @@
     }
   }
 
-  interface ReplacementRequest extends Replacement {
-    /** Part of the retry allowance that may be used. Default: all. */
-    fraction?: number
-    /** Whether the running attempt is still to be replaced once the capacity is there. Default: it is. */
-    isDue?: () => boolean
-  }
-
-  /**
-   * Takes a retry, capacity and a connection for another attempt, if the request may be repeated, and returns whether it has them. A running
-   * attempt is abandoned only after that and in the same turn, because a late or low-confidence response is better than none.
-   */
-  async function reserveReplacement (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { fraction, isDue = () => true, ...replacement }: ReplacementRequest): Promise<boolean> {
-    const { route, service } = forwarded
-    const exchange = progress.currentExchange
-    if (progress.isReservingReplacement || !mayRepeat(route, progress) || deadlineMs - clock.now() < MIN_ATTEMPT_MS) return false
-    if (!takeRetry(service, fraction)) return false
-    progress.isReservingReplacement = true
-    const reserved = await connectReplacement(forwarded, progress, replacement)
-    progress.isReservingReplacement = false
-    const isStillRunning = !progress.isFinished && progress.currentExchange === exchange
-    if (!reserved || !isStillRunning || !isDue()) {
-      if (reserved) cancelReserved(service, reserved)
-      retryAllowance(service).giveBack()
-      return false
-    }
-    progress.replacement = reserved
-    progress.retryReserved = true
-    return true
-  }
-
-  async function connectReplacement (forwarded: ForwardedRequest, progress: RequestProgress, replacement: Replacement): Promise<ReservedAttempt | undefined> {
-    const reservation = await options.reserveReplacement(forwarded, progress, replacement)
-    if (!reservation) return undefined
-    const connection = await openConnection(reservation.backend, REPLACEMENT_CONNECT_TIMEOUT_MS)
-    if (connection) return { reservation, connection }
-    options.recordConnectFailure(reservation.backend)
-    cancelReserved(forwarded.service, { reservation })
-    return undefined
-  }
-
-  /** Returns what was reserved for an attempt that is not made. */
-  function releaseReplacement ({ service }: ForwardedRequest, progress: RequestProgress): void {
-    if (progress.retryReserved) retryAllowance(service).giveBack()
-    progress.retryReserved = false
-    if (progress.replacement) cancelReserved(service, progress.replacement)
-    progress.replacement = undefined
-  }
-
-  function cancelReserved (service: ServiceId, { reservation, connection }: ReservedAttempt): void {
-    connection?.destroy()
-    reservation.cancel()
-    options.onCapacityFreed(service)
-  }
-
-  function mayRepeat (route: Route, { attempts, connectAttempts }: RequestProgress): boolean {
-    return isRepeatable(route) && attempts < route.maxAttempts && connectAttempts < MAX_CONNECT_ATTEMPTS
-  }
-
   function takeRetry (service: ServiceId, fraction = 1): boolean {
     const wasTaken = retryAllowance(service).tryTake(fraction)
     if (!wasTaken) metrics.count('retries', 'budget_exhausted')
--- /dev/null
+++ b/src/core/forwarding/replacement.ts
@@ -0,0 +1,107 @@
+/**
+ * Attempts that replace a running one: for a backend server that is silent or late, or for a response of a larger model.
+ * The running attempt is abandoned only when the other one has a retry, capacity and a connection, because other VMs may
+ * not lend the capacity and the other backend server may have ended, and then the caller would be left without a response.
+ */
+import type { Socket } from 'node:net'
+import type { Backend, Reservation } from '../backend-pool/types.ts'
+import type { Clock } from '../clock/index.ts'
+import { errorMessage } from '../errors/index.ts'
+import type { ModelId, ServiceId } from '../ids/index.ts'
+import type { DecisionLog } from '../logging/decision-log.ts'
+import { MAX_CONNECT_ATTEMPTS, MIN_ATTEMPT_MS, REPLACEMENT_CONNECT_TIMEOUT_MS } from './constants.ts'
+import { openConnection } from './exchange.ts'
+import type { ForwardedRequest, RequestProgress } from './forward.ts'
+import { isRepeatable } from './route-table.ts'
+import type { Route } from './types.ts'
+
+/** Capacity for an attempt, and a connection if it has been opened already. */
+export interface ReservedAttempt { reservation: Reservation, connection?: Socket }
+
+/** An attempt that is to replace a running one. */
+export interface Replacement {
+  /** Backend servers that must not get it. */
+  excluded: ReadonlySet<Backend>
+  /** Whether a backend server has failed, rather than answered with low confidence. */
+  hasFailed: boolean
+  model: ModelId | undefined
+}
+
+export interface ReplacementRequest extends Replacement {
+  /** Part of the retry allowance that may be used. Default: all. */
+  fraction?: number
+  /** Whether the running attempt is still to be replaced once the capacity is there. Default: it is. */
+  isDue?: () => boolean
+}
+
+export interface ReplacementsOptions {
+  /** Reserves capacity, without waiting for it; resolves with `undefined` if no backend server has room. */
+  reserveCapacity(forwarded: ForwardedRequest, progress: RequestProgress, replacement: Replacement): Promise<Reservation | undefined>
+  recordConnectFailure(backend: Backend): void
+  /** Called when capacity for a service has become free. */
+  onCapacityFreed(service: ServiceId): void
+  /** Takes a retry from a fraction of the allowance; returns whether there was one. */
+  takeRetry(service: ServiceId, fraction?: number): boolean
+  giveBackRetry(service: ServiceId): void
+  clock: Clock
+  log: DecisionLog
+}
+
+export function createReplacements ({ reserveCapacity, recordConnectFailure, onCapacityFreed, takeRetry, giveBackRetry, clock, log }: ReplacementsOptions) {
+  /**
+   * Takes a retry, capacity and a connection for another attempt, if the request may be repeated, and returns whether it has them. A running
+   * attempt is abandoned only after that and in the same turn, because a late or low-confidence response is better than none.
+   */
+  async function reserve (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { fraction, isDue = () => true, ...replacement }: ReplacementRequest): Promise<boolean> {
+    const { route, service } = forwarded
+    const exchange = progress.currentExchange
+    if (progress.isReservingReplacement || !mayRepeat(route, progress) || deadlineMs - clock.now() < MIN_ATTEMPT_MS) return false
+    if (!takeRetry(service, fraction)) return false
+    progress.isReservingReplacement = true
+    const reserved = await connect(forwarded, progress, replacement).catch((error: unknown) => {
+      // The running attempt goes on; an unhandled rejection would end the process and all its requests.
+      log.error('a replacement could not be reserved by an error of this VM', { id: forwarded.request.id, error: errorMessage(error) })
+      return undefined
+    })
+    progress.isReservingReplacement = false
+    const isStillRunning = !progress.isFinished && progress.currentExchange === exchange
+    if (!reserved || !isStillRunning || !isDue()) {
+      if (reserved) cancel(service, reserved)
+      giveBackRetry(service)
+      return false
+    }
+    progress.replacement = reserved
+    progress.retryReserved = true
+    return true
+  }
+
+  async function connect (forwarded: ForwardedRequest, progress: RequestProgress, replacement: Replacement): Promise<ReservedAttempt | undefined> {
+    const reservation = await reserveCapacity(forwarded, progress, replacement)
+    if (!reservation) return undefined
+    const connection = await openConnection(reservation.backend, REPLACEMENT_CONNECT_TIMEOUT_MS)
+    if (connection) return { reservation, connection }
+    recordConnectFailure(reservation.backend)
+    cancel(forwarded.service, { reservation })
+    return undefined
+  }
+
+  /** Returns what was reserved for an attempt that is not made. */
+  function release ({ service }: ForwardedRequest, progress: RequestProgress): void {
+    if (progress.retryReserved) giveBackRetry(service)
+    progress.retryReserved = false
+    if (progress.replacement) cancel(service, progress.replacement)
+    progress.replacement = undefined
+  }
+
+  function cancel (service: ServiceId, { reservation, connection }: ReservedAttempt): void {
+    connection?.destroy()
+    reservation.cancel()
+    onCapacityFreed(service)
+  }
+
+  function mayRepeat (route: Route, { attempts, connectAttempts }: RequestProgress): boolean {
+    return isRepeatable(route) && attempts < route.maxAttempts && connectAttempts < MAX_CONNECT_ATTEMPTS
+  }
+
+  return { reserve, release, cancel }
+}
