Go on when the reader of the log goes away

When the program that reads the log ended, the next line ended the whole process, and with it all open requests: nobody listened for the error of standard output.

Lines are lost from then on, and requests go on. The example with the reader of the log failed without the change in one run (the connection ended without a response) and passes with it.

--- a/src/core/logging/decision-log.ts
+++ b/src/core/logging/decision-log.ts
@@ -21,8 +21,14 @@
 /** About 20 KB per second at 200 bytes per line. */
 const DEFAULT_LINES_PER_SECOND = 100
 
+/** Lines are lost once the reader of the output has gone away; without a listener, the error would end the process. */
+function createOutput (): (text: string) => boolean {
+  process.stdout.on('error', () => {})
+  return text => process.stdout.write(text)
+}
+
 export function createDecisionLog (options: DecisionLogOptions): DecisionLog {
-  const { vm, clock, write = text => process.stdout.write(text), linesPerSecond = DEFAULT_LINES_PER_SECOND } = options
+  const { vm, clock, write = createOutput(), linesPerSecond = DEFAULT_LINES_PER_SECOND } = options
   let windowStartMs = clock.now()
   let writtenInWindow = 0
   let dropped = 0
