End a lease also by the wall clock, which runs while a VM is frozen

A leader that was frozen could go on as the leader for up to 2 s after it had resumed, beside the VM that had taken the lease over. Cause: a holder measured the TTL by the monotonic clock only, which stops while a VM is frozen; loans between VMs already use the clock that shows more.

A wall clock that is set forward by the TTL now ends the lease, too, and the VM acquires it again under a new epoch at its next step.

--- a/features/lease.feature
+++ b/features/lease.feature
@@ -84,3 +84,13 @@
     When the lease candidates run for 20000 ms
     Then the lease is held by a alone with epoch 1
     And the lease candidate b has a as leader and has read the object API at least 6 times
+
+  # Guards against a holder that is paused between a check and what follows it, and then acts on a lease that another one holds.
+  Scenario Outline: a lease never has two holders when one of them is paused for 20000 ms at any of its readings of the clock, which <clock> meanwhile
+    When a lease candidate is paused for 20000 ms at each of its readings of the clock in 15000 ms, which <clock> meanwhile
+    Then the lease had one holder at most at any time, and it passed from a to b in most of the runs
+
+    Examples:
+      | clock |
+      | runs  |
+      | stops |
--- a/features/steps/lease.ts
+++ b/features/steps/lease.ts
@@ -4,7 +4,9 @@
 import { brandId, type BootId, type DataCentreId, type RegionId, type VmId } from '../../src/core/ids/index.ts'
 import { createLeaderLease, type LeaderLease } from '../../src/core/lease/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
+import type { ObjectApi } from '../../src/core/object-api/types.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import { createJumpingClock, type JumpingClock } from '../support/jumping-clock.ts'
 import { createMemoryObjectApi, type MemoryObjectApi, type WriteFault } from '../support/memory-object-api.ts'
 
 const DATA_CENTRE = brandId<DataCentreId>('bag-a')
@@ -27,6 +29,10 @@
   /** Holders after each step of the clock. */
   history: { atMs: number, holders: string[] }[]
   renewalSentAt: number
+  /** Violations of the rule that a lease has one holder at most, by the reading at which the holder was paused. */
+  doubleHolders: string[]
+  pausedRuns: number
+  takeovers: number
 }
 
 function pausableClock (clock: ManualClock): { clock: Clock, pause: (paused: boolean) => void } {
@@ -45,8 +51,10 @@
   }
 }
 
-function addCandidate (world: LeaseWorld, vm: string, dataCentre = DATA_CENTRE): void {
-  const { clock, pause } = pausableClock(world.clock)
+interface ProcessClock { clock: Clock, pause: (paused: boolean) => void, api: ObjectApi }
+
+function addCandidate (world: LeaseWorld, vm: string, dataCentre = DATA_CENTRE, process: ProcessClock = { ...pausableClock(world.clock), api: world.api }): void {
+  const { clock, pause, api } = process
   const identity = { vm: brandId<VmId>(vm), boot: brandId<BootId>('boot'), region: brandId<RegionId>('bagmati'), dataCentre }
   const candidate: Candidate = {
     notifications: [],
@@ -54,7 +62,7 @@
     started: false,
     pause,
     lease: createLeaderLease({
-      objectApi: world.api,
+      objectApi: api,
       identity,
       dataCentres: () => [DATA_CENTRE],
       observePeriodMs: () => 500,
@@ -234,3 +242,57 @@
   // Candidate a renews by writes and reads only once, before it acquires the lease.
   assert.ok(this.api.state.reads - 1 >= reads, `${this.api.state.reads - 1} reads`)
 })
+
+/** Calls of a process that is ahead of the world are sent, and their answers read, when the world has caught up. */
+function callsOf ({ api }: LeaseWorld, process: JumpingClock): ObjectApi {
+  const inOrder = async <Result> (call: () => Promise<Result>): Promise<Result> => {
+    await process.caughtUp()
+    const outcome = await call().then(result => () => result, (error: unknown) => () => { throw error })
+    await process.caughtUp()
+    return outcome()
+  }
+  return {
+    ...api,
+    get: (kind, name) => inOrder(() => api.get(kind, name)),
+    create: (kind, name, spec) => inOrder(() => api.create(kind, name, spec)),
+    update: (kind, name, spec, version) => inOrder(() => api.update(kind, name, spec, version))
+  }
+}
+
+/** Returns whether the candidate has been paused. */
+async function runWithPause (world: LeaseWorld, atReading: number, { pauseMs, runMs, isMonotonicStopped }: { pauseMs: number, runMs: number, isMonotonicStopped: boolean }): Promise<boolean> {
+  createLeaseWorld(world)
+  const process = createJumpingClock({ world: world.clock, atReading, pauseMs, isMonotonicStopped })
+  addCandidate(world, 'a', DATA_CENTRE, { clock: process.clock, pause () {}, api: callsOf(world, process) })
+  startCandidates(world)
+  await world.clock.advance(JUMP_STEP_MS)
+  addCandidate(world, 'b')
+  startCandidates(world)
+  const isHeld = (vm: string) => process.uncounted(() => world.candidates[vm]!.lease.isHeld(DATA_CENTRE))
+  let heldByA = false
+  let heldByB = false
+  let doubleMs = 0
+  for (let ms = 0; ms < (process.hasJumped() ? runMs + pauseMs : runMs); ms += JUMP_STEP_MS) {
+    await world.clock.advance(JUMP_STEP_MS)
+    heldByA ||= isHeld('a')
+    heldByB ||= heldByA && isHeld('b')
+    if (!process.isAhead() && isHeld('a') && isHeld('b')) doubleMs += JUMP_STEP_MS
+  }
+  if (doubleMs > 0) world.doubleHolders.push(`reading ${atReading}: ${doubleMs} ms`)
+  if (heldByB) world.takeovers++
+  return process.hasJumped()
+}
+
+const JUMP_STEP_MS = 125
+
+When(/^a lease candidate is paused for (\d+) ms at each of its readings of the clock in (\d+) ms, which (runs|stops) meanwhile$/, { timeout: 60_000 }, async function (this: LeaseWorld, pauseMs: string, runMs: string, clock: string) {
+  Object.assign(this, { doubleHolders: [], pausedRuns: 0, takeovers: 0 })
+  const options = { pauseMs: Number(pauseMs), runMs: Number(runMs), isMonotonicStopped: clock === 'stops' }
+  while (await runWithPause(this, this.pausedRuns + 1, options)) this.pausedRuns++
+})
+
+Then('the lease had one holder at most at any time, and it passed from a to b in most of the runs', function (this: LeaseWorld) {
+  assert.deepEqual(this.doubleHolders, [])
+  assert.ok(this.pausedRuns > 100, `${this.pausedRuns} runs`)
+  assert.ok(this.takeovers > this.pausedRuns / 2, `${this.takeovers} takeovers in ${this.pausedRuns} runs`)
+})
--- a/src/core/lease/candidate.ts
+++ b/src/core/lease/candidate.ts
@@ -4,7 +4,7 @@
  * renewed it for a full TTL on the monotonic clock of this VM. Other VMs of the data centre only read it.
  */
 import { randomInt } from 'node:crypto'
-import type { Clock } from '../clock/index.ts'
+import { longestElapsedMs, readInstant, type Clock, type Instant } from '../clock/index.ts'
 import { LacewingError } from '../errors/index.ts'
 import { brandId, type DataCentreId, type VmId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
@@ -49,7 +49,8 @@
   release (): Promise<void>
 }
 
-interface HeldLease { epoch: number, validUntil: number }
+/** `sentAt` is the send time of the latest write that took effect. */
+interface HeldLease { epoch: number, sentAt: Instant }
 
 interface ObservedLease {
   spec: LeaseSpec
@@ -61,7 +62,7 @@
 export function createCandidate (options: CandidateOptions): Candidate {
   const { objectApi, vm, dataCentre, ttlMs, marginMs, clock, metrics } = options
   /** Send times of this process's writes that may have taken effect, by renewal counter. */
-  const sentAtByRenewal = new Map<number, number>()
+  const sentAtByRenewal = new Map<number, Instant>()
   const firstRenewal = randomInt(MAX_FIRST_RENEWAL)
   let held: HeldLease | undefined
   let observed: ObservedLease | undefined
@@ -77,7 +78,7 @@
   }
 
   function heldEpoch (): number | undefined {
-    if (held && clock.now() >= held.validUntil) markLost('expired')
+    if (held && !isValid(held.sentAt)) markLost('expired')
     return held?.epoch
   }
 
@@ -108,9 +109,9 @@
   }
 
   /** Writes the lease with this VM as holder. Returns the send time of the write, or undefined if it was not confirmed. */
-  async function writeAsHolder (epoch: number): Promise<number | undefined> {
+  async function writeAsHolder (epoch: number): Promise<Instant | undefined> {
     const spec: LeaseSpec = { holder: vm, epoch, ttlMs, renewal: nextRenewal() }
-    const sentAt = clock.now()
+    const sentAt = readInstant(clock)
     recordSentAt(spec.renewal, sentAt)
     try {
       recordObservation(await writeLease(spec))
@@ -127,7 +128,7 @@
     return Math.max(highestRenewal, firstRenewal) + 1
   }
 
-  function recordSentAt (renewal: number, sentAt: number): void {
+  function recordSentAt (renewal: number, sentAt: Instant): void {
     sentAtByRenewal.set(renewal, sentAt)
     if (sentAtByRenewal.size <= MAX_REMEMBERED_WRITES) return
     const [oldest] = sentAtByRenewal.keys()
@@ -140,19 +141,22 @@
     return objectApi.update('Lease', dataCentre, spec, observed.resourceVersion, callOptions)
   }
 
-  /** The holder measures the TTL from before it sends a write; other VMs measure it from when they see the write, which is later. */
-  function validUntilFrom (sentAt: number): number {
-    return sentAt + ttlMs - marginMs
+  /**
+   * The holder measures the TTL from before it sends a write; other VMs measure it from when they see the write, which is
+   * later. It uses both clocks, because others take the lease over while this VM is frozen and its monotonic clock stops.
+   */
+  function isValid (sentAt: Instant): boolean {
+    return longestElapsedMs(clock, sentAt) < ttlMs - marginMs
   }
 
   /** Extends a held lease. One that expired during its renewal stays lost and is acquired again under a new epoch. */
-  function extend (epoch: number, sentAt: number): void {
-    if (held && heldEpoch() === epoch) held = { epoch, validUntil: Math.max(held.validUntil, validUntilFrom(sentAt)) }
+  function extend (epoch: number, sentAt: Instant): void {
+    if (held && heldEpoch() === epoch && sentAt.monotonicMs > held.sentAt.monotonicMs) held = { epoch, sentAt }
   }
 
-  function acquire (epoch: number, sentAt: number): void {
-    if (clock.now() >= validUntilFrom(sentAt)) return
-    held = { epoch, validUntil: validUntilFrom(sentAt) }
+  function acquire (epoch: number, sentAt: Instant): void {
+    if (!isValid(sentAt)) return
+    held = { epoch, sentAt }
     metrics.count('lease_changes', 'acquired')
     options.onAcquired(epoch)
   }
@@ -172,7 +176,7 @@
    * After an unconfirmed renewal, checks whether a write took effect nevertheless or another VM took the lease. Returns the
    * time at which the write that took effect was sent.
    */
-  async function findRenewalInEffect (epoch: number): Promise<number | undefined> {
+  async function findRenewalInEffect (epoch: number): Promise<Instant | undefined> {
     const versionBefore = observed?.resourceVersion
     if (!await readLease()) return undefined
     if (!observed || !isOwnWrite(observed.spec) || observed.spec.epoch !== epoch) {
