Test confirmations of the store against pauses at any step

A relay is paused for 5 s at each of its 135 readings of the clock in 4 s, and a VM that polls it at each of its 40, once with a monotonic clock that runs on and once with one that stops. The scenario fails with an age by the monotonic clock alone (one of its four examples) and with one that counts from the arrival of the answer (two of four).

--- a/features/feed-relay.feature
+++ b/features/feed-relay.feature
@@ -161,3 +161,15 @@
       | vms |
       | 8   |
       | 89  |
+
+  # Guards against withdrawn keys that work for too long, because a process was paused between an answer and its use.
+  Scenario Outline: a confirmation from before the pause of a <role>, whose clock <clock> meanwhile, is not taken for a newer one
+    When a <role> is paused for 5000 ms at each of its readings of the clock in 4000 ms, which <clock> meanwhile
+    Then no VM takes a confirmation of the store for newer than the latest call behind it that the store has answered
+
+    Examples:
+      | role              | clock |
+      | relay             | runs  |
+      | relay             | stops |
+      | VM that polls it  | runs  |
+      | VM that polls it  | stops |
