Test requests that wait while their configuration changes

Nobody had shown who answers a request that waits for capacity or for the confirmation of keys when its route, service, team or backend server goes away, or the idle timeout is lowered.

A request that waits for capacity keeps its route and service and loses its key. The waits for loans of other VMs are not covered.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -243,6 +243,35 @@
     When 2 callers send a request to /short/1 and one more to /order/1 whose key is withdrawn meanwhile
     Then the backend servers received 2 requests
 
+  # Guards against requests that nobody answers when what they wait for goes away.
+  Scenario Outline: a request that waits for <cause> when <change> gets status <status>
+    Given a forwarding VM with 1 backend servers that silent, silent, answer
+    When a caller's request to /order/1 waits for <cause> and <change>
+    Then the caller gets status <status>
+    And the caller waited at most 2500 ms
+
+    Examples:
+      | cause        | change                        | status |
+      | capacity     | its route is removed          | 200    |
+      | capacity     | its service is removed        | 200    |
+      | capacity     | its team is removed           | 401    |
+      | capacity     | all teams are removed         | 200    |
+      | capacity     | its backend server is removed | 503    |
+      | capacity     | the idle timeout is lowered   | 200    |
+      | confirmation | nothing is confirmed          | 503    |
+
+  # The confirmation may arrive after the longest wait for it.
+  Scenario Outline: a request that waits for confirmation when <change> is refused
+    Given a forwarding VM with 1 backend servers that answer
+    When a caller's request to /order/1 waits for confirmation and <change>
+    Then the caller gets status <status> or 503
+    And the backend servers received 0 requests
+
+    Examples:
+      | change               | status |
+      | its route is removed | 404    |
+      | its team is removed  | 401    |
+
   # Guards against requests that wait together and all pass the check of a limit before the first of them is counted.
   Scenario: requests that wait together do not exceed the rate limit of a cold backend server
     Given a forwarding VM with a cold backend server that bears 4 requests a second and 2 more
