Keep `serve` running when SIGHUP finds unreadable settings

A SIGHUP beside a settings file that could not be read ended the process, and with it all open requests: the exception left the signal's listener.

The VM now logs an error and keeps its keys.

--- a/src/cli/serve/index.ts
+++ b/src/cli/serve/index.ts
@@ -22,7 +22,7 @@
   if (file === undefined) throw new CommandError('--settings: found nothing; allowed: the path of a TOML file', EXIT_CODES.usage)
   const vm = await startVm(readSettings(file))
   const stopped = waitForStopSignal()
-  process.on('SIGHUP', () => vm.reloadKeys(readSettings(file)))
+  process.on('SIGHUP', () => vm.reloadKeys(() => readSettings(file)))
   process.stdout.write(JSON.stringify({ ready: 'vm', vm: vm.identity.vm, url: vm.callerUrl }) + '\n')
   await stopped
   await vm.shutDown()
--- a/src/core/vm/index.ts
+++ b/src/core/vm/index.ts
@@ -1,4 +1,5 @@
 /** Runs a VM: starts its components in order, and on shutdown lets running requests finish within the drain timeout. */
+import { errorMessage } from '../errors/index.ts'
 import 'reflect-metadata'
 import type { DependencyContainer } from 'tsyringe'
 import type { Clock } from '../clock/index.ts'
@@ -32,8 +33,11 @@
    * the state that the VM holds, and stops.
    */
   shutDown(): Promise<void>
-  /** Replaces the shared keys of the peer links and the session token keys with those of the new settings. */
-  reloadKeys(settings: Settings): void
+  /**
+   * Replaces the shared keys of the peer links and the session token keys with those of the settings that `read` returns.
+   * Logs an error and keeps the keys if it throws.
+   */
+  reloadKeys(read: () => Settings): void
 }
 
 /** Starts a VM. It serves the entry points and the operator API immediately and accepts requests once it is ready. */
@@ -52,7 +56,7 @@
     components,
     whenReady: startServing(components),
     shutDown: () => shutDown(components, gateway, settings),
-    reloadKeys: newSettings => reloadKeys(components, settings, newSettings)
+    reloadKeys: read => reloadKeys(components, settings, read)
   }
 }
 
@@ -165,8 +169,14 @@
   await components.resolve(TOKENS.peers).close()
 }
 
-function reloadKeys (components: DependencyContainer, settings: Settings, newSettings: Settings): void {
-  components.resolve(TOKENS.peers).setSharedKeys(newSettings.peer.shared_keys)
-  settings.sessions.token_keys = newSettings.sessions.token_keys
-  components.resolve(TOKENS.log).info('keys reloaded')
+function reloadKeys (components: DependencyContainer, settings: Settings, read: () => Settings): void {
+  const log = components.resolve(TOKENS.log)
+  try {
+    const newSettings = read()
+    components.resolve(TOKENS.peers).setSharedKeys(newSettings.peer.shared_keys)
+    settings.sessions.token_keys = newSettings.sessions.token_keys
+    log.info('keys reloaded')
+  } catch (error) {
+    log.error('the settings cannot be read; the previous keys stay in force', { error: errorMessage(error) })
+  }
 }
