Take a VM for unregistered when its entry was removed

A VM that had been paused for longer than 15 s went on to use its part of a limit for cold backend servers after it had read that its entry was gone, and right after it had registered again, while the others still divided the limit without it. Cause: the time of its first registration was kept. The VM is now unknown from the news until 1,000 ms after it has registered again. The removal of an entry before its own is ignored, by the revision.

Evidence: a VM is paused for 20 s and its entry removed. Between the end of the pause and the news the VM may still use its old part; not mended.

--- a/features/forwarding-fleet.feature
+++ b/features/forwarding-fleet.feature
@@ -25,3 +25,15 @@
     Then it may use the other one as a relay
     When 5100 ms pass without a sign of the other one
     Then it does not use the other one as a relay
+
+  # Guards against a VM that uses its part of a limit though the others removed its entry while it was paused, and share its part.
+  Scenario: a VM whose entry was removed while it was paused uses its part of a limit only when the others know it again
+    Given a VM that has been registered for 5000 ms
+    When it is paused for 20000 ms and its entry is removed meanwhile
+    Then it may use its part of a limit again 1000 ms after it has registered again
+
+  # Guards against a VM that waits because of the removal of its earlier process's entry.
+  Scenario: a VM that learns late of the removal of an earlier entry goes on to use its part of a limit
+    Given a VM that has been registered for 5000 ms
+    When it learns of the removal of the entry before its own
+    Then it may use its part of a limit as before
--- a/features/steps/forwarding-fleet.ts
+++ b/features/steps/forwarding-fleet.ts
@@ -1,13 +1,15 @@
 import assert from 'node:assert/strict'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { findFreePorts } from '../../src/cli/dev/free-ports.ts'
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
 import type { KindSubscription } from '../../src/core/feed-relay/index.ts'
+import { FLEET_KIND } from '../../src/core/fleet/constants.ts'
 import { createFleet, type Fleet } from '../../src/core/fleet/index.ts'
 import { brandId, type VmId } from '../../src/core/ids/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import { rendezvousOrder } from '../../src/core/placement/rendezvous.ts'
-import { backendEntry, exchangeBytes, harnessSettings, KINDS, startForwardingVmHarness, type ForwardingVmHarness, type RawResponse } from '../support/forwarding-vm-harness.ts'
+import { backendEntry, exchangeBytes, HARNESS_VM, harnessSettings, KINDS, startForwardingVmHarness, type ForwardingVmHarness, type RawResponse } from '../support/forwarding-vm-harness.ts'
 import { createMemoryStore, type MemoryStore } from '../support/memory-store.ts'
 import { startScriptedBackend, type ScriptedBackend } from '../support/scripted-backend.ts'
 
@@ -88,25 +90,31 @@
   assert.equal(this.store.calls.filter(call => call === `list ${KINDS.config}`).length, Number(count))
 })
 
-interface StartWorld { clock: ManualClock, fleet: Fleet }
+interface StartWorld { clock: ManualClock, fleet: Fleet, store: MemoryStore, subscription: KindSubscription, knownSinceMs: number }
 
-Given('a VM that has just read the entry of another one and has not met it', function (this: StartWorld) {
-  this.clock = createManualClock()
+function createStartWorld (world: StartWorld, ports: readonly number[]): void {
+  world.clock = createManualClock()
+  world.store = createMemoryStore()
   const subscriptions: KindSubscription[] = []
-  this.fleet = createFleet({
-    settings: harnessSettings([1, 1, 1, 1, 1]),
-    store: createMemoryStore(),
+  world.fleet = createFleet({
+    settings: harnessSettings(ports),
+    store: world.store,
     follow (subscription) {
       subscriptions.push(subscription)
       return { isLoaded: () => true, confirmedMs: () => 0 }
     },
-    clock: this.clock,
+    clock: world.clock,
     log: silentLog,
     metrics: createMetrics(),
     random: Math.random
   })
+  world.subscription = subscriptions[0]!
+}
+
+Given('a VM that has just read the entry of another one and has not met it', function (this: StartWorld) {
+  createStartWorld(this, [1, 1, 1, 1, 1])
   const spec = { boot: 'boot-2', callerAddress: '127.0.0.1:2', peerAddress: '127.0.0.1:3', dataCentre: 'dc-2' }
-  subscriptions[0]!.onSnapshot([{ name: OTHER_VM, revision: { era: 0, number: 1 }, spec, status: undefined }])
+  this.subscription.onSnapshot([{ name: OTHER_VM, revision: { era: 0, number: 1 }, spec, status: undefined }])
 })
 
 Then(/^it (may|does not) use the other one as a relay$/, function (this: StartWorld, expected: string) {
@@ -114,3 +122,38 @@
 })
 
 When(/^(\d+) ms pass without a sign of the other one$/, async function (this: StartWorld, ms: string) { await this.clock.advance(Number(ms)) })
+
+After({ tags: '@forwarding-fleet' }, async function (this: Partial<StartWorld>) { await this.fleet?.close() })
+
+Given(/^a VM that has been registered for (\d+) ms$/, async function (this: StartWorld, ms: string) {
+  createStartWorld(this, await findFreePorts(5))
+  this.fleet.start()
+  await this.clock.advance(Number(ms))
+  this.knownSinceMs = this.fleet.knownSinceMs()
+  assert.ok(this.knownSinceMs < this.clock.now())
+})
+
+When(/^it is paused for (\d+) ms and its entry is removed meanwhile$/, async function (this: StartWorld, ms: string) {
+  const entry = this.store.peek(FLEET_KIND, HARNESS_VM)!
+  await this.clock.advance(Number(ms))
+  this.store.remove(FLEET_KIND, HARNESS_VM)
+  this.subscription.onChange({ object: { ...entry, revision: this.store.revision() }, deleted: true })
+  assert.equal(this.fleet.knownSinceMs(), Infinity)
+})
+
+Then(/^it may use its part of a limit again (\d+) ms after it has registered again$/, async function (this: StartWorld, ms: string) {
+  await this.clock.advance(0)
+  assert.ok(this.store.peek(FLEET_KIND, HARNESS_VM))
+  assert.equal(this.fleet.knownSinceMs(), this.clock.now() + Number(ms))
+})
+
+When('it learns of the removal of the entry before its own', function (this: StartWorld) {
+  const entry = this.store.peek(FLEET_KIND, HARNESS_VM)!
+  this.subscription.onChange({ object: { ...entry, revision: { ...entry.revision, number: entry.revision.number - 1 } }, deleted: true })
+})
+
+Then('it may use its part of a limit as before', async function (this: StartWorld) {
+  assert.equal(this.fleet.knownSinceMs(), this.knownSinceMs)
+  await this.clock.advance(100)
+  assert.equal(this.fleet.knownSinceMs(), this.knownSinceMs)
+})
--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -12,7 +12,7 @@
 import type { ForwardingVmSettings } from '../forwarding-vm/types.ts'
 import type { FollowedKind, KindSubscription } from '../feed-relay/index.ts'
 import type { PlacedVm } from '../feed-relay/relay-choice.ts'
-import type { ObjectStore, StoredObject } from '../object-feed/index.ts'
+import { isAfter, type ObjectStore, type Revision, type StoredObject } from '../object-feed/index.ts'
 import { createPeerLinks } from '../peer/index.ts'
 import { rendezvousOrder } from '../placement/rendezvous.ts'
 import { CLEANUP_PERIOD_MS, FLEET_COALESCE_MS, FLEET_KIND, FLEET_POLL_WAIT_MS, KEY_KIND, KEY_NAME, MEETING_TIME_MS, REGISTER_RETRY_DELAY_MS, VM_ENTRY_EXPIRY_MS } from './constants.ts'
@@ -43,8 +43,9 @@
   /** Monotonic time since which each absent VM has not been a live member. */
   const absentSinceMs = new Map<VmId, number>()
   const identity = { vm: settings.vm, boot, region: settings.region, dataCentre: settings.dataCentre }
-  /** Monotonic time at which the store confirmed the entry of this process. */
+  /** Monotonic time at which the store confirmed the entry of this process; Infinity while it has none. */
   let registeredMs = Infinity
+  let registeredRevision: Revision | undefined
   /** Whether an earlier process of this VM had been registered, so that the other VMs know its entry already. */
   let wasRegistered = false
   let leaving = false
@@ -68,11 +69,11 @@
     random
   })
 
-  function applyEntry ({ name, spec }: StoredObject, deleted: boolean): void {
+  function applyEntry ({ name, spec, revision }: StoredObject, deleted: boolean): void {
     const vm = brandId<VmId>(name)
     const entry = spec as FleetEntry | null
     if (vm === settings.vm) {
-      if (deleted && !leaving) void register()
+      if (deleted && !leaving) replaceRemovedEntry(revision)
       return
     }
     registeredVms = undefined
@@ -82,6 +83,17 @@
     if (!membership.get(vm)) peers.setAddress(vm, entry.peerAddress)
   }
 
+  /** The others may have removed the entry while this VM was paused, and use its parts of the limits until they know it again. */
+  function replaceRemovedEntry (removed: Revision): void {
+    const isEarlierEntry = registeredRevision !== undefined && isAfter(registeredRevision, removed)
+    if (!isEarlierEntry) {
+      registeredMs = Infinity
+      registeredRevision = undefined
+      wasRegistered = false
+    }
+    void register()
+  }
+
   /** Writes what a store that was restored from an older copy has lost: the entry of this VM, and the key of the links. */
   function restoreOwnObjects (objects: readonly StoredObject[]): void {
     if (leaving) return
@@ -128,7 +140,9 @@
       if (existing && registeredMs === Infinity) wasRegistered = true
       return existing && await store.replace(FLEET_KIND, settings.vm, ownEntry, existing.revision)
     })
-    if (registered) registeredMs = Math.min(registeredMs, clock.now())
+    if (!registered) return
+    registeredMs = Math.min(registeredMs, clock.now())
+    registeredRevision = registered.revision
   }
 
   /** Returns the stored key; stores the given one if there is none. */
