Do not end a stream that was aborted as if it were complete

Callers saw: a stream with a missing event ended after the last event before the gap, with the last chunk, so that it looked complete.

Cause: when an event is missing, the relay aborts the exchange. Node then discards what is left of a body that has arrived completely and emits 'end'. The handler of 'end' did not check whether the relay had settled, and ended the response to the caller. The next attempt wrote into an ended response. The same happens to a body that is paused for a slow caller while its attempt is abandoned for another backend server. readResponse gets the same check.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -54,6 +54,7 @@
       | stream                           | 1        |
       | stream-slow                      | 1        |
       | stream-break-mid-event, stream   | 2        |
+      | stream-gap, stream               | 2        |
       | stream-no-length, stream         | 2        |
       | stream-stall, stream             | 2        |
       | stream-stall-ping, stream        | 2        |
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -8,7 +8,7 @@
   | 'low-status' | 'switch-protocols' | 'empty-header-name' | 'stream-empty-header-name' | 'trailer'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
-  | 'stream-crash' | 'stream-comment-crash' | 'stream' | 'stream-break-mid-event' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-late' | 'stream-low-confidence' | 'stream-slow'
+  | 'stream-crash' | 'stream-comment-crash' | 'stream' | 'stream-break-mid-event' | 'stream-gap' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-late' | 'stream-low-confidence' | 'stream-slow'
 
 export interface ScriptedBackend {
   address: string
@@ -170,6 +170,7 @@
       socket.write(chunked + chunk(event(after + 1) + event(after + 2).slice(0, 8)))
       setTimeout(() => socket.destroy(), 30)
     },
+    'stream-gap': () => finish(chunked + all.filter((_, index) => index !== 1).map(chunk).join('') + '0\r\n\r\n'),
     'stream-no-length': () => finish(stream + '\r\n' + events(after + 2).join('')),
     'stream-stall': () => { socket.write(chunked + chunk(event(after + 1))) },
     'stream-stall-ping': () => {
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -19,7 +19,7 @@
       if (bytes > MAX_BUFFERED_RESPONSE_BYTES) return body.destroy()
       chunks.push(chunk)
     })
-    body.on('end', () => resolve(body.complete && !exchange.hasConnectionFailed() ? Buffer.concat(chunks) : undefined))
+    body.on('end', () => resolve(body.complete && !exchange.isAborted() && !exchange.hasConnectionFailed() ? Buffer.concat(chunks) : undefined))
     body.on('close', () => resolve(undefined))
     if (body.destroyed) resolve(undefined)
   })
@@ -137,6 +137,8 @@
       if (splitter.bufferedBytes() + earlyComments.reduce((sum, { length }) => sum + length, 0) > MAX_EVENT_BYTES) settle('broken', 'event too large')
     })
     body.on('end', () => {
+      // Node discards what is left of a body that has arrived completely when its request is destroyed, and then ends it.
+      if (isSettled || exchange.isAborted()) return settle('broken', 'aborted')
       // An unframed stream may have been truncated between two events, so it must be resumed at another backend server to find its end.
       if (!isFramed(body) || !body.complete || exchange.hasConnectionFailed() || splitter.bufferedBytes() > 0) return settle('broken', 'stream truncated')
       startResponse()
