Keep a response whose replacement is reserved too late to be sent

Callers saw: status 504 in place of a low-confidence or late response that the VM had.

Cause: the time left was checked before the replacement was reserved, which takes up to 100 ms for the connection and, where limits are lent, 120 ms for each lender that does not answer. The running attempt was then abandoned for one that the next check refused with "no time left".

Fix: the time left is checked again in the turn in which the running attempt is abandoned.

--- /dev/null
+++ b/features/replacement.feature
@@ -0,0 +1,9 @@
+@replacement
+Feature: Attempts that replace a running one
+
+  # Guards against a response that is abandoned although its replacement has no time left.
+  Scenario: a low-confidence response is delivered when its replacement is reserved too late
+    Given a forwarder with 5 retries, replacements that take 230 ms by the clock and backend servers that stream-low-confidence, stream
+    When it forwards a stream with a choice of models and a deadline of 250 ms
+    Then the caller of the forwarder gets 200 with the events 1, 2, 3, 4 and the end
+    And no retry is used up and no capacity is taken
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -3,12 +3,12 @@
 
 /** How a backend server responds to one request. */
 export type BackendBehaviour =
-  | 'answer' | 'answer-late' | 'crash' | 'answer-limited' | 'answer-500' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
+  | 'answer' | 'answer-late' | 'crash' | 'answer-limited' | 'answer-500' | 'answer-500-late' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
   | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
   | 'low-status' | 'switch-protocols' | 'empty-header-name' | 'stream-empty-header-name' | 'trailer'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
-  | 'stream-crash' | 'stream-comment-crash' | 'stream' | 'stream-break-mid-event' | 'stream-gap' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-late' | 'stream-low-confidence' | 'stream-slow'
+  | 'stream-crash' | 'stream-comment-crash' | 'stream' | 'stream-break-mid-event' | 'stream-break-late' | 'stream-gap' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-late' | 'stream-low-confidence' | 'stream-slow'
 
 export interface ScriptedBackend {
   address: string
@@ -124,6 +124,7 @@
     },
     'answer-limited': () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}x-test-limit: 2\r\ncontent-length: 5\r\n\r\nwhole`),
     'answer-500': () => finish(`HTTP/1.1 500 Internal Server Error\r\n${identityHeaders}content-length: 6\r\n\r\nfailed`),
+    'answer-500-late': () => setTimeout(() => behaviours['answer-500'](), 650),
     'not-run': () => finish('HTTP/1.1 503 Service Unavailable\r\nx-test-not-run: 1\r\ncontent-length: 0\r\n\r\n'),
     misdirected: () => finish('HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n'),
     reset: () => { socket.resetAndDestroy() },
@@ -170,6 +171,10 @@
       socket.write(chunked + chunk(event(after + 1) + event(after + 2).slice(0, 8)))
       setTimeout(() => socket.destroy(), 30)
     },
+    'stream-break-late': () => {
+      socket.write(chunked + chunk(event(after + 1)))
+      setTimeout(() => socket.destroy(), 450)
+    },
     'stream-gap': () => finish(chunked + all.filter((_, index) => index !== 1).map(chunk).join('') + '0\r\n\r\n'),
     'stream-no-length': () => finish(stream + '\r\n' + events(after + 2).join('')),
     'stream-stall': () => { socket.write(chunked + chunk(event(after + 1))) },
--- a/src/core/forwarding/replacement.ts
+++ b/src/core/forwarding/replacement.ts
@@ -55,7 +55,8 @@
   async function reserve (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { fraction, isDue = () => true, ...replacement }: ReplacementRequest): Promise<boolean> {
     const { route, service } = forwarded
     const exchange = progress.currentExchange
-    if (progress.isReservingReplacement || !mayRepeat(route, progress) || deadlineMs - clock.now() < MIN_ATTEMPT_MS) return false
+    const hasTime = () => deadlineMs - clock.now() >= MIN_ATTEMPT_MS
+    if (progress.isReservingReplacement || !mayRepeat(route, progress) || !hasTime()) return false
     if (!takeRetry(service, fraction)) return false
     progress.isReservingReplacement = true
     const reserved = await connect(forwarded, progress, replacement).catch((error: unknown) => {
@@ -65,7 +66,7 @@
     })
     progress.isReservingReplacement = false
     const isStillRunning = !progress.isFinished && progress.currentExchange === exchange
-    if (!reserved || !isStillRunning || !isDue()) {
+    if (!reserved || !isStillRunning || !hasTime() || !isDue()) {
       if (reserved) cancel(service, reserved)
       giveBackRetry(service)
       return false
