--- a/features/support/forwarding-vm-harness.ts
+++ b/features/support/forwarding-vm-harness.ts
@@ -176,7 +176,7 @@
   return { vm, store, settings, errors }
 }
 
-export interface RawResponse { status: number, head: string, body: string, ended: 'closed' | 'reset' }
+export interface RawResponse { status: number, head: string, body: string, ended: 'closed' | 'reset', connected: boolean }
 
 /** Sends bytes and collects the response until the connection ends. */
 export function exchangeBytes (address: string, bytes: string): Promise<RawResponse> {
@@ -185,11 +185,13 @@
     const socket = connect(Number(port), host)
     let received = ''
     let ended: RawResponse['ended'] = 'closed'
+    let connected = false
+    socket.on('connect', () => { connected = true })
     socket.on('data', chunk => { received += chunk.toString('latin1') })
     socket.on('error', () => { ended = 'reset' })
     socket.on('close', () => {
       const [head = '', ...rest] = received.split('\r\n\r\n')
-      resolve({ status: Number(/^HTTP\/1\.1 (\d+)/.exec(head)?.[1] ?? 0), head, body: rest.join('\r\n\r\n'), ended })
+      resolve({ status: Number(/^HTTP\/1\.1 (\d+)/.exec(head)?.[1] ?? 0), head, body: rest.join('\r\n\r\n'), ended, connected })
     })
     socket.write(bytes)
   })
