--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -586,3 +586,28 @@
     Then the VM is registered
     And the store holds 1 quarantine
     And the store has the same key of the links
+
+  # Guards against running work that is given up or started again elsewhere, because those who tell of its backend server are silent.
+  Scenario Outline: an order that runs is neither given up nor run again while <silence>
+    Given a forwarding VM with 2 backend servers that answer-after-1500-ms
+    When a caller sends a request to /order/1 and <silence> meanwhile
+    Then the caller gets status 200 with the body "whole"
+    And the backend servers received 1 request
+
+    Examples:
+      | silence                                     |
+      | the store is silent                         |
+      | the entry of its backend server is gone     |
+      | the entries of all backend servers are gone |
+
+  Scenario Outline: a sound stream goes on while <silence>
+    Given a forwarding VM with 2 backend servers that stream-slow
+    When a caller sends a request to /stream/1 and <silence> meanwhile
+    Then the caller gets every event once and the end of the stream
+    And the backend servers received 1 request
+
+    Examples:
+      | silence                                     |
+      | the store is silent                         |
+      | the entry of its backend server is gone     |
+      | the entries of all backend servers are gone |
--- a/features/steps/forwarding.ts
+++ b/features/steps/forwarding.ts
@@ -471,3 +471,15 @@
   const namesBoth = async () => (await (await fetch(`http://${this.harness.settings.directoryAddress}/`)).text()).includes(this.secondVm.settings.callerAddress)
   for (const endMs = performance.now() + 4000; !await namesBoth(); await sleep(50)) assert.ok(performance.now() < endMs, 'the VMs do not reach each other')
 })
+
+When(/^a caller sends a request to (\S+) and (the store is silent|the entry of its backend server is gone|the entries of all backend servers are gone) meanwhile$/, async function (this: ForwardingWorld, path: string, silence: string) {
+  const { store } = this.harness
+  const sending = send(this, requestBytes(path))
+  await sleep(100)
+  assert.equal(this.backends.filter(({ received }) => received.length > 0).length, 1)
+  if (silence === 'the store is silent') store.setDown(true)
+  for (const [index, { received }] of this.backends.entries()) {
+    if (silence.startsWith('the entries') || (silence.startsWith('the entry') && received.length > 0)) store.remove(KINDS.backendServers, `backend-${index}`)
+  }
+  await sending
+})
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -3,7 +3,7 @@
 
 /** How a backend server responds to one request. */
 export type BackendBehaviour =
-  | 'answer' | 'answer-late' | 'crash' | 'answer-limited' | 'answer-500' | 'answer-500-late' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
+  | 'answer' | 'answer-late' | 'answer-after-1500-ms' | 'crash' | 'answer-limited' | 'answer-500' | 'answer-500-late' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
   | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
   | 'low-status' | 'switch-protocols' | 'empty-header-name' | 'stream-empty-header-name' | 'trailer'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
@@ -114,6 +114,7 @@
   const behaviours: Record<BackendBehaviour, () => void> = {
     answer: () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
     'answer-late': () => setTimeout(() => behaviours.answer(), 100),
+    'answer-after-1500-ms': () => { setTimeout(behaviours.answer, 1500) },
     // Ends the backend server at requests to a path with "deadly": after the head of the response to a stream or a path with "late".
     crash: () => {
       const isStream = head.includes('/stream/')
