Give back the second retry when a replaced attempt was not sent

Callers saw: nothing directly; each case used up a retry of the window, which another request then lacked.

Cause: an attempt that is abandoned while it still connects counts as not sent. The flag of its retry was then overwritten, although the replacement had taken a retry of its own, so one was never given back.

--- a/features/replacement.feature
+++ b/features/replacement.feature
@@ -7,3 +7,10 @@
     When it forwards a stream with a choice of models and a deadline of 250 ms
     Then the caller of the forwarder gets 200 with the events 1, 2, 3, 4 and the end
     And no retry is used up and no capacity is taken
+
+  # Guards against a retry that is not returned when its attempt replaces one that was never sent.
+  Scenario: a replacement of an attempt that is still connecting uses no retry
+    Given a forwarder with 5 retries, replacements that take 5 ms and backend servers that connect-never, stream
+    When it forwards a stream
+    Then the caller of the forwarder gets 200 with the events 1, 2, 3, 4 and the end
+    And no retry is used up and no capacity is taken
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -246,7 +246,8 @@
         if (result.kind !== 'lost') {
           progress.connectAttempts++
           progress.attempts--
-          // Nothing was sent, so the retry that was taken for this attempt is still there.
+          // Nothing was sent, so the retry that was taken for this attempt is still there, beside that of a replacement.
+          if (progress.retryReserved) retryAllowance(service).giveBack()
           progress.retryReserved = progress.attempts > 0
           progress.hasFailed = true
           endAttempt('not_run')
