Do not refuse a connected replacement by the limit of connections

Callers saw: status 503 although a backend server had capacity and an open connection for the request.

Cause: an attempt that is abandoned while it connects counts as a failed connection. If it was the last one permitted, the next attempt was refused although its connection was open.

--- a/features/replacement.feature
+++ b/features/replacement.feature
@@ -14,3 +14,10 @@
     When it forwards a stream
     Then the caller of the forwarder gets 200 with the events 1, 2, 3, 4 and the end
     And no retry is used up and no capacity is taken
+
+  # Guards against an attempt that is abandoned for a replacement that the limit of connections then refuses.
+  Scenario: a replacement that is connected is used after the last connection that may fail
+    Given a forwarder with 5 retries, replacements that take 5 ms and backend servers that refuse, refuse, refuse, connect-never, stream
+    When it forwards a stream
+    Then the caller of the forwarder gets 200 with the events 1, 2, 3, 4 and the end
+    And no retry is used up and no capacity is taken
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -171,7 +171,7 @@
     if (deadlineMs - clock.now() < MIN_ATTEMPT_MS) return outOfTime(progress)
     if (isQuarantined(progress)) return quarantineOutcome(progress)
     if (progress.attempts >= route.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
-    if (progress.connectAttempts >= MAX_CONNECT_ATTEMPTS) return { kind: 'failed', error: noAttemptError, reason: 'connection attempt limit reached' }
+    if (!progress.replacement && progress.connectAttempts >= MAX_CONNECT_ATTEMPTS) return { kind: 'failed', error: noAttemptError, reason: 'connection attempt limit reached' }
     const { reservation, connection } = progress.replacement ?? { reservation: await options.reserveCapacity(forwarded, progress, deadlineMs - clock.now()) }
     progress.replacement = undefined
     const obstacle = findObstacle(forwarded, progress, deadlineMs, reservation)
