Leave the retry of a pending replacement to the next attempt

Callers saw: a stream cut after its first event, or status 502, with "retry budget exhausted", although the request itself held the retry.

Cause: a replacement takes its retry first and may then need up to 100 ms for a connection, and longer where lenders of a limit are silent. If the running attempt ended meanwhile, the next one asked for another retry, and the request had failed before the first one was given back.

Fix: the next attempt takes over the retry of the replacement that is still being reserved, whose result is discarded. It may also reserve a replacement of its own at once.

--- a/features/replacement.feature
+++ b/features/replacement.feature
@@ -1,6 +1,13 @@
 @replacement
 Feature: Attempts that replace a running one
 
+  # Guards against a retry that the next attempt lacks, because a replacement that comes to nothing still holds it.
+  Scenario: a stream that breaks while its replacement is being reserved is resumed with the only retry
+    Given a forwarder with 1 retry, replacements that take 400 ms and backend servers that stream-break-late, stream
+    When it forwards a stream
+    Then the caller of the forwarder gets 200 with the events 1, 2, 3, 4 and the end
+    And 1 retry is used up and no capacity is taken
+
   # Guards against a response that is abandoned although its replacement has no time left.
   Scenario: a low-confidence response is delivered when its replacement is reserved too late
     Given a forwarder with 5 retries, replacements that take 230 ms by the clock and backend servers that stream-low-confidence, stream
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -17,7 +17,7 @@
 import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome, type CrashEvidence } from './crash-evidence.ts'
 import { startExchange, type Codec, type Exchange } from './exchange.ts'
 import { isFramed, readResponse, relayEvents } from './relay.ts'
-import { createReplacements, type ReplacementRequest, type ReplacementsOptions, type ReservedAttempt } from './replacement.ts'
+import { createReplacements, type PendingReplacement, type ReplacementRequest, type ReplacementsOptions, type ReservedAttempt } from './replacement.ts'
 import type { RetryAllowance } from './retry-allowance.ts'
 import { isRepeatable, urgencyOf } from './route-table.ts'
 import type { RequestEnd, RequestObservation } from '../version-trial/index.ts'
@@ -87,7 +87,7 @@
   retryReserved: boolean
   /** What the next attempt needs, reserved while the current one is running. */
   replacement: ReservedAttempt | undefined
-  isReservingReplacement: boolean
+  pendingReplacement: PendingReplacement | undefined
   isAbandoned: boolean
   crashEvidence: CrashEvidence
   currentExchange: Exchange | undefined
@@ -121,7 +121,7 @@
       hasFailed: false,
       retryReserved: false,
       replacement: undefined,
-      isReservingReplacement: false,
+      pendingReplacement: undefined,
       isAbandoned: false,
       crashEvidence: createCrashEvidence(forwarded, { quarantine: partQuarantine, log }),
       currentExchange: undefined,
@@ -168,6 +168,7 @@
   async function attempt (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number): Promise<AttemptOutcome> {
     const { route, service } = forwarded
     const noAttemptError = errorWithoutAttempt(progress)
+    replacements.takeOverRetry(forwarded, progress)
     if (deadlineMs - clock.now() < MIN_ATTEMPT_MS) return outOfTime(progress)
     if (isQuarantined(progress)) return quarantineOutcome(progress)
     if (progress.attempts >= route.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
--- a/src/core/forwarding/replacement.ts
+++ b/src/core/forwarding/replacement.ts
@@ -34,6 +34,9 @@
   isDue?: () => boolean
 }
 
+/** A replacement that is being reserved and holds a retry. */
+export interface PendingReplacement {}
+
 export interface ReplacementsOptions {
   /** Reserves capacity, without waiting for it; resolves with `undefined` if no backend server has room. */
   reserveCapacity(forwarded: ForwardedRequest, progress: RequestProgress, replacement: Replacement): Promise<Reservation | undefined>
@@ -56,19 +59,21 @@
     const { route, service } = forwarded
     const exchange = progress.currentExchange
     const hasTime = () => deadlineMs - clock.now() >= MIN_ATTEMPT_MS
-    if (progress.isReservingReplacement || !mayRepeat(route, progress) || !hasTime()) return false
+    if (progress.isFinished || progress.pendingReplacement || progress.replacement || !mayRepeat(route, progress) || !hasTime()) return false
     if (!takeRetry(service, fraction)) return false
-    progress.isReservingReplacement = true
+    const pending: PendingReplacement = {}
+    progress.pendingReplacement = pending
     const reserved = await connect(forwarded, progress, replacement).catch((error: unknown) => {
       // The running attempt goes on; an unhandled rejection would end the process and all its requests.
       log.error('a replacement could not be reserved by an error of this VM', { id: forwarded.request.id, error: errorMessage(error) })
       return undefined
     })
-    progress.isReservingReplacement = false
-    const isStillRunning = !progress.isFinished && progress.currentExchange === exchange
+    const hasRetry = progress.pendingReplacement === pending
+    if (hasRetry) progress.pendingReplacement = undefined
+    const isStillRunning = hasRetry && !progress.isFinished && progress.currentExchange === exchange
     if (!reserved || !isStillRunning || !hasTime() || !isDue()) {
       if (reserved) cancel(service, reserved)
-      giveBackRetry(service)
+      if (hasRetry) giveBackRetry(service)
       return false
     }
     progress.replacement = reserved
@@ -86,6 +91,14 @@
     return undefined
   }
 
+  /** Leaves the retry of a replacement that is still being reserved to the next attempt, because the running one has ended. */
+  function takeOverRetry ({ service }: ForwardedRequest, progress: RequestProgress): void {
+    if (!progress.pendingReplacement) return
+    progress.pendingReplacement = undefined
+    if (progress.attempts === 0 || progress.retryReserved) giveBackRetry(service)
+    else progress.retryReserved = true
+  }
+
   /** Returns what was reserved for an attempt that is not made. */
   function release ({ service }: ForwardedRequest, progress: RequestProgress): void {
     if (progress.retryReserved) giveBackRetry(service)
@@ -104,5 +117,5 @@
     return isRepeatable(route) && attempts < route.maxAttempts && connectAttempts < MAX_CONNECT_ATTEMPTS
   }
 
-  return { reserve, release, cancel }
+  return { reserve, takeOverRetry, release, cancel }
 }
