Repeat an error response that arrives while a replacement is being reserved

Callers saw: status 500 of a backend server although the request could be repeated.

Cause: only one replacement is reserved at a time. If the response was late and a replacement was being reserved, an error response or one of low confidence that arrived then could reserve none, and was forwarded at once.

Fix: such a response waits for the pending reservation, and reserves a replacement itself if that comes to nothing.

--- a/features/replacement.feature
+++ b/features/replacement.feature
@@ -8,6 +8,13 @@
     Then the caller of the forwarder gets 200 with the events 1, 2, 3, 4 and the end
     And 1 retry is used up and no capacity is taken
 
+  # Guards against an error response that is forwarded because another replacement is being reserved.
+  Scenario: an error response that arrives while a replacement is being reserved is repeated
+    Given a forwarder with 5 retries, replacements that take 400 ms and backend servers that answer-500-late, answer
+    When it forwards an idempotent request
+    Then the caller of the forwarder gets 200 with whole
+    And 1 retry is used up and no capacity is taken
+
   # Guards against a response that is abandoned although its replacement has no time left.
   Scenario: a low-confidence response is delivered when its replacement is reserved too late
     Given a forwarder with 5 retries, replacements that take 230 ms by the clock and backend servers that stream-low-confidence, stream
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -223,7 +223,10 @@
       observation.end(progress.isAbandoned ? 'abandoned' : end)
     }
     const reserveFailover = (isDue: () => boolean) => replacements.reserve(forwarded, progress, deadlineMs, { excluded: progress.triedBackends, hasFailed: true, model: progress.model, isDue })
-    const reserveRepeat = (repeat: Pick<ReplacementRequest, 'hasFailed' | 'model' | 'fraction'>) => replacements.reserve(forwarded, progress, deadlineMs, { excluded: NONE_EXCLUDED, ...repeat })
+    const reserveRepeat = async (repeat: Pick<ReplacementRequest, 'hasFailed' | 'model' | 'fraction'>) => {
+      await progress.pendingReplacement?.settled
+      return await replacements.reserve(forwarded, progress, deadlineMs, { excluded: NONE_EXCLUDED, ...repeat })
+    }
     let awaitsResponse = true
     const abandonFor = async (reason: string, isDue: () => boolean) => {
       const isReserved = await reserveFailover(isDue)
--- a/src/core/forwarding/replacement.ts
+++ b/src/core/forwarding/replacement.ts
@@ -35,7 +35,9 @@
 }
 
 /** A replacement that is being reserved and holds a retry. */
-export interface PendingReplacement {}
+export interface PendingReplacement {
+  settled: Promise<void>
+}
 
 export interface ReplacementsOptions {
   /** Reserves capacity, without waiting for it; resolves with `undefined` if no backend server has room. */
@@ -61,7 +63,8 @@
     const hasTime = () => deadlineMs - clock.now() >= MIN_ATTEMPT_MS
     if (progress.isFinished || progress.pendingReplacement || progress.replacement || !mayRepeat(route, progress) || !hasTime()) return false
     if (!takeRetry(service, fraction)) return false
-    const pending: PendingReplacement = {}
+    let settle = () => {}
+    const pending: PendingReplacement = { settled: new Promise(resolve => { settle = resolve }) }
     progress.pendingReplacement = pending
     const reserved = await connect(forwarded, progress, replacement).catch((error: unknown) => {
       // The running attempt goes on; an unhandled rejection would end the process and all its requests.
@@ -70,6 +73,7 @@
     })
     const hasRetry = progress.pendingReplacement === pending
     if (hasRetry) progress.pendingReplacement = undefined
+    settle()
     const isStillRunning = hasRetry && !progress.isFinished && progress.currentExchange === exchange
     if (!reserved || !isStillRunning || !hasTime() || !isDue()) {
       if (reserved) cancel(service, reserved)
