Send no second response when the deadline passes during a reservation

Callers saw: by reading, nothing in most cases, because Node drops a write to a response that has been sent completely; before that, the write is an error event without a listener, which ends the process.

Cause: when the deadline passes while a replacement is being reserved, the caller gets 504 and the exchange is aborted. A body that has arrived completely on a connection that the backend server has closed stays readable, and the attempt went on to relay it after the reservation.

Fix: an attempt whose exchange was aborted meanwhile ends before its body is read.

Evidence: without the change the scenario of the stream got 504 and then the stream's four events, in two of two runs; with it the scenario passes. The example of the error response passes either way since readResponse checks for aborted exchanges, and guards that path.

--- a/features/replacement.feature
+++ b/features/replacement.feature
@@ -35,3 +35,15 @@
     When it forwards a stream
     Then the caller of the forwarder gets 200 with the events 1, 2, 3, 4 and the end
     And no retry is used up and no capacity is taken
+
+  # Guards against a response that is sent to a caller that has got another one, because it waited for its replacement.
+  Scenario Outline: a response of backend servers that <behaviour> is not sent once the deadline has passed
+    Given a forwarder with 5 retries, replacements that take 400 ms and backend servers that <behaviour>, stream
+    When it forwards <request> with a choice of models and a deadline of 200 ms
+    Then the caller of the forwarder gets 504
+    And no retry is used up and no capacity is taken
+
+    Examples:
+      | behaviour             | request               |
+      | stream-low-confidence | a stream              |
+      | answer-500            | an idempotent request |
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -320,6 +320,11 @@
       endAttempt('failed')
       return retryOrFail(route, backend, 'response is not authentic')
     }
+    // The request may have ended while a replacement was being reserved, and a body that has arrived can still be read then.
+    const endAborted = () => {
+      endAttempt('failed')
+      return retryOrFail(route, backend, 'aborted')
+    }
     const failed = head.status >= 500
     if (failed && !caller.hasStarted() && await response.reserveRepeat({ hasFailed: true, model: progress.model })) {
       if (route.kind !== 'streaming') response.recordSurvival()
@@ -337,6 +342,7 @@
         progress.model = model
         return { kind: 'next', reason: `confidence ${head.confidence}`, backend }
       }
+      if (exchange.isAborted()) return endAborted()
       const relayed = await relayEvents({ ...response, onFirstEvent: response.recordSurvival, caller, route, lastEventId: progress.lastEventId, clock })
       progress.lastEventId = relayed.lastEventId
       if (relayed.endedBeforeFirstEvent) progress.crashEvidence.recordBrokenStream(backend)
@@ -348,6 +354,7 @@
       }
       return retryOrFail(route, backend, relayed.reason)
     }
+    if (exchange.isAborted()) return endAborted()
     const bytes = await readResponse(response.body, exchange)
     if (!bytes) {
       endAttempt('failed')
