Add planned stops that overlap to the soak

With `stops`, VMs get SIGTERM at once and in series, beside SIGHUP, configurations that change timeouts, routes and keys, backend servers that leave or stall, and a store that fails.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,15 +1,22 @@
-/** Runs the soak with many seeds: `node --import tsx scripts/soak.ts FIRST COUNT [VMS] [evidence]`. With `evidence`,
- * deadly prompt parts and named limits are added. Exits with 1 if a promise was broken. */
+/** Runs the soak with many seeds: `node --import tsx scripts/soak.ts FIRST COUNT [VMS] [evidence|stops]`. With `evidence`,
+ * deadly prompt parts and named limits are added; with `stops`, planned stops, reloads and configurations replace the other faults. Exits with 1 if a promise was broken. */
+import { writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { runSoak } from '../platform/tests/soak/soak.ts'
 
 const [first = 1, count = 50, vms = 3] = process.argv.slice(2, 5).map(Number)
-const withEvidence = process.argv[5] === 'evidence'
+const mode = process.argv[5]
+if (mode !== undefined && mode !== 'evidence' && mode !== 'stops') throw new Error(`unknown mode ${mode}; use evidence or stops`)
 let brokenSeeds = 0
 for (let seed = first; seed < first + count; seed++) {
-  const { broken, requests, statuses, servedAfterRecovery, faults } = await runSoak({ seed, vms, withEvidence })
+  const { broken, requests, statuses, servedAfterRecovery, killed, longestDelayMs, vmLog, faults } = await runSoak({ seed, vms, withEvidence: mode === 'evidence', withStops: mode === 'stops' })
   if (broken.length > 0) brokenSeeds++
-  console.log(`seed ${seed}: ${requests} requests, statuses ${JSON.stringify(statuses)}, ${Math.round(100 * servedAfterRecovery)} % served after the recovery, ${broken.length} broken`)
-  if (broken.length > 0) console.log([...broken.slice(0, 10), `faults: ${faults.join(', ')}`].map(line => `  ${line}`).join('\n'))
+  console.log(`seed ${seed}: ${requests} requests, statuses ${JSON.stringify(statuses)}, ${Math.round(100 * servedAfterRecovery)} % served after the recovery, ${killed} killed, delays up to ${longestDelayMs} ms, ${broken.length} broken`)
+  if (broken.length === 0) continue
+  const logPath = join(tmpdir(), `soak-${mode ?? 'usual'}-${seed}-${vms}-${process.pid}.log`)
+  writeFileSync(logPath, vmLog)
+  console.log([...broken.slice(0, 10), `faults: ${faults.join(', ')}`, `log of the VMs: ${logPath}`].map(line => `  ${line}`).join('\n'))
 }
 console.log(`${count - brokenSeeds} passed, ${brokenSeeds} failed`)
 process.exit(brokenSeeds > 0 ? 1 : 0)
