--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -10,9 +10,9 @@
 if (mode !== undefined && mode !== 'evidence' && mode !== 'stops') throw new Error(`unknown mode ${mode}; use evidence or stops`)
 let brokenSeeds = 0
 for (let seed = first; seed < first + count; seed++) {
-  const { broken, requests, statuses, servedAfterRecovery, killed, longestDelayMs, vmLog, faults } = await runSoak({ seed, vms, withEvidence: mode === 'evidence', withStops: mode === 'stops' })
+  const { broken, requests, statuses, servedAfterRecovery, killed, longestPauseMs, vmLog, faults } = await runSoak({ seed, vms, withEvidence: mode === 'evidence', withStops: mode === 'stops' })
   if (broken.length > 0) brokenSeeds++
-  console.log(`seed ${seed}: ${requests} requests, statuses ${JSON.stringify(statuses)}, ${Math.round(100 * servedAfterRecovery)} % served after the recovery, ${killed} killed, delays up to ${longestDelayMs} ms, ${broken.length} broken`)
+  console.log(`seed ${seed}: ${requests} requests, statuses ${JSON.stringify(statuses)}, ${Math.round(100 * servedAfterRecovery)} % served after the recovery, ${killed} killed, paused for up to ${longestPauseMs} ms, ${broken.length} broken`)
   if (broken.length === 0) continue
   const logPath = join(tmpdir(), `soak-${mode ?? 'usual'}-${seed}-${vms}-${process.pid}.log`)
   writeFileSync(logPath, vmLog)
