--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -509,6 +509,13 @@
       | answer-late  | /order/1  | bytes that are no request | 200, 200, 400 |
       | stream-pause | /stream/1 | a part of a head          | 200, 200, 408 |
 
+  # Guards against a status that promises that a request has not run, and runs it.
+  Scenario: a request whose head is late gets 408 and does not run when the rest of it arrives
+    Given a forwarding VM with a backend server that answer and has 64 slots
+    When a caller writes a part of a request to /order/1, and the rest when the response starts
+    Then the caller gets the statuses 408 and then the end of the connection
+    And the backend servers received 0 requests
+
   # Guards against requests that count as open after their connection has ended.
   Scenario: a stop does not wait for requests whose caller has left while they waited
     Given a forwarding VM with 8000 ms of grace and a backend server that silent
--- a/features/steps/pipelining.ts
+++ b/features/steps/pipelining.ts
@@ -32,6 +32,12 @@
   this.pipelined = await exchangeBehind(this.harness.settings.callerAddress, pipelinedRequest({ path }), pipelinedRequest({ path }))
 })
 
+When(/^a caller writes a part of a request to (\S+), and the rest when the response starts$/, async function (this: PipeliningWorld, path: string) {
+  const bytes = pipelinedRequest({ path })
+  const partLength = bytes.indexOf('content-length')
+  this.pipelined = await exchangeBehind(this.harness.settings.callerAddress, bytes.slice(0, partLength), bytes.slice(partLength))
+})
+
 When(/^a caller writes (\d+) requests to (\S+) at once and leaves$/, async function (this: PipeliningWorld, count: string, path: string) {
   const bytes = Array.from({ length: Number(count) }, () => pipelinedRequest({ path })).join('')
   const socket = await writeRequests(this.harness.settings.callerAddress, bytes, 200)
