Accept requests in a stop only while they can still be answered

Callers saw: with a short grace time, a request that a stopping VM had accepted was cut when the process ended. Cause: requests were accepted for 2.5 s after SIGTERM whatever the grace time. Since all parts of a stop share one deadline, a grace time of 3 s leaves 2.46 s for open requests, less than that. Change: requests are accepted for at most half of the time in which they may complete, which is 2.5 s as before at 8 s of grace.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -536,6 +536,13 @@
       | its store does not answer removals | registered     |
       | its event loop is slow             | not registered |
 
+  # Guards against requests that are accepted so late in a stop that the process ends before they can be answered.
+  Scenario: a request that comes late in a stop with a short grace time is refused and not run
+    Given a forwarding VM with 3000 ms of grace and a backend server that answer-after-1500-ms
+    When a caller writes 1 requests to /order/1 at once 2000 ms after the VM began to stop
+    Then the caller gets the statuses 503 and then the end of the connection
+    And the backend servers received 0 requests
+
   # Guards against other VMs that take over the parts of limits that a leaving VM still uses.
   Scenario: a leaving VM stays registered until nothing that it has sent counts against a limit
     Given a forwarding VM with 8000 ms of grace and a backend server that answer
--- a/features/steps/pipelining.ts
+++ b/features/steps/pipelining.ts
@@ -20,9 +20,9 @@
   this.pipelined = await exchangePipelined(this.harness.settings.callerAddress, bytes.join(''))
 })
 
-When(/^a caller writes (\d+) requests to (\S+) at once while the VM stops$/, async function (this: PipeliningWorld, count: string, path: string) {
+When(/^a caller writes (\d+) requests to (\S+) at once (?:while the VM stops|(\d+) ms after the VM began to stop)$/, async function (this: PipeliningWorld, count: string, path: string, afterMs: string | null) {
   void this.harness.vm.stop()
-  await sleep(STOP_BEGIN_MS)
+  await sleep(afterMs ? Number(afterMs) : STOP_BEGIN_MS)
   this.pipelined = await exchangePipelined(this.harness.settings.callerAddress, Array.from({ length: Number(count) }, () => pipelinedRequest({ path })).join(''))
 })
 
--- a/src/core/forwarding-vm/constants.ts
+++ b/src/core/forwarding-vm/constants.ts
@@ -20,6 +20,8 @@
 export const MAX_ADDRESSES = 64
 /** Time after SIGTERM for which new requests are still accepted, because callers cache the address. */
 export const ACCEPT_AFTER_STOP_MS = 2500
+/** Largest share of the time in which open requests may complete for which new ones are accepted, so that the last of them can complete, too. */
+export const MAX_ACCEPT_SHARE = 0.5
 /** Share of the grace period after SIGTERM within which all parts of a stop end; the rest covers timers that are late on a busy machine. */
 export const STOP_GRACE_SHARE = 0.92
 /** Period at which a stopping VM checks for open requests; also leaves time for the last response to be sent. */
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -32,12 +32,12 @@
 import { chooseCollectors } from '../feed-relay/relay-choice.ts'
 import { FLEET_KIND } from '../fleet/constants.ts'
 import { createFleet } from '../fleet/index.ts'
-import { ACCEPT_AFTER_STOP_MS, ADDRESS_TTL_S, MAX_ADDRESSES, MIN_REPORTED_LOAD, RELIST_HISTORY_SHARE } from './constants.ts'
+import { ADDRESS_TTL_S, MAX_ADDRESSES, MIN_REPORTED_LOAD, RELIST_HISTORY_SHARE } from './constants.ts'
 import { createAssignments } from './assignment.ts'
 import { createCapacity } from './capacity.ts'
 import { createConfigExchange } from './config-exchange.ts'
 import { createFeeds } from './feeds.ts'
-import { runStop } from './stop.ts'
+import { acceptanceMs, runStop } from './stop.ts'
 import type { ForwardingVmSettings, PlatformAdapter } from './types.ts'
 
 export type { ForwardingVmSettings, PlatformAdapter } from './types.ts'
@@ -296,7 +296,7 @@
       log.request('refused', { id: request.id, error, configVersion: table?.version, proofAgeMs: Math.round(configLease.ageMs()) })
       caller.fail(new GatewayError(error, { retryAfterMs: RETRY_AFTER_S * 1000 }))
     }
-    if (stoppingSinceMs !== undefined && receivedMs - stoppingSinceMs > ACCEPT_AFTER_STOP_MS) return refuse('vm_leaving')
+    if (stoppingSinceMs !== undefined && receivedMs - stoppingSinceMs > acceptanceMs(settings.stopGraceMs)) return refuse('vm_leaving')
     if (!table || !isLoaded()) return refuse('vm_not_ready')
     const allowsAnonymous = table.match(request.host, request.target)?.allowsAnonymous ?? false
     // Requests with an unknown route or key wait as well, because a newer configuration may contain it.
