Apply the changes that a relay gets at once in one turn

Callers saw: requests sent to backend servers that had left, for seconds and until the next complete list; the store had their word, and so had the relay. Withdrawn roll-outs and evacuations could be missed in the same way. Cause: a relay applied the changes of one response one after the other, and awaited each that may be large. The first change raised its revision. A held poll that was answered in between stated that revision with only some of the changes, and its sender never asked for the others. It takes a removal as the first change, which needs no wait.

--- a/features/feed-relay.feature
+++ b/features/feed-relay.feature
@@ -173,3 +173,9 @@
       | relay             | stops |
       | VM that polls it  | runs  |
       | VM that polls it  | stops |
+
+  # Guards against changes that never reach the followers of a relay, because it answers between two changes of one revision.
+  Scenario: a relay passes on all changes that it gets at once
+    Given a relay that follows another VM
+    When its source answers with the removal of a and the objects b, c at once, while a follower's poll is held
+    Then the follower has got the changes of a, b, c with this poll and the next one
--- a/src/core/feed-relay/index.ts
+++ b/src/core/feed-relay/index.ts
@@ -189,10 +189,11 @@
       const completeObjects = await Promise.all(objects.map(object => readComplete(kind, object)))
       replica.applySnapshot(completeObjects.filter(object => object !== undefined), revision)
     }
-    for (const { object, deleted } of changes ?? []) {
-      const completeObject = deleted ? { spec: undefined, status: undefined, ...object } : await readComplete(kind, object)
-      if (completeObject) replica.applyChange({ object: completeObject, deleted }, revision)
-    }
+    const completeChanges = await Promise.all((changes ?? []).map(async ({ object, deleted }) => (
+      { deleted, object: deleted ? { spec: undefined, status: undefined, ...object } : await readComplete(kind, object) }
+    )))
+    // In one turn: between two changes of a revision, a poll would be answered with this revision and only some of them.
+    for (const { object, deleted } of completeChanges) if (object) replica.applyChange({ object, deleted }, revision)
     replica.advance(revision)
   }
 
