--- a/review/standin/engine.mjs
+++ b/review/standin/engine.mjs
@@ -24,8 +24,8 @@
   const crashes = new Map()
   let started = 0
 
-  async function start (zone) {
-    const id = `i-${(0x7f3a0000 + ++started).toString(16)}`
+  async function start (zone, number = ++started) {
+    const id = `i-${(0x7f3a0000 + number).toString(16)}`
     const sockets = new Set()
     const server = createServer((incoming, outgoing) => {
       incoming.resume()
