--- a/review/standin/desk.mjs
+++ b/review/standin/desk.mjs
@@ -1,6 +1,10 @@
-/** Application runners: they serve orders, report that they leave, serve on for a time and end. */
+/** Runners whose answers are short streams. They report that they leave, serve on for a time and end. */
 import { createServer } from 'node:http'
 
+const EVENTS = 4
+
+export const wholeDeskStream = () => Array.from({ length: EVENTS }, (_, index) => `id: ${index + 1}\ndata: piece ${index + 1}\n\n`).join('')
+
 /** `seen` gets a line for each request that runs. `workMs` is the time that one takes. */
 export function createDesks ({ store, service, seen, workMs, slots = 6 }) {
   const running = new Map()
@@ -13,11 +17,16 @@
       const request = incoming.headers['x-lacewingstage-attempt-id']
       if (incoming.headers['x-lacewingstage-expect-runner'] !== id) return outgoing.writeHead(421, { 'content-length': 0 }).end()
       seen({ what: 'runs', request, runner: id })
-      setTimeout(() => {
-        const body = `done ${request}`
-        outgoing.writeHead(200, { 'x-lacewingstage-attempt-id': request, 'x-lacewingstage-runner-seal': `${id}.seal`, 'content-length': body.length, ...isLeaving && { connection: 'close' } })
-        outgoing.end(body)
-      }, workMs)
+      outgoing.writeHead(200, { 'content-type': 'text/event-stream', 'x-lacewingstage-attempt-id': request, 'x-lacewingstage-runner-seal': `${id}.seal`, ...isLeaving && { connection: 'close' } })
+      let next = 1
+      const timer = setInterval(() => {
+        outgoing.write(`id: ${next}\ndata: piece ${next}\n\n`)
+        if (next++ < EVENTS) return
+        clearInterval(timer)
+        outgoing.end()
+        seen({ what: 'complete', request, runner: id })
+      }, workMs / EVENTS)
+      outgoing.once('close', () => clearInterval(timer))
     })
     await new Promise(resolve => server.listen(0, '127.0.0.1', resolve))
     const entry = { service, address: `127.0.0.1:${server.address().port}`, zone, version: '1', slots, state: 'ready', cold_left_ms: 0, call_seq: 0, born: Date.now() }
@@ -30,6 +39,7 @@
         running.delete(id)
         await new Promise(resolve => setTimeout(resolve, forMs))
         server.close()
+        server.closeAllConnections()
         store.remove('servers', id)
       },
       close () {
--- a/review/standin/engine.mjs
+++ b/review/standin/engine.mjs
@@ -17,8 +17,12 @@
 
 const tokensOf = prefix => Number(prefix.split(',').at(-1).split(':')[1])
 
-/** `seen` gets a line for each request that arrives, begins and ends. `isUnframed` decides whether an answer has neither a length nor chunks. */
-export function createEngines ({ store, service, seen, deadlyPart = 'none', slots = 64, version = '1', isUnframed = () => false }) {
+/**
+ * `seen` gets a line for each request that arrives, begins and ends. `isUnframed` decides whether an answer has neither
+ * a length nor chunks. With `hasEarlyHead` the head of a stream comes when the request is admitted, otherwise with the
+ * first event.
+ */
+export function createEngines ({ store, service, seen, deadlyPart = 'none', slots = 64, version = '1', isUnframed = () => false, hasEarlyHead = true }) {
   const running = new Set()
   /** Ends a runner, by its server. */
   const crashes = new Map()
@@ -38,7 +42,7 @@
         outgoing.shouldKeepAlive = false
       }
       outgoing.writeHead(200, { 'content-type': 'text/event-stream', 'x-lacewingstage-attempt-id': request, 'x-lacewingstage-runner-seal': `${id}.seal`, 'x-lacewingstage-weight-versions': '1' })
-      outgoing.flushHeaders()
+      if (hasEarlyHead) outgoing.flushHeaders()
       let next = Number(incoming.headers['last-event-id'] ?? 0) + 1
       const begin = () => {
         if (prefix.includes(deadlyPart)) return crash(request)
--- a/review/standin/fleet.mjs
+++ b/review/standin/fleet.mjs
@@ -13,6 +13,12 @@
 const REGION = 'bagmati'
 const START_TIMEOUT_MS = 20_000
 
+/** An error of the script itself means that the case could not run. */
+process.on('uncaughtException', error => {
+  console.error(error)
+  process.exit(2)
+})
+
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms))
 
 function listenOn (port) {
@@ -23,17 +29,20 @@
   })
 }
 
+/** Below the range from which the system chooses ports for others, so that none is taken between this and the start. */
+const FIRST_PORT = 12_000
+const PORT_RANGE = 18_000
+
 /** Ports that are free now: two in a row for the traffic between machines, and four more. */
 async function findPorts () {
   for (;;) {
+    const first = FIRST_PORT + Math.floor(Math.random() * PORT_RANGE)
     const held = []
     try {
-      for (let i = 0; i < 5; i++) held.push(await listenOn(0))
-      const internal = held[0].address().port
-      held.push(await listenOn(internal + 1))
-      return { internal, ports: held.slice(1, 5).map(server => server.address().port) }
+      for (let i = 0; i < 6; i++) held.push(await listenOn(first + i))
+      return { internal: first, ports: [first + 2, first + 3, first + 4, first + 5] }
     } catch {
-      // The next port is taken.
+      // One of the ports is taken.
     } finally {
       for (const server of held) server.close()
     }
@@ -95,7 +104,7 @@
 
   async function waitUntilReady (machine) {
     for (const endMs = performance.now() + START_TIMEOUT_MS; !await isReady(machine); await sleep(50)) {
-      if (performance.now() > endMs) throw new Error(`${machine.name} is not ready: ${machine.log.join('').slice(-2000)}`)
+      if (performance.now() > endMs || machine.child.exitCode !== null) throw new Error(`${machine.name} is not ready: ${machine.log.join('').slice(-2000)}`)
     }
   }
 
@@ -104,7 +113,10 @@
     rmSync(directory, { recursive: true, force: true })
   }
   process.once('exit', stop)
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => process.exit(2))
   for (const machine of machines) start(machine)
   await Promise.all(machines.map(waitUntilReady))
+  const unable = machines.find(({ log }) => log.join('').includes('EADDRINUSE'))
+  if (unable) throw new Error(`${unable.name} found a port taken`)
   return { machines, start, waitUntilReady, stop }
 }
