--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,7 +1,7 @@
 /**
- * Sound streams and, with the trouble, some whose prompts hold a part that crashes each runner that begins to write an
- * answer on it, before a byte of the answer has left the runner. Broken if more than three requests with that part, new
- * ones or repeats, reach runners later than `contact_ms` after the fifth crash.
+ * Sound streams only. With the trouble, 2 of 12 runners crash at the same moment, twice, and later all processes of the
+ * system are killed and started again. Broken if less than a quarter of the requests sent `recover_s` after that is
+ * served, though a quarter or more was before the final fault.
  */
 import { createWriteStream } from 'node:fs'
 import { createEngines, wholeStream } from '../standin/engine.mjs'
@@ -11,29 +11,21 @@
 
 const hasTrouble = process.env.TROUBLE !== '0'
 const MACHINES = 3
-const RUNNERS = 8
-const SOUND_PER_S = 20
-const DEADLY_PER_S = hasTrouble ? 0.5 : 0
-const QUIET_MS = 8000
-const TROUBLE_MS = 30_000
-const MOST_REACHING = 3
+const RUNNERS = 12
+const CRASHED = 2
+const PER_S = 40
+const CRASHES_AT_MS = [10_000, 16_000]
+const FINAL_FAULT_AT_MS = 20_000
+const DOWN_MS = 1000
+const JUDGED_MS = 12_000
 const BUDGET_MS = 20_000
 const HOST = 'ficu95.example'
 const KEY = 'n2ctnfzs989anu6wsjnb'
 const FIRST_PART = '5c1e07a2'
-const DEADLY_PART = 'deadf00d'
 
 const record = createWriteStream(new URL('record.txt', import.meta.url))
 const startedMs = performance.now()
 const note = line => record.write(`${JSON.stringify({ ms: Math.round(performance.now() - startedMs), ...line })}\n`)
-const crashes = []
-const deadlyArrivals = []
-
-function seen (line) {
-  note(line)
-  if (line.what === 'arrived' && line.request.startsWith('d')) deadlyArrivals.push({ request: line.request, atMs: performance.now() })
-  if (line.what === 'crashed') crashes.push(performance.now())
-}
 
 const store = await startStore()
 store.put('config', 'main', {
@@ -43,47 +35,63 @@
   limits: { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 5000, idle_timeout_ms: 10_000 },
   tenants: [{ name: 'hule930', api_keys: [KEY] }]
 })
-const engines = createEngines({ store, service: 'kit-model', seen, deadlyPart: DEADLY_PART, hasEarlyHead: false })
+const engines = createEngines({ store, service: 'kit-model', seen: note })
 for (let i = 0; i < RUNNERS; i++) await engines.start(`bag-${'abcd'[i % 4]}`)
 const fleet = await startFleet({ count: MACHINES, storeAddress: store.address })
 const agents = fleet.machines.map(keptChannels)
 const results = []
 
-function ask (isDeadly, index) {
-  const id = `${isDeadly ? 'd' : 'a'}${index.toString(16).padStart(15, '0')}`
-  const machine = (isDeadly ? index + 1 : index) % MACHINES
-  const ownTokens = 5000 + (index * 7919) % 10_000
-  const parts = [`${FIRST_PART}:512`, `91bd3f${(index % 16).toString(16).padStart(2, '0')}:4870`, ...isDeadly ? [`${DEADLY_PART}:50`] : [], `${id}:${ownTokens}`]
-  note({ what: 'sent', request: id, machine: fleet.machines[machine].name, parts: parts.join() })
-  const headers = { 'x-lacewingstage-model': 'daka510000', 'x-lacewingstage-token-counts': `${5400 + ownTokens},64`, 'x-lacewingstage-prompt-prefix': parts.join() }
+function ask (index) {
+  const id = `a${index.toString(16).padStart(15, '0')}`
+  const machine = index % MACHINES
+  const ownTokens = 25_000 + (index * 7919) % 25_000
+  const prefix = [`${FIRST_PART}:512`, `91bd3f${(index % 172).toString(16).padStart(2, '0')}:4870`, `${id}:${ownTokens}`].join()
+  note({ what: 'sent', request: id, machine: fleet.machines[machine].name, prefix })
+  const headers = { 'x-lacewingstage-model': 'daka510000', 'x-lacewingstage-token-counts': `${5400 + ownTokens},64`, 'x-lacewingstage-prompt-prefix': prefix }
   return send({ address: fleet.machines[machine].front, agent: agents[machine], path: `/dossier/${index}`, host: HOST, id, key: KEY, budgetMs: BUDGET_MS, headers }).then(result => {
-    const isWhole = result.status === 200 && result.text === wholeStream()
-    results.push({ ...result, isDeadly, isWhole })
-    note({ what: 'answered', request: id, status: result.status, head: result.head, error: result.error, isWhole })
+    const isServed = result.status === 200 && result.text === wholeStream()
+    results.push({ ...result, isServed })
+    note({ what: 'answered', request: id, status: result.status, head: result.head, error: result.error, isServed })
   })
 }
 
+async function killAll () {
+  note({ what: 'all processes killed' })
+  for (const { child } of fleet.machines) child.kill('SIGKILL')
+  await sleep(DOWN_MS)
+  for (const machine of fleet.machines) fleet.start(machine)
+  note({ what: 'all processes started' })
+}
+
 const beginMs = performance.now()
-const troubleMs = beginMs + QUIET_MS
-const endMs = troubleMs + TROUBLE_MS
+const backMs = beginMs + FINAL_FAULT_AT_MS + DOWN_MS
+const judgedFromMs = backMs + 1000 * BOUNDS.recover_s
+if (hasTrouble) {
+  for (const atMs of CRASHES_AT_MS) {
+    setTimeout(() => {
+      note({ what: `${CRASHED} runners crash` })
+      engines.crashSome(CRASHED)
+    }, atMs)
+  }
+  setTimeout(() => void killAll(), FINAL_FAULT_AT_MS)
+}
 const pending = []
-for (let sound = 0, deadly = 0; performance.now() < endMs; await sleep(10)) {
-  const now = performance.now()
-  while (sound < (now - beginMs) / 1000 * SOUND_PER_S) pending.push(ask(false, sound++))
-  while (deadly < (now - troubleMs) / 1000 * DEADLY_PER_S) pending.push(ask(true, deadly++))
+for (let index = 0; performance.now() < judgedFromMs + JUDGED_MS; await sleep(10)) {
+  while (index < (performance.now() - beginMs) / 1000 * PER_S) pending.push(ask(index++))
 }
 await Promise.race([Promise.all(pending), sleep(5000)])
 
-const fromMs = (crashes[4] ?? Infinity) + BOUNDS.contact_ms
-const reaching = deadlyArrivals.filter(({ atMs }) => atMs > fromMs)
-const sound = results.filter(({ isDeadly }) => !isDeadly)
-const lost = list => list.filter(({ isWhole, status }) => !isWhole && status !== 503)
-const isJudged = sound.length > 300 && (!hasTrouble || crashes.length >= 5)
-const isBroken = isJudged && reaching.length > MOST_REACHING
-const summary = { what: 'verdict', crashes: crashes.length, reachingLate: reaching.length, sound: sound.length, soundWhole: sound.filter(({ isWhole }) => isWhole).length, soundLost: lost(sound).length, soundRefused: sound.filter(({ status }) => status === 503).length, isBroken }
+const shareServed = list => list.filter(({ isServed }) => isServed).length / Math.max(1, list.length)
+const before = results.filter(({ sentMs }) => sentMs < beginMs + FINAL_FAULT_AT_MS)
+const after = results.filter(({ sentMs }) => sentMs >= judgedFromMs)
+const statuses = {}
+for (const { status } of after) statuses[status] = (statuses[status] ?? 0) + 1
+const isJudged = before.length > 100 && after.length > 100
+const isBroken = isJudged && shareServed(before) >= 0.25 && shareServed(after) < 0.25
+const summary = { what: 'verdict', before: before.length, servedBefore: shareServed(before), after: after.length, servedAfter: shareServed(after), statusesAfter: statuses, isBroken }
 note(summary)
 console.log(JSON.stringify(summary))
-for (const { name, log } of fleet.machines) for (const line of log.join('').split('\n').filter(text => text.includes('parts of requests'))) record.write(`${name} ${line}\n`)
+for (const { name, log } of fleet.machines) for (const line of log.join('').split('\n').filter(text => text.includes('parts of requests') || text.includes('VM starts'))) record.write(`${name} ${line}\n`)
 fleet.stop()
 engines.close()
 store.close()
