--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -13,7 +13,7 @@
 const MACHINES = 3
 const RUNNERS = 14
 const FAILING_RUNNERS = 2
-const FAILING = { share: 0.45, atMs: [5000, 17_000], forMs: 6500 }
+const FAILING = { share: 0.4, atMs: [5000, 17_000], forMs: 6500 }
 const PER_S = 60
 const TRAFFIC_MS = 28_000
 const WORK_MS = 43
