--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -83,24 +83,38 @@
     When a caller sends the prompt shared,topic,own-2
     Then the caller gets every event once and the end of the stream
     When a caller sends the prompt shared,other,deadly,own-3
-    Then the caller is told to come back when the quarantine ends
+    Then the caller is told to come back when the first quarantine ends
     And the backend servers received 3 requests
+    When a caller sends the prompt shared,other,deadly,own-3 after the first quarantine
+    Then the caller gets status 502 with the body "-"
+    And the backend servers received 4 requests
+    When a caller sends the prompt shared,third,deadly,own-4
+    Then the caller is told to come back when the quarantine ends
+    And the backend servers received 4 requests
 
     Examples:
-      | crash                |
-      | stream-crash         |
-      | stream-comment-crash |
+      | crash                 |
+      | stream-crash          |
+      | stream-comment-crash  |
+
+  # Guards against sound prompts that are refused because a backend server has reset their connections after the head.
+  Scenario: a prompt whose streams backend servers reset without a crash is not quarantined
+    Given a forwarding VM with 4 backend servers that stream-head-reset, stream-head-reset, stream
+    When a caller sends the prompt shared,topic,own-1
+    Then the caller gets every event once and the end of the stream
+    And the backend servers received 3 requests
 
   # Guards against a VM that starts after the crashes, or restarts, and sends the deadly part to engines again.
   Scenario: a VM that starts later refuses a quarantined prompt part
     Given a forwarding VM with 4 backend servers that stream-crash
     When a caller sends the prompt shared,topic,deadly,own-1
     And a caller sends the prompt shared,topic,own-2
+    And a caller sends the prompt shared,other,deadly,own-3 after the first quarantine
     Then the store holds 1 quarantine
     When all VMs are replaced by a new one
-    And a caller sends the prompt shared,other,deadly,own-3
+    And a caller sends the prompt shared,other,deadly,own-4
     Then the caller is told to come back when the quarantine ends
-    And the backend servers received 3 requests
+    And the backend servers received 4 requests
 
   # Guards against a request that crashes each backend server that runs it and comes again under other ids.
   Scenario Outline: a request to <path> that crashes backend servers is refused when it comes again, and others of its route are served
@@ -123,7 +137,7 @@
       | /read/deadly      | /read/1   | 4        |
       | /order/deadly     | /order/1  | 4        |
       | /read/deadly-late | /read/1   | 4        |
-      | /stream/deadly    | /stream/1 | 3        |
+      | /stream/deadly    | /stream/1 | 4        |
 
   # Guards against sound requests that are refused because a backend server has reset their connections.
   Scenario: a request whose connections backend servers reset without a crash is not quarantined
@@ -595,6 +609,7 @@
     Given a copy of the store from before the start of a VM with 4 backend servers that stream-crash
     When a caller sends the prompt shared,topic,deadly,own-1
     And a caller sends the prompt shared,topic,own-2
+    And a caller sends the prompt shared,other,deadly,own-3 after the first quarantine
     Then the store holds 1 quarantine
     When the store is restored from the copy
     Then the VM is registered
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -111,6 +111,7 @@
       | a,deadly,1@s1 b,deadly,2@s2                              | deadly,c,3   | refused  |
       | a,deadly,1@s1 a,deadly,1@s2 b,deadly,2@s3                | c,deadly,3   | refused  |
       | a,d,1@s1 a,d,1@s2 b,d,2@s3 a,rare,9@s1 a,rare,9@s2       | a,rare,9     | accepted |
+      | a,deadly,1@s1 b,deadly,2@s2 c,deadly,3@s3@6000           | d,deadly,4   | refused  |
       | 1@s1 1@s2                                                | 1            | accepted |
 
   Scenario: the quarantine of a prompt part ends when a response to it gets past its first event
@@ -124,7 +125,7 @@
 
   Scenario: the quarantine of a prompt part ends ten minutes after the last crash
     Given 9 VMs that exchange evidence about prompt parts
-    When each of these crashes is seen by another VM: a,deadly,1@s1 b,deadly,2@s2
+    When each of these crashes is seen by another VM: a,deadly,1@s1 b,deadly,2@s2 c,deadly,3@s3@6000
     And the VMs exchange evidence for 590000 ms
     Then the prompt c,deadly,3 is refused on all VMs
     When the VMs exchange evidence for 20000 ms
@@ -212,11 +213,61 @@
     When 4100 ms pass and there is a response to one more part
     Then the responses to the latest 1 parts are known
 
-  # Guards against a prompt part that turns deadly and is spared because it was sound before.
-  Scenario: a part that engines crash on while they run it is refused, whatever responses came before
+  # Guards against a prompt part that turns deadly and is spared for longer than all VMs may take to know of it, because it was sound before.
+  Scenario: a part that engines crash on is refused 3 s later, whatever responses came before
     Given 9 VMs that exchange evidence about prompt parts
     When one VM gets the first event of the prompt a,part,3
     And the VMs exchange evidence for 300 ms
     And each of these crashes is seen by another VM: a,part,1@s1 b,part,2@s2
-    And the VMs exchange evidence for 600 ms
+    And the VMs exchange evidence for 3000 ms
     Then the prompt c,part,4 is refused on all VMs
+
+  # Guards against the refusal of a route for ten minutes, because two engines crashed for another reason.
+  Scenario Outline: after two crashes with a part that <others> have in common, it is <state> <ms> ms later
+    Given 9 VMs that exchange evidence about prompt parts
+    When one VM gets the first event of the prompt common,2
+    And the VMs exchange evidence for 300 ms
+    And each of these crashes is seen by another VM: <crashes>
+    And the VMs exchange evidence for <ms> ms
+    Then the prompt <prompt> is <state> on all VMs
+
+    Examples:
+      | others         | crashes                   | prompt        | ms    | state    |
+      | sound requests | common,a,1@s1 common,b,2@s2 | common,c,3  | 600   | accepted |
+      | no others      | rare,a,1@s1 rare,b,2@s2     | rare,c,3    | 600   | refused  |
+      | no others      | rare,a,1@s1 rare,b,2@s2     | rare,c,3    | 10500 | accepted |
+
+  # Guards against blame on sound requests that an engine only held while it ran the one that crashed it.
+  Scenario: of the requests that were open at a crash, those whose response had begun are suspected
+    Given 9 VMs that exchange evidence about prompt parts
+    When each of these crashes is seen by another VM: a,deadly,1@s1 b,deadly,2@s2
+    And each of these crashes with open requests is seen by another VM: sound@s1 sound@s2
+    And the VMs exchange evidence for 2000 ms
+    Then the request sound is accepted on all VMs
+    And the prompt c,deadly,3 is refused on all VMs
+
+  # Guards against a deadly part that many requests bring back at once when its first quarantine ends.
+  Scenario: a suspected part is tried with one request at a time
+    Given 9 VMs that exchange evidence about prompt parts
+    When each of these crashes is seen by another VM: a,deadly,1@s1 b,deadly,2@s2
+    And the VMs exchange evidence for 11000 ms
+    Then each VM admits 1 of 3 requests with the prompt c,deadly,3
+    When one VM gets the first event of the prompt c,deadly,4
+    And the VMs exchange evidence for 600 ms
+    Then each VM admits 3 of 3 requests with the prompt c,deadly,3
+
+  # Guards against quarantines that refuse sound requests, or that never stop deadly ones, whatever the moment of the head of a stream.
+  Scenario Outline: <count> seeded fleets with <trouble> stop what is deadly and serve the rest when heads come <heads>
+    When <count> seeded fleets have <trouble> and heads that come <heads>
+    Then each of them stops the deadly requests and serves the sound ones
+
+    Examples:
+      | count | trouble                            | heads                |
+      | 12    | a deadly part                      | early                |
+      | 12    | a sound part that turns deadly     | early                |
+      | 12    | other crashes                      | early                |
+      | 12    | a deadly part beside other crashes | early                |
+      | 12    | resets                             | early                |
+      | 12    | a deadly part                      | before a crash       |
+      | 12    | a sound part that turns deadly     | before a crash       |
+      | 12    | a deadly part beside other crashes | before a crash       |
--- /dev/null
+++ b/features/steps/crash-worlds.ts
@@ -0,0 +1,17 @@
+import assert from 'node:assert/strict'
+import { Then, When } from '@cucumber/cucumber'
+import { playCrashWorld, type Heads, type Trouble } from '../support/crash-world.ts'
+
+interface CrashWorlds { broken: string[] }
+
+When(/^(\d+) seeded fleets have (.*) and heads that come (.*)$/, { timeout: 120_000 }, async function (this: CrashWorlds, count: string, trouble: Trouble, heads: Heads) {
+  this.broken = []
+  for (let seed = 1; seed <= Number(count); seed++) {
+    const { brokenRules } = await playCrashWorld({ seed, heads, trouble })
+    for (const rule of brokenRules) this.broken.push(`seed ${seed}: ${rule}`)
+  }
+})
+
+Then('each of them stops the deadly requests and serves the sound ones', function (this: CrashWorlds) {
+  assert.deepEqual(this.broken, [])
+})
--- a/features/steps/prompt-parts.ts
+++ b/features/steps/prompt-parts.ts
@@ -91,6 +91,17 @@
   assert.deepEqual([...new Set(states)], [expected])
 })
 
+const isAdmitted = (quarantine: PartQuarantine, prompt: string) => quarantine.admit(partsOf(prompt)) !== 'refused'
+
+Then(/^each VM admits (\d+) of (\d+) requests with the prompt (\S+)$/, function (this: PartsWorld, admitted: string, asked: string, prompt: string) {
+  const counts = this.vms.map(({ quarantine }) => Array.from({ length: Number(asked) }, () => isAdmitted(quarantine, prompt)).filter(Boolean).length)
+  assert.deepEqual([...new Set(counts)], [Number(admitted)])
+})
+
+Then(/^(\d+) VMs? admits? a request with the prompt (\S+)$/, function (this: PartsWorld, count: string, prompt: string) {
+  assert.equal(this.vms.filter(({ quarantine }) => isAdmitted(quarantine, prompt)).length, Number(count))
+})
+
 Then(/^the request (\S+) is accepted on (\d+) VMs?$/, function (this: PartsWorld, name: string, count: string) {
   assert.equal(this.vms.filter(({ quarantine }) => quarantine.remainingMs([name]) === 0).length, Number(count))
 })
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -8,7 +8,7 @@
   | 'low-status' | 'switch-protocols' | 'empty-header-name' | 'stream-empty-header-name' | 'trailer'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
-  | 'stream-crash' | 'stream-comment-crash' | 'stream' | 'stream-break-mid-event' | 'stream-break-late' | 'stream-gap' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-late' | 'stream-low-confidence' | 'stream-slow'
+  | 'stream-crash' | 'stream-comment-crash' | 'stream-head-reset' | 'stream' | 'stream-break-mid-event' | 'stream-break-late' | 'stream-gap' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-late' | 'stream-low-confidence' | 'stream-slow'
 
 export interface ScriptedBackend {
   address: string
@@ -154,18 +154,23 @@
     'endless-trailer': () => writeEndlessly(`HTTP/1.1 200 OK\r\n${identityHeaders}transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n`, `x-filler: ${filler.slice(0, 1000)}\r\n`),
     'stream-endless-event': () => writeEndlessly(chunked + chunk(event(after + 1)), chunk(filler)),
     'stream-endless-chunk-extension': () => writeEndlessly(chunked + chunk(event(after + 1)) + '5;', filler),
-    // Ends a response to a prompt with the part "deadly" before the first event.
+    // Ends the backend server at a prompt with the part "deadly", after the head of the response and before its first event.
     'stream-crash': () => {
       if (!isDeadlyPrompt) return behaviours.stream()
       socket.write(chunked)
-      setTimeout(() => socket.destroy(), 20)
+      setTimeout(crash, 20)
     },
     // The same after a comment.
     'stream-comment-crash': () => {
       const commented = chunked + chunk(': wait\n\n')
       if (!isDeadlyPrompt) return finish(commented + all.map(chunk).join('') + '0\r\n\r\n')
       socket.write(commented)
-      setTimeout(() => socket.destroy(), 20)
+      setTimeout(crash, 20)
+    },
+    // Ends only the connection after the head of the response.
+    'stream-head-reset': () => {
+      socket.write(chunked)
+      setTimeout(() => socket.resetAndDestroy(), 20)
     },
     stream: () => finish(chunked + all.map(chunk).join('') + '0\r\n\r\n'),
     'stream-break-mid-event': () => {
--- a/src/core/forwarding/crash-evidence.ts
+++ b/src/core/forwarding/crash-evidence.ts
@@ -24,37 +24,45 @@
 export interface CrashEvidence {
   /** Time for which the request is refused, in milliseconds; 0 if it is not. */
   remainingMs(): number
+  /** Whether the request is refused now; one that is not may be the trial of a quarantine. */
+  isRefused(): boolean
   /** Calls `onQuarantined` as soon as the request is refused; returns a function that cancels this. */
   watch(onQuarantined: () => void): () => void
-  /** Records that a backend server ended a stream between its head and its first event. */
-  recordBrokenStream(backend: Backend): void
-  /** Records a connection that ended without a complete response, if the process of the backend server has ended. */
-  recordLostResponse(backend: Backend): Promise<void>
-  /** Records that a backend server got through the point at which others crashed; `begunMs` is the monotonic time at which it began. */
+  /**
+   * Records a connection that ended without a complete response, or before the first event of a stream, if the process of
+   * the backend server has ended. `hadHead` states whether the head of a stream had come.
+   */
+  recordLostResponse(backend: Backend, options?: { hadHead?: boolean }): Promise<void>
+  /** Records that a backend server got through the point at which others crashed; `begunMs` is a monotonic time before which it did not. */
   recordSurvival(begunMs: number): void
 }
 
 export interface CrashEvidenceOptions {
   quarantine: PartQuarantine
+  /** Whether the process of a backend server has ended. Default: whether its address refuses connections. */
+  hasEnded?: (backend: Backend) => Promise<boolean>
   log: DecisionLog
 }
 
-export function createCrashEvidence ({ request, team, body }: IdentifiedRequest, { quarantine, log }: CrashEvidenceOptions): CrashEvidence {
-  const wholeRequest = fingerprint(request, team, body)
-  const parts = [...sharedParts(request), wholeRequest]
-
-  function record (backend: Backend, crashedParts: readonly string[], wasRunning: boolean): void {
-    log.request('open_at_crash', { id: request.id, backendServer: backend.entry.id, parts: crashedParts, wasRunning })
-    quarantine.recordCrash(crashOf(backend), crashedParts, { wasRunning })
-  }
+export function createCrashEvidence ({ request, team, body }: IdentifiedRequest, { quarantine, hasEnded = refusesConnections, log }: CrashEvidenceOptions): CrashEvidence {
+  const parts = [...sharedParts(request), fingerprint(request, team, body)]
+  let isTrial = false
 
   return {
     remainingMs: () => quarantine.remainingMs(parts),
+    isRefused () {
+      if (isTrial && quarantine.remainingMs(parts) === 0) return false
+      const admission = quarantine.admit(parts)
+      isTrial = admission === 'trial'
+      return admission === 'refused'
+    },
     watch: onQuarantined => quarantine.watch(parts, onQuarantined),
-    recordBrokenStream (backend) { record(backend, parts, true) },
-    async recordLostResponse (backend) {
+    async recordLostResponse (backend, { hadHead: wasRunning = false } = {}) {
       // A backend server that is still there has reset a single connection.
-      if (await refusesConnections(backend.entry.address)) record(backend, [wholeRequest], false)
+      if (!await hasEnded(backend)) return
+      isTrial = false
+      log.request('open_at_crash', { id: request.id, backendServer: backend.entry.id, parts, wasRunning })
+      quarantine.recordCrash(crashOf(backend), parts, { wasRunning })
     },
     recordSurvival (begunMs) { quarantine.recordSurvival(parts, begunMs) }
   }
@@ -79,8 +87,19 @@
   return `request-${hash.digest('hex').slice(0, 32)}`
 }
 
-/** Whether nothing listens at an address any more, because the process that did has ended. */
-function refusesConnections (address: string): Promise<boolean> {
+/** Checks that have not ended yet: a crash breaks all streams of a backend server at once, and one connection tells. */
+const openChecks = new WeakMap<Backend, Promise<boolean>>()
+
+/** Whether nothing listens at the address of a backend server any more, because the process that did has ended. */
+function refusesConnections (backend: Backend): Promise<boolean> {
+  const openCheck = openChecks.get(backend)
+  if (openCheck) return openCheck
+  const check = connectionIsRefused(backend.entry.address).finally(() => openChecks.delete(backend))
+  openChecks.set(backend, check)
+  return check
+}
+
+function connectionIsRefused (address: string): Promise<boolean> {
   const [host, port] = address.split(':')
   return new Promise(resolve => {
     const socket = connect({ host: host!, port: Number(port), timeout: CRASH_CHECK_TIMEOUT_MS })
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -147,7 +147,8 @@
       progress.isFinished = true
       progress.currentExchange?.abort(reason)
       log.request('failed', { id: request.id, route: route.name, error, reason, attempts: progress.attempts, afterMs: Math.round(clock.now() - receivedMs) })
-      const retryAfterMs = error === 'prompt_quarantined' ? progress.crashEvidence.remainingMs() : (RETRY_AFTER_S + random() * RETRY_AFTER_JITTER_S) * 1000
+      const quarantineMs = error === 'prompt_quarantined' ? progress.crashEvidence.remainingMs() : 0
+      const retryAfterMs = quarantineMs || (RETRY_AFTER_S + random() * RETRY_AFTER_JITTER_S) * 1000
       caller.fail(new GatewayError(error, { retryAfterMs }))
     }
 
@@ -197,7 +198,7 @@
   }
 
   function isQuarantined ({ crashEvidence }: RequestProgress): boolean {
-    const isRefused = crashEvidence.remainingMs() > 0
+    const isRefused = crashEvidence.isRefused()
     if (isRefused) metrics.count('refusals', 'prompt_quarantined')
     return isRefused
   }
@@ -263,11 +264,11 @@
         if (route.kind !== 'streaming' && !exchange.isAborted()) await progress.crashEvidence.recordLostResponse(backend)
         return retryOrFail(route, backend, result.reason)
       }
-      const headMs = clock.now()
-      backend.lastReceivedMs = headMs
+      backend.lastReceivedMs = clock.now()
       const recordSurvival = () => {
         cancelQuarantineWatch()
-        progress.crashEvidence.recordSurvival(route.kind === 'streaming' ? headMs : sentMs)
+        // The first event of a stream is written when the answer begins, however early its head came.
+        progress.crashEvidence.recordSurvival(route.kind === 'streaming' ? clock.now() : sentMs)
       }
       return await handleResponse(forwarded, progress, { backend, exchange, head: result.head, body: result.body, recordSurvival, recordEvent: observation.recordEvent, endAttempt, reserveFailover, reserveRepeat, endPrompt: reservation.endPrompt, cancelResponseTimer })
     } finally {
@@ -345,8 +346,8 @@
       if (exchange.isAborted()) return endAborted()
       const relayed = await relayEvents({ ...response, onFirstEvent: response.recordSurvival, caller, route, lastEventId: progress.lastEventId, clock })
       progress.lastEventId = relayed.lastEventId
-      if (relayed.endedBeforeFirstEvent) progress.crashEvidence.recordBrokenStream(backend)
       endAttempt(relayed.kind === 'broken' ? 'failed' : 'completed')
+      if (relayed.endedBeforeFirstEvent) await progress.crashEvidence.recordLostResponse(backend, { hadHead: true })
       if (relayed.kind === 'complete') {
         metrics.count('requests', 'answered')
         logResponse(forwarded, progress, backend, head)
--- a/src/core/gateway/run.ts
+++ b/src/core/gateway/run.ts
@@ -165,7 +165,6 @@
   let firstTokenMs: number | undefined
   let outcome: PermitOutcome = 'failed'
   let instance: string | undefined
-  let begunMs = startedAt
   call.attempts++
   explain.add(call.request, tokensBefore > 0 ? 'resume' : 'dispatch', `${permit.backendServer} runs ${tier.choice.version}`)
   try {
@@ -173,10 +172,9 @@
       markSent(call, tier)
       if (event.type === 'started') {
         instance = event.instance
-        begunMs = clock.now()
         permits.reportFirstByte(permit, instance)
       } else if (event.type === 'delta') {
-        if (firstTokenMs === undefined) quarantine.parts.recordSurvival(sharedMessageHashes(call.body.messages), begunMs)
+        if (firstTokenMs === undefined) quarantine.parts.recordSurvival(sharedMessageHashes(call.body.messages), clock.now())
         firstTokenMs ??= clock.now() - startedAt
         tier.firstTokenMs ??= clock.now() - call.startedAt
         await deliver(deps, call, tier, event)
--- a/src/core/quarantine/constants.ts
+++ b/src/core/quarantine/constants.ts
@@ -2,24 +2,28 @@
 
 export const CRASH_LIMIT = 2
 export const QUARANTINE_DURATION_MS = 600_000
-/** Crashes from which on a request that backend servers only held is at fault, if they are not of one moment; sound requests beside it rarely meet as many. */
-export const UNCERTAIN_CRASH_LIMIT = 3
+/** Crashes from which on a part is at fault, if they are not of one moment; sound requests beside it rarely meet as many. */
+export const CERTAIN_CRASH_LIMIT = 3
 /** Time within which crashes have one common cause: requests that are open together are retried together, for about a second. */
 export const SAME_MOMENT_MS = 1500
 /** Time within which reports of crashes of one instance are about the same crash; a backend server is away for longer after a crash. */
 export const SAME_CRASH_MS = 1000
 /**
- * Time for which a response shows that a request is sound. A request that turns deadly escapes the quarantine for so
+ * Time for which a response shows that its parts are sound. A part that turns deadly escapes the quarantine for so
  * long, which is less than the time in which all VMs must know of it.
  */
 export const SOUND_AFTER_SURVIVAL_MS = 2000
 /** Maximum number of parts whose recent responses are kept; the oldest are evicted first. */
 export const MAX_RECENT_SURVIVALS = 2000
 /**
- * Quarantine of such a request after fewer crashes, on the first VM that accepts it again; on the last one it is twice as
- * long. It outlasts the absence of a crashed backend server, so that the next attempt shows who was at fault.
+ * Quarantine of a part after fewer crashes, on the first VM that accepts it again; on the last one it is twice as
+ * long, or longer by MAX_TRIAL_SPREAD after many crashes of one moment. It outlasts the absence of a crashed backend server, so that the next attempt shows who was at fault.
  */
 export const UNCERTAIN_QUARANTINE_DURATION_MS = 5000
+/** Time after which a trial that gave no result, for example because its caller left, is repeated; longer than most prompts are read. */
+export const UNCERTAIN_TRIAL_REPEAT_MS = 2000
+/** Maximum factor of the time from the first VM that accepts a suspected part again to the last one. */
+export const MAX_TRIAL_SPREAD = 4
 /** Maximum number of recorded fingerprints; suspect ones are evicted before quarantined ones. */
 export const MAX_ENTRIES = 10_000
 /** Maximum number of crashes recorded for one fingerprint. */
--- a/src/core/quarantine/request-parts.ts
+++ b/src/core/quarantine/request-parts.ts
@@ -8,7 +8,7 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { BackendServerId } from '../ids/index.ts'
-import { EVIDENCE_REPORT_MS, MAX_PART_CRASHES, QUARANTINE_DURATION_MS, SAME_CRASH_MS, SOUND_AFTER_SURVIVAL_MS, UNCERTAIN_QUARANTINE_DURATION_MS } from './constants.ts'
+import { CERTAIN_CRASH_LIMIT, EVIDENCE_REPORT_MS, MAX_PART_CRASHES, MAX_TRIAL_SPREAD, QUARANTINE_DURATION_MS, SAME_CRASH_MS, SOUND_AFTER_SURVIVAL_MS, UNCERTAIN_QUARANTINE_DURATION_MS, UNCERTAIN_TRIAL_REPEAT_MS } from './constants.ts'
 import { findSuspects, type PartCrash, type Suspect } from './part-suspects.ts'
 import { createRecentSurvivals } from './recent-survivals.ts'
 
@@ -28,16 +28,21 @@
   survivals: Record<string, number>
 }
 
+export type Admission = 'accepted' | 'trial' | 'refused'
+
 export interface PartQuarantine {
   /**
-   * Records that a backend server crashed while a request was open there; `parts` are its parts that may be at fault.
-   * `wasRunning` states whether it had begun the request (default), or may only have held it. Returns whether this is new.
+   * Records that a backend server crashed while a request was open there that had no part of its answer yet; `parts` are
+   * its parts that may be at fault. `wasRunning` states whether the head of the response had come (default). Returns
+   * whether this is new.
    */
   recordCrash(crash: BackendCrash, parts: readonly string[], options?: { wasRunning?: boolean }): boolean
-  /** Records a response that a backend server began at `begunMs` on the monotonic clock and that got past the point of a crash. Returns whether it clears a part. */
+  /** Records a response that got past the point of a crash; the backend server began to write it at `begunMs` on the monotonic clock or later. Returns whether it clears a part. */
   recordSurvival(parts: readonly string[], begunMs: number): boolean
   /** Time for which requests with these parts are refused, in milliseconds; 0 if they are not. */
   remainingMs(parts: readonly string[]): number
+  /** Decides about a request with these parts. A suspicion that has no response against it admits one request at a time, the trial. */
+  admit(parts: readonly string[]): Admission
   /** Calls `onQuarantined` as soon as requests with these parts are refused; returns a function that cancels this. */
   watch(parts: readonly string[], onQuarantined: () => void): () => void
   /** The certain quarantines, with the crashes that are the evidence against exactly their parts. */
@@ -66,11 +71,13 @@
 interface RecordedCrash extends PartCrash { reportedInstance: string, learnedMs: number, isOwn: boolean }
 
 /**
- * Whether a response that was begun at a time shows that a part was not at fault at a crash. A request that backend
- * servers only held is also cleared by a response from shortly before: many callers may send the same sound request.
+ * What the latest response to a part says about a crash with it. One that was begun after the crash clears the part. One
+ * from shortly before speaks for it as well: many requests share a part, and those that were open at the crash are no
+ * evidence against it. But a part may turn deadly, so that is believed only while the next response can be awaited.
  */
-function clears (begunMs: number | undefined, { atMs, wasRunning }: PartCrash): boolean {
-  return begunMs !== undefined && begunMs > atMs - (wasRunning ? 0 : SOUND_AFTER_SURVIVAL_MS)
+function verdict (begunMs: number | undefined, { atMs }: PartCrash): 'cleared' | 'likely_sound' | 'open' {
+  if (begunMs === undefined || begunMs <= atMs - SOUND_AFTER_SURVIVAL_MS) return 'open'
+  return begunMs > atMs ? 'cleared' : 'likely_sound'
 }
 
 export function createPartQuarantine ({ onQuarantined = () => {}, onEnded = () => {}, trialPlace = () => 0, clock, log, metrics }: PartQuarantineOptions): PartQuarantine {
@@ -84,6 +91,8 @@
   let suspects: Suspect[] = []
   /** The quarantines that have started, by the names of their parts in one text. */
   const started = new Map<string, Suspect>()
+  /** When the latest trial on this VM began, by the names of the suspected parts in one text. */
+  const trialsMs = new Map<string, number>()
 
   function add ({ backendServer, instance: reportedInstance, parts, wasRunning, atMs }: PartCrash, isOwn: boolean): boolean {
     const instance = runOf(reportedInstance, atMs)
@@ -95,6 +104,8 @@
       const begunMs = recentSurvivals.begunMs(part)
       if (begunMs !== undefined) addSurvival(part, begunMs)
     }
+    // The responses from before the crash speak for its parts until then.
+    clock.after(Math.max(0, atMs + SOUND_AFTER_SURVIVAL_MS - clock.now()), update)
     metrics.count('quarantined', isOwn ? 'part_crash_seen' : 'part_crash_reported')
     return true
   }
@@ -112,7 +123,7 @@
     const known = survivals.get(part)
     if (known && known.begunMs >= begunMs) return false
     // Only what clears a part of a recorded crash is kept and reported.
-    const isClearing = (crash: PartCrash) => crash.parts.includes(part) && clears(begunMs, crash) && !clears(known?.begunMs, crash)
+    const isClearing = (crash: PartCrash) => crash.parts.includes(part) && verdict(begunMs, crash) !== 'open' && verdict(known?.begunMs, crash) !== 'cleared'
     if (![...crashes.values()].some(isClearing)) return false
     survivals.set(part, { begunMs, learnedMs: clock.now() })
     return true
@@ -121,8 +132,13 @@
   function update (): void {
     for (const [key, { atMs }] of crashes) if (clock.now() - atMs >= QUARANTINE_DURATION_MS) crashes.delete(key)
     if (crashes.size === 0) survivals.clear()
-    const isCleared = (part: string, crash: PartCrash) => clears(survivals.get(part)?.begunMs, crash)
-    suspects = findSuspects([...crashes.values()], isCleared)
+    suspects = findSuspects([...crashes.values()], {
+      isCleared (part, crash) {
+        const found = verdict(survivals.get(part)?.begunMs, crash)
+        return found === 'cleared' || (found === 'likely_sound' && clock.now() - crash.atMs < SOUND_AFTER_SURVIVAL_MS)
+      },
+      isLikelySound: (part, crash) => verdict(survivals.get(part)?.begunMs, crash) === 'likely_sound'
+    })
     const current = new Map(suspects.map(suspect => [suspect.parts.join(), suspect]))
     for (const [key, suspect] of current) if (!started.has(key) || (suspect.isCertain && !started.get(key)!.isCertain)) start(key, suspect)
     for (const [key, suspect] of [...started]) if (!current.has(key)) end(key, suspect)
@@ -144,6 +160,7 @@
 
   function end (key: string, { parts, isCertain }: Suspect): void {
     started.delete(key)
+    trialsMs.delete(key)
     metrics.count('quarantined', 'part_lifted')
     log.info('quarantine of parts of requests ended', { parts })
     if (isCertain) onEnded(parts)
@@ -157,8 +174,17 @@
     return suspects.filter(suspect => suspect.parts.every(part => parts.includes(part)))
   }
 
-  function durationMs ({ parts, isCertain }: Suspect): number {
-    return isCertain ? QUARANTINE_DURATION_MS : UNCERTAIN_QUARANTINE_DURATION_MS * (1 + trialPlace(parts))
+  function durationMs ({ parts, crashCount, isCertain }: Suspect): number {
+    if (isCertain) return QUARANTINE_DURATION_MS
+    // The trials of the VMs are further apart if there were many crashes, so that all know the result of one before the next.
+    const spread = Math.min(MAX_TRIAL_SPREAD, Math.max(1, crashCount - CERTAIN_CRASH_LIMIT))
+    return UNCERTAIN_QUARANTINE_DURATION_MS * (1 + spread * trialPlace(parts))
+  }
+
+  /** Whether this VM may let one request through to find out whether a suspected part still crashes backend servers. */
+  function isTrialDue (suspect: Suspect): boolean {
+    if (suspect.isCertain || clock.now() - suspect.lastCrashMs < durationMs(suspect)) return false
+    return clock.now() - (trialsMs.get(suspect.parts.join()) ?? -Infinity) >= UNCERTAIN_TRIAL_REPEAT_MS
   }
 
   function toReport ({ backendServer, reportedInstance: instance, parts, wasRunning, atMs }: RecordedCrash): ReportedPartCrash {
@@ -181,6 +207,15 @@
       return isNew
     },
     remainingMs,
+    admit (parts) {
+      const suspected = matching(parts)
+      if (suspected.length === 0) return 'accepted'
+      if (!suspected.every(isTrialDue)) return 'refused'
+      for (const suspect of suspected) trialsMs.set(suspect.parts.join(), clock.now())
+      metrics.count('quarantined', 'part_trial')
+      log.info('one request is admitted with suspected parts', { parts: suspected.flatMap(suspect => suspect.parts) })
+      return 'trial'
+    },
     watch (parts, onQuarantined) {
       const watcher = { parts, onQuarantined }
       watchers.add(watcher)
