--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -1,6 +1,7 @@
 @forwarding
 Feature: Forwarding of callers' requests
 
+  # Guards, among others, against a status that promises that a request was not run although a backend server has run it.
   Scenario Outline: a <kind> request gets status <status> from backend servers that <behaviours>
     Given a forwarding VM with 2 backend servers that <behaviours>
     When a caller sends a request to /<kind>/1
@@ -13,6 +14,9 @@
       | order | answer-500                          | 500    | failed | 1        |
       | order | reset                               | 502    | -      | 1        |
       | order | not-run                             | 503    | -      | 1        |
+      | order | answer-503                          | 502    | -      | 1        |
+      | order | answer-429                          | 502    | -      | 1        |
+      | order | answer-408                          | 502    | -      | 1        |
       | order | misdirected                         | 503    | -      | 1        |
       | order | cut-body                            | 502    | -      | 1        |
       | order | foreign-id                          | 502    | -      | 1        |
@@ -34,6 +38,9 @@
       | read  | foreign-id, answer                  | 200    | whole  | 2        |
       | read  | silent, answer                      | 200    | whole  | 2        |
       | read  | answer-500                          | 500    | failed | 3        |
+      | read  | answer-503, answer                  | 200    | whole  | 2        |
+      | read  | answer-429                          | 502    | -      | 3        |
+      | stream | answer-503                         | 502    | -      | 3        |
       | read  | reset                               | 502    | -      | 3        |
 
   # Guards against a process that ends with all open requests when the handling of one request throws.
--- a/src/core/forwarding/constants.ts
+++ b/src/core/forwarding/constants.ts
@@ -14,6 +14,8 @@
 export const MAX_BUFFERED_RESPONSE_BYTES = 4 * 1024 * 1024
 /** Largest event of a stream; a larger one cannot be told from bytes without end. */
 export const MAX_EVENT_BYTES = 1024 * 1024
+/** Statuses that promise a caller that its request was not run and never will be. */
+export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 /** Interim responses (1xx) after which a backend server that sends no final one has failed. */
 export const MAX_INTERIM_RESPONSES = 100
 /** Minimum time that must be left before the deadline for an attempt to start. */
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -10,7 +10,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { PartQuarantine } from '../quarantine/request-parts.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
-import { DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CONNECT_ATTEMPTS, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
+import { DEFAULT_TIMEOUT_MS, ESCALATION_SHARE, MAX_CONNECT_ATTEMPTS, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, NOT_RUN_STATUSES, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
 import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, type AttemptOutcome } from './attempt-outcome.ts'
 import { readPendingInput } from './pending-input.ts'
 import { pollAfter } from './poll-after.ts'
@@ -326,13 +326,20 @@
       endAttempt('failed')
       return retryOrFail(route, backend, 'aborted')
     }
-    const failed = head.status >= 500
+    // A backend server that has not stated that it did not run the request may have run it, whatever its status promises.
+    const isFalsePromise = NOT_RUN_STATUSES.has(head.status)
+    const failed = head.status >= 500 || isFalsePromise
     if (failed && !caller.hasStarted() && await response.reserveRepeat({ hasFailed: true, model: progress.model })) {
       if (route.kind !== 'streaming') response.recordSurvival()
       exchange.abort('failed')
       endAttempt('failed')
       return { kind: 'next', reason: `status ${head.status}`, backend }
     }
+    if (isFalsePromise) {
+      exchange.abort('failed')
+      endAttempt('failed')
+      return { kind: 'failed', error: caller.hasStarted() ? 'answer_truncated' : 'backend_failed', reason: `status ${head.status} after the request may have run` }
+    }
     if (route.kind === 'streaming' && head.status < 300) {
       const model = route.models[route.models.length - 1]
       if (shouldEscalate(forwarded, progress, head) && await response.reserveRepeat({ hasFailed: progress.hasFailed, model, fraction: ESCALATION_SHARE })) {
