--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -103,6 +103,7 @@
       | crash                 |
       | stream-crash          |
       | stream-comment-crash  |
+      | stream-headless-crash |
 
   # Guards against sound prompts that are refused because a backend server has reset their connections after the head.
   Scenario: a prompt whose streams backend servers reset without a crash is not quarantined
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -268,6 +268,10 @@
       | 12    | other crashes                      | early                |
       | 12    | a deadly part beside other crashes | early                |
       | 12    | resets                             | early                |
+      | 12    | a deadly part                      | with the first event |
+      | 12    | a sound part that turns deadly     | with the first event |
+      | 12    | other crashes                      | with the first event |
+      | 12    | a deadly part beside other crashes | with the first event |
       | 12    | a deadly part                      | before a crash       |
       | 12    | a sound part that turns deadly     | before a crash       |
       | 12    | a deadly part beside other crashes | before a crash       |
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -8,7 +8,7 @@
   | 'low-status' | 'switch-protocols' | 'empty-header-name' | 'stream-empty-header-name' | 'trailer'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
-  | 'stream-crash' | 'stream-comment-crash' | 'stream-head-reset' | 'stream' | 'stream-break-mid-event' | 'stream-break-late' | 'stream-gap' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-late' | 'stream-low-confidence' | 'stream-slow'
+  | 'stream-crash' | 'stream-comment-crash' | 'stream-headless-crash' | 'stream-head-reset' | 'stream' | 'stream-break-mid-event' | 'stream-break-late' | 'stream-gap' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-late' | 'stream-low-confidence' | 'stream-slow'
 
 export interface ScriptedBackend {
   address: string
@@ -171,6 +171,11 @@
       socket.write(commented)
       setTimeout(crash, 20)
     },
+    // The same before the head.
+    'stream-headless-crash': () => {
+      if (!isDeadlyPrompt) return behaviours.stream()
+      setTimeout(crash, 20)
+    },
     // Ends only the connection after the head of the response.
     'stream-head-reset': () => {
       socket.write(chunked)
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -261,7 +261,7 @@
         }
         progress.mayHaveRun = true
         endAttempt('failed')
-        if (route.kind !== 'streaming' && !exchange.isAborted()) await progress.crashEvidence.recordLostResponse(backend)
+        if (!exchange.isAborted()) await progress.crashEvidence.recordLostResponse(backend)
         return retryOrFail(route, backend, result.reason)
       }
       backend.lastReceivedMs = clock.now()
