--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -256,6 +256,24 @@
     And the VMs exchange evidence for 600 ms
     Then each VM admits 3 of 3 requests with the prompt c,deadly,3
 
+  # Guards against a wrong quarantine that nothing can end, and against trials that cost more backend servers than the users allow.
+  Scenario: a certain quarantine of a part is tried once, by one VM
+    Given 9 VMs that exchange evidence about prompt parts
+    When each of these crashes is seen by another VM: a,deadly,1@s1 b,deadly,2@s2 c,deadly,3@s3@6000
+    And the VMs exchange evidence for 50000 ms
+    Then 0 VMs admit a request with the prompt c,deadly,3
+    When the VMs exchange evidence for 11000 ms
+    Then 1 VM admits a request with the prompt c,deadly,3
+    And 0 VMs admit a request with the prompt c,deadly,3
+    When each of these crashes is seen by another VM: c,deadly,4@s4
+    And the VMs exchange evidence for 61000 ms
+    Then 0 VMs admit a request with the prompt c,deadly,3
+
+  # Guards against a VM that starts after a quarantine has ended and takes it up from the store, because the VM that wrote it is gone.
+  Scenario: a stored quarantine that ends is deleted by one of the VMs that know it
+    When 9 VMs have read a stored quarantine whose writer is gone, and it ends on all of them
+    Then 1 of them deletes it from the store
+
   # Guards against quarantines that refuse sound requests, or that never stop deadly ones, whatever the moment of the head of a stream.
   Scenario Outline: <count> seeded fleets with <trouble> stop what is deadly and serve the rest when heads come <heads>
     When <count> seeded fleets have <trouble> and heads that come <heads>
--- a/features/steps/prompt-parts.ts
+++ b/features/steps/prompt-parts.ts
@@ -5,7 +5,9 @@
 import type { LoadExchange } from '../../src/core/load-exchange/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
+import type { FollowedKind, KindSubscription } from '../../src/core/feed-relay/index.ts'
 import { rendezvousOrder } from '../../src/core/placement/rendezvous.ts'
+import { createPartStore } from '../../src/core/quarantine/part-store.ts'
 import { createPartQuarantine, type PartQuarantine } from '../../src/core/quarantine/request-parts.ts'
 import { createRecentSurvivals, type RecentSurvivals } from '../../src/core/quarantine/recent-survivals.ts'
 import { startConnectedExchange } from '../support/load-exchange.ts'
@@ -91,6 +93,45 @@
   assert.deepEqual([...new Set(states)], [expected])
 })
 
+interface PartStoreWorld { deletedBy: VmId[] }
+
+When(/^(\d+) VMs have read a stored quarantine whose writer is gone, and it ends on all of them$/, function (this: PartStoreWorld, count: string) {
+  const parts = ['common']
+  const names = Array.from({ length: Number(count) }, (_, index) => brandId<VmId>(`vm-${index}`))
+  this.deletedBy = []
+  let storedName = ''
+  const create = async (_kind: string, name: string) => { storedName = name; return undefined }
+  const createStore = (self: VmId) => {
+    const subscriptions: KindSubscription[] = []
+    const partStore = createPartStore({
+      store: { create, delete: async () => { this.deletedBy.push(self) } },
+      follow (subscription) {
+        subscriptions.push(subscription)
+        return { isLoaded: () => true } as FollowedKind
+      },
+      quarantine: () => ({ merge () {}, certainQuarantines: () => [] }),
+      self,
+      liveVms: () => names,
+      clock: createManualClock(),
+      log: silentLog,
+      metrics: createMetrics()
+    })
+    return { partStore, subscriptions }
+  }
+  const crash = { backendServer: brandId<BackendServerId>('s1'), instance: '1', parts, wasRunning: true }
+  void createStore(brandId<VmId>('writer')).partStore.write(parts, [{ ...crash, ageMs: 0 }])
+  for (const self of names) {
+    const { partStore, subscriptions } = createStore(self)
+    const object = { name: storedName, revision: { era: 0, number: 1 }, spec: { crashes: [{ ...crash, wallMs: 0 }] }, status: undefined }
+    for (const { onSnapshot } of subscriptions) onSnapshot([object])
+    partStore.remove(parts)
+  }
+})
+
+Then(/^(\d+) of them deletes? it from the store$/, function (this: PartStoreWorld, count: string) {
+  assert.equal(this.deletedBy.length, Number(count))
+})
+
 const isAdmitted = (quarantine: PartQuarantine, prompt: string) => quarantine.admit(partsOf(prompt)) !== 'refused'
 
 Then(/^each VM admits (\d+) of (\d+) requests with the prompt (\S+)$/, function (this: PartsWorld, admitted: string, asked: string, prompt: string) {
--- a/src/core/forwarding/crash-evidence.ts
+++ b/src/core/forwarding/crash-evidence.ts
@@ -47,20 +47,25 @@
 export function createCrashEvidence ({ request, team, body }: IdentifiedRequest, { quarantine, hasEnded = refusesConnections, log }: CrashEvidenceOptions): CrashEvidence {
   const parts = [...sharedParts(request), fingerprint(request, team, body)]
   let isTrial = false
+  /** Whether the request is a trial while others with its parts are refused. */
+  let isExempt = false
 
   return {
     remainingMs: () => quarantine.remainingMs(parts),
     isRefused () {
-      if (isTrial && quarantine.remainingMs(parts) === 0) return false
+      const isBlocked = quarantine.remainingMs(parts) > 0
+      if (isBlocked ? isExempt : isTrial) return false
       const admission = quarantine.admit(parts)
       isTrial = admission === 'trial'
+      isExempt = isTrial && isBlocked
       return admission === 'refused'
     },
-    watch: onQuarantined => quarantine.watch(parts, onQuarantined),
+    watch: onQuarantined => quarantine.watch(parts, () => { if (!isExempt) onQuarantined() }),
     async recordLostResponse (backend, { hadHead: wasRunning = false } = {}) {
       // A backend server that is still there has reset a single connection.
       if (!await hasEnded(backend)) return
       isTrial = false
+      isExempt = false
       log.request('open_at_crash', { id: request.id, backendServer: backend.entry.id, parts, wasRunning })
       quarantine.recordCrash(crashOf(backend), parts, { wasRunning })
     },
--- a/src/core/quarantine/constants.ts
+++ b/src/core/quarantine/constants.ts
@@ -20,7 +20,14 @@
  * long, or longer by MAX_TRIAL_SPREAD after many crashes of one moment. It outlasts the absence of a crashed backend server, so that the next attempt shows who was at fault.
  */
 export const UNCERTAIN_QUARANTINE_DURATION_MS = 5000
-/** Time after which a trial that gave no result, for example because its caller left, is repeated; longer than most prompts are read. */
+/**
+ * Time after the last crash at which one request is tried in spite of a certain quarantine, so that a wrong one ends.
+ * There is one such trial: each costs a backend server if the part is at fault.
+ */
+export const CERTAIN_TRIAL_DELAY_MS = 60_000
+/** Time after which a trial that gave no result, for example because its caller left, is repeated. */
+export const CERTAIN_TRIAL_REPEAT_MS = 10_000
+/** The same for an uncertain quarantine; longer than most prompts are read. */
 export const UNCERTAIN_TRIAL_REPEAT_MS = 2000
 /** Maximum factor of the time from the first VM that accepts a suspected part again to the last one. */
 export const MAX_TRIAL_SPREAD = 4
--- a/src/core/quarantine/part-store.ts
+++ b/src/core/quarantine/part-store.ts
@@ -97,8 +97,12 @@
   return {
     isLoaded: followed.isLoaded,
     write,
+    /** Deletes the object of a quarantine that has ended, so that VMs that start later do not take it up. */
     remove (parts: readonly string[]): void {
-      if (written.delete(objectName(parts))) deleteObject(objectName(parts))
+      const name = objectName(parts)
+      // The VM that wrote it may be gone.
+      const isOther = endsWallMs.has(name) && rendezvousOrder(name, liveVms())[0] === self
+      if (written.delete(name) || isOther) deleteObject(name)
     },
     /** Deletes expired objects periodically; returns a function that ends this. */
     start: (): (() => void) => clock.every(REFRESH_PERIOD_MS, deleteExpired)
--- a/src/core/quarantine/request-parts.ts
+++ b/src/core/quarantine/request-parts.ts
@@ -8,7 +8,7 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { BackendServerId } from '../ids/index.ts'
-import { CERTAIN_CRASH_LIMIT, EVIDENCE_REPORT_MS, MAX_PART_CRASHES, MAX_TRIAL_SPREAD, QUARANTINE_DURATION_MS, SAME_CRASH_MS, SOUND_AFTER_SURVIVAL_MS, UNCERTAIN_QUARANTINE_DURATION_MS, UNCERTAIN_TRIAL_REPEAT_MS } from './constants.ts'
+import { CERTAIN_CRASH_LIMIT, CERTAIN_TRIAL_DELAY_MS, CERTAIN_TRIAL_REPEAT_MS, EVIDENCE_REPORT_MS, MAX_PART_CRASHES, MAX_TRIAL_SPREAD, QUARANTINE_DURATION_MS, SAME_CRASH_MS, SAME_MOMENT_MS, SOUND_AFTER_SURVIVAL_MS, UNCERTAIN_QUARANTINE_DURATION_MS, UNCERTAIN_TRIAL_REPEAT_MS } from './constants.ts'
 import { findSuspects, type PartCrash, type Suspect } from './part-suspects.ts'
 import { createRecentSurvivals } from './recent-survivals.ts'
 
@@ -183,8 +183,18 @@
 
   /** Whether this VM may let one request through to find out whether a suspected part still crashes backend servers. */
   function isTrialDue (suspect: Suspect): boolean {
-    if (suspect.isCertain || clock.now() - suspect.lastCrashMs < durationMs(suspect)) return false
-    return clock.now() - (trialsMs.get(suspect.parts.join()) ?? -Infinity) >= UNCERTAIN_TRIAL_REPEAT_MS
+    const { parts, isCertain, lastCrashMs } = suspect
+    const untilNextMs = isCertain ? CERTAIN_TRIAL_REPEAT_MS : UNCERTAIN_TRIAL_REPEAT_MS
+    if (clock.now() - (trialsMs.get(parts.join()) ?? -Infinity) < untilNextMs) return false
+    if (!isCertain) return clock.now() - lastCrashMs >= durationMs(suspect)
+    // Only the first VM tries, and only once: each trial costs a backend server if the part is at fault.
+    return trialPlace(parts) === 0 && clock.now() - lastCrashMs >= CERTAIN_TRIAL_DELAY_MS && !hasTrialFailed(suspect)
+  }
+
+  /** Whether the last crash was that of a trial of a certain quarantine. */
+  function hasTrialFailed ({ parts, lastCrashMs }: Suspect): boolean {
+    const earlierMs = crashesWith(parts).map(({ atMs }) => atMs).filter(atMs => atMs < lastCrashMs - SAME_MOMENT_MS)
+    return earlierMs.length >= CERTAIN_CRASH_LIMIT && lastCrashMs - Math.max(...earlierMs) >= CERTAIN_TRIAL_DELAY_MS
   }
 
   function toReport ({ backendServer, reportedInstance: instance, parts, wasRunning, atMs }: RecordedCrash): ReportedPartCrash {
