--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -167,6 +167,25 @@
     When 2 callers send a request to /read/1 and 30 more after 100 ms
     Then the backend servers received 32 requests
 
+  # Guards against whole streams that reach the caller as a broken connection, because only their own connection marks their end.
+  Scenario: a whole stream without a length that cannot be resumed arrives complete
+    Given a forwarding VM with 2 backend servers that stream-unframed
+    When a caller sends a request to /once/1
+    Then the caller gets every event once and the end of the stream
+    And the backend servers received 1 request
+
+  Scenario Outline: a stream without a length that cannot be resumed is visibly truncated if it is a <behaviour>
+    Given a forwarding VM with 2 backend servers that <behaviour>
+    When a caller sends a request to /once/1
+    Then the caller's response ends without the last chunk
+    And the backend servers received 1 request
+
+    Examples:
+      | behaviour             |
+      | stream-unframed-part  |
+      | stream-unframed-reset |
+      | stream-unframed-crash |
+
   Scenario: a stream that cannot be resumed is visibly truncated
     Given a forwarding VM with 1 backend servers that stream-break-mid-event
     When a caller sends a request to /stream/1
--- a/features/support/forwarding-vm-harness.ts
+++ b/features/support/forwarding-vm-harness.ts
@@ -106,6 +106,7 @@
       route('/order/', 'non_idempotent'), route('/read/', 'idempotent'), route('/stream/', 'streaming'),
       route('/cascade/', 'streaming', { models: [brandId<ModelId>('small'), brandId<ModelId>('large')] }),
       route('/short/', 'non_idempotent', { timeoutMs: 400 }), route('/long/', 'non_idempotent', { timeoutMs: 60_000 }),
+      route('/once/', 'streaming', { resumable: false }),
       route('/open/', 'idempotent', { allowsAnonymous: true })
     ],
     services: [{ id: SERVICE, maxConnections: 1000, coldRate, engine: undefined }],
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -8,7 +8,7 @@
   | 'low-status' | 'switch-protocols' | 'empty-header-name' | 'stream-empty-header-name' | 'trailer'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
-  | 'stream-crash' | 'stream-comment-crash' | 'stream-headless-crash' | 'stream-head-reset' | 'stream' | 'stream-break-mid-event' | 'stream-break-late' | 'stream-gap' | 'stream-no-length' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-late' | 'stream-low-confidence' | 'stream-slow'
+  | 'stream-crash' | 'stream-comment-crash' | 'stream-headless-crash' | 'stream-head-reset' | 'stream' | 'stream-break-mid-event' | 'stream-break-late' | 'stream-gap' | 'stream-no-length' | 'stream-unframed' | 'stream-unframed-part' | 'stream-unframed-reset' | 'stream-unframed-crash' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-late' | 'stream-low-confidence' | 'stream-slow'
 
 export interface ScriptedBackend {
   address: string
@@ -192,6 +192,17 @@
     },
     'stream-gap': () => finish(chunked + all.filter((_, index) => index !== 1).map(chunk).join('') + '0\r\n\r\n'),
     'stream-no-length': () => finish(stream + '\r\n' + events(after + 2).join('')),
+    // Whole streams whose end only the close of the connection marks, and such that end inside an event, with a reset or with a crash.
+    'stream-unframed': () => finish(stream + '\r\n' + all.join('')),
+    'stream-unframed-part': () => finish(stream + '\r\n' + all.join('').slice(0, -4)),
+    'stream-unframed-reset': () => {
+      socket.write(stream + '\r\n' + all.join(''))
+      setTimeout(() => socket.resetAndDestroy(), 30)
+    },
+    'stream-unframed-crash': () => {
+      socket.write(stream + '\r\n' + all.join(''))
+      setTimeout(crash, 30)
+    },
     'stream-stall': () => { socket.write(chunked + chunk(event(after + 1))) },
     'stream-stall-ping': () => {
       socket.write(chunked + chunk(event(after + 1)))
--- a/src/core/forwarding/crash-evidence.ts
+++ b/src/core/forwarding/crash-evidence.ts
@@ -33,6 +33,8 @@
    * the backend server has ended. `hadHead` states whether the head of a stream had come.
    */
   recordLostResponse(backend: Backend, options?: { hadHead?: boolean }): Promise<void>
+  /** Whether the process of a backend server has ended. */
+  hasEnded(backend: Backend): Promise<boolean>
   /** Records that a backend server got through the point at which others crashed; `begunMs` is a monotonic time before which it did not. */
   recordSurvival(begunMs: number): void
 }
@@ -61,6 +63,7 @@
       return admission === 'refused'
     },
     watch: onQuarantined => quarantine.watch(parts, () => { if (!isExempt) onQuarantined() }),
+    hasEnded,
     async recordLostResponse (backend, { hadHead: wasRunning = false } = {}) {
       // A backend server that is still there has reset a single connection.
       if (!await hasEnded(backend)) return
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -351,7 +351,7 @@
         return { kind: 'next', reason: `confidence ${head.confidence}`, backend }
       }
       if (exchange.isAborted()) return endAborted()
-      const relayed = await relayEvents({ ...response, onFirstEvent: response.recordSurvival, caller, route, lastEventId: progress.lastEventId, clock })
+      const relayed = await relayEvents({ ...response, onFirstEvent: response.recordSurvival, hasBackendEnded: () => progress.crashEvidence.hasEnded(backend), caller, route, lastEventId: progress.lastEventId, clock })
       progress.lastEventId = relayed.lastEventId
       endAttempt(relayed.kind === 'broken' ? 'failed' : 'completed')
       if (relayed.endedBeforeFirstEvent) await progress.crashEvidence.recordLostResponse(backend, { hadHead: true })
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -7,6 +7,7 @@
 import { createEventSplitter } from './event-stream.ts'
 import type { Exchange } from './exchange.ts'
 import { readPendingInput } from './pending-input.ts'
+import { isRepeatable } from './route-table.ts'
 import type { BackendResponseHead, Route } from './types.ts'
 
 /** Reads the complete body; `undefined` when it was truncated or is too large to buffer. */
@@ -41,6 +42,8 @@
   lastEventId: number | undefined
   /** Reserves an attempt at another backend server that is still due then; after true, the stream must be resumed there in the same turn. */
   reserveFailover(isDue: () => boolean): Promise<boolean>
+  /** Whether the process of the backend server has ended. */
+  hasBackendEnded(): Promise<boolean>
   /** Removes the load of the prompt from the backend server; called at the first event. */
   endPrompt(): void
   cancelResponseTimer(): void
@@ -136,19 +139,32 @@
       }
       if (splitter.bufferedBytes() + earlyComments.reduce((sum, { length }) => sum + length, 0) > MAX_EVENT_BYTES) settle('broken', 'event too large')
     })
-    body.on('end', () => {
+    body.on('end', () => void finish())
+    // The end comes before the close and may still be checked then.
+    body.on('close', () => { if (!body.readableEnded) settle('broken', 'connection closed') })
+    body.on('error', error => settle('broken', error.message))
+    // The connection may have ended while a replacement was being reserved.
+    if (body.destroyed) settle('broken', 'connection closed')
+
+    async function finish (): Promise<void> {
       // Node discards what is left of a body that has arrived completely when its request is destroyed, and then ends it.
       if (isSettled || exchange.isAborted()) return settle('broken', 'aborted')
-      // An unframed stream may have been truncated between two events, so it must be resumed at another backend server to find its end.
-      if (!isFramed(body) || !body.complete || exchange.hasConnectionFailed() || splitter.bufferedBytes() > 0) return settle('broken', 'stream truncated')
+      if (!body.complete || exchange.hasConnectionFailed() || splitter.bufferedBytes() > 0) return settle('broken', 'stream truncated')
+      if (!isFramed(body) && await mayBeTruncated()) return settle('broken', 'stream truncated')
+      if (isSettled || exchange.isAborted() || exchange.hasConnectionFailed()) return settle('broken', 'aborted')
       startResponse()
       caller.end()
       settle('complete', 'complete')
-    })
-    body.on('close', () => settle('broken', 'connection closed'))
-    body.on('error', error => settle('broken', error.message))
-    // The connection may have ended while a replacement was being reserved.
-    if (body.destroyed) settle('broken', 'connection closed')
+    }
+
+    /**
+     * Whether a stream whose end is marked by its connection alone may have been truncated between two events. One that may
+     * be resumed is resumed at another backend server to find its end. Of any other, an orderly close is the end, unless
+     * the backend server has crashed.
+     */
+    async function mayBeTruncated (): Promise<boolean> {
+      return isRepeatable(route) || await options.hasBackendEnded()
+    }
 
     function pauseUntilDrained (): void {
       isCallerBlocked = true
