--- a/features/feed-relay.feature
+++ b/features/feed-relay.feature
@@ -179,3 +179,14 @@
     Given a relay that follows another VM
     When its source answers with the removal of a and the objects b, c at once, while a follower's poll is held
     Then the follower has got the changes of a, b, c with this poll and the next one
+
+  # Guards against a change that a follower never gets, because the list that contained it is of an earlier revision.
+  Scenario Outline: a follower with the revision of a list gets the objects in it that are newer, if the list is <which>
+    Given a relay's copy whose <which> list of revision 9 holds an object at 12
+    When the copy reads the change of that object at 12
+    Then a follower that has revision 9 gets the object at 12
+
+    Examples:
+      | which |
+      | first |
+      | later |
--- a/features/object-feed.feature
+++ b/features/object-feed.feature
@@ -40,3 +40,9 @@
     When lists are from before the objects b, c for 1000 ms
     Then the feed knows a, b, c
     And the feed has listed at most 3 times meanwhile
+
+  # Guards against an older state of an object that replaces a newer one, because the pages of a list are of different revisions.
+  Scenario: changes that are older than a listed object are not applied after the list
+    Given a store whose list holds a at revision 12 and is complete up to revision 9
+    When a feed reads the changes a at 10, b at 11, a at 12, a at 13
+    Then it has applied b at 11, a at 12, a at 13
--- a/features/steps/object-feed.ts
+++ b/features/steps/object-feed.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import { systemClock } from '../../src/core/clock/index.ts'
+import { createManualClock, systemClock } from '../../src/core/clock/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
-import { createObjectFeed, type ObjectFeed } from '../../src/core/object-feed/index.ts'
+import { createObjectFeed, type ObjectFeed, type ObjectSource } from '../../src/core/object-feed/index.ts'
 import { ObjectApiError } from '../../src/core/errors/index.ts'
 import { createMemoryStore, type MemoryStore } from '../support/memory-store.ts'
 
@@ -126,3 +126,44 @@
 Then(/^the feed has listed at least (\d+) times$/, function (this: FeedWorld, times: string) {
   assert.ok(this.store.calls.filter(call => call === `list ${KIND}`).length >= Number(times))
 })
+
+interface ListedWorld { source: ObjectSource, applied: string[] }
+
+const objectAt = (text: string) => {
+  const [name, number] = text.split(' at ') as [string, string]
+  return { name, revision: { era: 0, number: Number(number) }, spec: {}, status: undefined }
+}
+
+Given(/^a store whose list holds a at revision (\d+) and is complete up to revision (\d+)$/, function (this: ListedWorld, listed: string, complete: string) {
+  this.source = {
+    list: async () => ({ objects: [objectAt(`a at ${listed}`)], revision: { era: 0, number: Number(complete) } }),
+    watch: async () => undefined
+  }
+})
+
+When(/^a feed reads the changes (.*)$/, async function (this: ListedWorld, changes: string) {
+  this.applied = []
+  const batch = { changes: changes.split(', ').map(text => ({ object: objectAt(text), deleted: false })), revision: { era: 0, number: 13 } }
+  const clock = createManualClock()
+  this.source.watch = async () => {
+    await clock.sleep(10)
+    return batch
+  }
+  const feed = createObjectFeed({
+    kind: KIND,
+    source: this.source,
+    waitMs: 100,
+    relistMs: 250,
+    onSnapshot () {},
+    onChange: ({ object }) => { this.applied.push(`${object.name} at ${object.revision.number}`) },
+    clock,
+    log: silentLog,
+    metrics: createMetrics(),
+    random: () => 0
+  })
+  feed.start()
+  await clock.advance(15)
+  feed.stop()
+})
+
+Then(/^it has applied (.*)$/, function (this: ListedWorld, expected: string) { assert.equal(this.applied.join(', '), expected) })
--- a/features/steps/relay-batches.ts
+++ b/features/steps/relay-batches.ts
@@ -3,6 +3,7 @@
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
 import { createFeedRelay, type FeedPollResponse, type FeedRelay } from '../../src/core/feed-relay/index.ts'
 import { MIN_HOLD_MS, POLL_HOLD_MS } from '../../src/core/feed-relay/constants.ts'
+import { createReplica, type Replica } from '../../src/core/feed-relay/replica.ts'
 import { chooseRelays } from '../../src/core/feed-relay/relay-choice.ts'
 import { brandId, type VmId } from '../../src/core/ids/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
@@ -80,3 +81,21 @@
 Then(/^the follower has got the changes of (.*) with this poll and the next one$/, function (this: BatchWorld, names: string) {
   assert.deepEqual([...this.received].sort(), names.split(', '))
 })
+
+interface CopyWorld { copy: Replica }
+
+Given(/^a relay's copy whose (first|later) list of revision 9 holds an object at 12$/, function (this: CopyWorld, which: string) {
+  this.copy = createReplica({ kind: KIND, waitMs: 100, onSnapshot () {}, onChange () {} }, createManualClock())
+  if (which === 'later') this.copy.applySnapshot([thing('a', 1)], SECOND)
+  this.copy.applySnapshot([thing('a', 12)], SECOND)
+})
+
+When('the copy reads the change of that object at 12', function (this: CopyWorld) {
+  this.copy.applyChange({ object: thing('a', 12), deleted: false }, { era: 1, number: 12 })
+})
+
+Then('a follower that has revision 9 gets the object at 12', function (this: CopyWorld) {
+  const { objects, changes } = this.copy.updateSince(SECOND)!
+  const sent = [...objects ?? [], ...(changes ?? []).map(({ object }) => object)]
+  assert.deepEqual(sent.map(({ revision }) => revision.number), [12])
+})
--- a/src/core/feed-relay/replica.ts
+++ b/src/core/feed-relay/replica.ts
@@ -40,7 +40,7 @@
   function applySnapshot (listedObjects: readonly StoredObject[], listRevision: Revision): void {
     if (revision === undefined) {
       for (const object of listedObjects) objects.set(object.name, object)
-      completeSince = listRevision
+      completeSince = latestRevision(listedObjects, listRevision)
       revision = listRevision
       onSnapshot([...listedObjects])
       return
@@ -75,7 +75,7 @@
     }
     // The followers have other differences to the restored copy, so they need all of it.
     recentChanges.length = 0
-    completeSince = listRevision
+    completeSince = latestRevision(listedObjects, listRevision)
     revision = listRevision
     cancelRelease?.()
     cancelRelease = clock.after(RESTORED_HOLD_MS, releaseWithheld)
@@ -94,8 +94,9 @@
     if (existing ? isAfter(existing.revision, object.revision) || (!deleted && isSameRevision(existing.revision, object.revision)) : deleted) return
     if (deleted) objects.delete(object.name)
     else objects.set(object.name, object)
-    recentChanges.push({ change, revision: batchRevision })
-    if (recentChanges.length > MAX_RECENT_CHANGES) completeSince = recentChanges.shift()!.revision
+    // A list takes several calls, so an object in it may be newer than the list; a follower that has the list's revision lacks it.
+    recentChanges.push({ change, revision: laterOf(batchRevision, object.revision) })
+    if (recentChanges.length > MAX_RECENT_CHANGES) completeSince = laterOf(completeSince, recentChanges.shift()!.revision)
     withheld.delete(object.name)
     onChange(change)
   }
@@ -144,3 +145,10 @@
 }
 
 export type Replica = ReturnType<typeof createReplica>
+
+const laterOf = (one: Revision, other: Revision): Revision => isAfter(one, other) ? one : other
+
+/** The latest of a list and its objects, which may be newer, as a list takes several calls. */
+function latestRevision (objects: readonly StoredObject[], listRevision: Revision): Revision {
+  return objects.reduce((latest, { revision }) => laterOf(latest, revision), listRevision)
+}
--- a/src/core/object-feed/index.ts
+++ b/src/core/object-feed/index.ts
@@ -55,6 +55,8 @@
   let startCount = 0
   /** Revision up to which the changes have been read; `undefined` when the objects must be listed. */
   let position: Revision | undefined
+  /** Revisions of the listed objects; the changes that are read first may be older, as a list takes several calls. */
+  let listed = new Map<string, Revision>()
   let lastListMs = -Infinity
   let lastResponseMs = clock.now()
   let disconnected = false
@@ -82,6 +84,7 @@
       if (position !== undefined && isAfter(position, snapshot.revision)) return await discardList(snapshot.revision)
       position = snapshot.revision
       lastListMs = sentAt.monotonicMs
+      listed = new Map(snapshot.objects.map(({ name, revision }) => [name, revision]))
       onSnapshot(snapshot.objects, snapshot.revision)
       loaded = true
       onConfirmed?.(sentAt)
@@ -95,12 +98,17 @@
         return
       }
       if (batch.changes.length > 0) position = batch.revision
-      for (const change of batch.changes) onChange(change, batch.revision)
+      for (const change of batch.changes.filter(isNew)) onChange(change, batch.revision)
       onConfirmed?.(sentAt)
       if (batch.changes.length > 0 && coalesceMs > 0) await clock.sleep(coalesceMs)
     }
   }
 
+  function isNew ({ object }: Change): boolean {
+    const listedRevision = listed.get(object.name)
+    return listedRevision === undefined || !isAfter(listedRevision, object.revision)
+  }
+
   async function discardList (revision: Revision): Promise<void> {
     metrics.count('retries', 'older_list')
     log.warn('the store returned a list that is older than what has been read', { kind, revision, position })
--- a/src/core/object-feed/types.ts
+++ b/src/core/object-feed/types.ts
@@ -14,7 +14,7 @@
 
 export interface Snapshot {
   objects: StoredObject[]
-  /** Revision of the store that the list represents. */
+  /** Revision up to which the list contains all changes; objects in it may be newer. */
   revision: Revision
 }
 
