End the refusal by a quarantine at its time, and report unexplained crashes only

With the trials of a certain quarantine, a VM that got no further evidence went on refusing after the ten minutes, because the suspects are computed on evidence only. Found by reading; the scenario of the ten minutes now also asks for the admission and fails without this change. Crashes whose parts are all cleared are no longer reported to the other VMs, and one timer serves crashes of about the same time, since a crash now leaves a record for each stream without an event.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -130,6 +130,7 @@
     Then the prompt c,deadly,3 is refused on all VMs
     When the VMs exchange evidence for 20000 ms
     Then the prompt c,deadly,3 is accepted on all VMs
+    And each VM admits 3 of 3 requests with the prompt c,deadly,3
 
   # Guards against a deadly request of which each VM has seen too few crashes, and against the loss of sound ones that were open beside it.
   Scenario Outline: a request that crashes backend servers is refused on all of <vms> VMs, and one that was open beside it is not
--- a/src/core/quarantine/constants.ts
+++ b/src/core/quarantine/constants.ts
@@ -29,6 +29,8 @@
 export const CERTAIN_TRIAL_REPEAT_MS = 10_000
 /** The same for an uncertain quarantine; longer than most prompts are read. */
 export const UNCERTAIN_TRIAL_REPEAT_MS = 2000
+/** Crashes within this time lead to one later update of the suspects; a crash breaks many streams at once. */
+export const UPDATE_COALESCE_MS = 50
 /** Maximum factor of the time from the first VM that accepts a suspected part again to the last one. */
 export const MAX_TRIAL_SPREAD = 4
 /** Maximum number of recorded fingerprints; suspect ones are evicted before quarantined ones. */
--- a/src/core/quarantine/request-parts.ts
+++ b/src/core/quarantine/request-parts.ts
@@ -8,7 +8,7 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { BackendServerId } from '../ids/index.ts'
-import { CERTAIN_CRASH_LIMIT, CERTAIN_TRIAL_DELAY_MS, CERTAIN_TRIAL_REPEAT_MS, EVIDENCE_REPORT_MS, MAX_PART_CRASHES, MAX_TRIAL_SPREAD, QUARANTINE_DURATION_MS, SAME_CRASH_MS, SAME_MOMENT_MS, SOUND_AFTER_SURVIVAL_MS, UNCERTAIN_QUARANTINE_DURATION_MS, UNCERTAIN_TRIAL_REPEAT_MS } from './constants.ts'
+import { CERTAIN_CRASH_LIMIT, CERTAIN_TRIAL_DELAY_MS, CERTAIN_TRIAL_REPEAT_MS, EVIDENCE_REPORT_MS, MAX_PART_CRASHES, MAX_TRIAL_SPREAD, QUARANTINE_DURATION_MS, SAME_CRASH_MS, SAME_MOMENT_MS, SOUND_AFTER_SURVIVAL_MS, UNCERTAIN_QUARANTINE_DURATION_MS, UNCERTAIN_TRIAL_REPEAT_MS, UPDATE_COALESCE_MS } from './constants.ts'
 import { findSuspects, type PartCrash, type Suspect } from './part-suspects.ts'
 import { createRecentSurvivals } from './recent-survivals.ts'
 
@@ -91,6 +91,7 @@
   let suspects: Suspect[] = []
   /** The quarantines that have started, by the names of their parts in one text. */
   const started = new Map<string, Suspect>()
+  let nextUpdateMs = -Infinity
   /** When the latest trial on this VM began, by the names of the suspected parts in one text. */
   const trialsMs = new Map<string, number>()
 
@@ -104,12 +105,18 @@
       const begunMs = recentSurvivals.begunMs(part)
       if (begunMs !== undefined) addSurvival(part, begunMs)
     }
-    // The responses from before the crash speak for its parts until then.
-    clock.after(Math.max(0, atMs + SOUND_AFTER_SURVIVAL_MS - clock.now()), update)
+    scheduleUpdate(atMs + SOUND_AFTER_SURVIVAL_MS)
     metrics.count('quarantined', isOwn ? 'part_crash_seen' : 'part_crash_reported')
     return true
   }
 
+  /** Updates the suspects when the responses from before a crash no longer speak for its parts; once for crashes of about the same time. */
+  function scheduleUpdate (dueMs: number): void {
+    if (dueMs <= nextUpdateMs) return
+    nextUpdateMs = dueMs + UPDATE_COALESCE_MS
+    clock.after(Math.max(0, nextUpdateMs - clock.now()), update)
+  }
+
   /**
    * Name of the run that ended at a time. An entry may still state the instance before a restart, or none, so a later
    * crash of the same instance is one of another run.
@@ -171,7 +178,8 @@
   }
 
   function matching (parts: readonly string[]): Suspect[] {
-    return suspects.filter(suspect => suspect.parts.every(part => parts.includes(part)))
+    const isExpired = ({ lastCrashMs }: Suspect) => clock.now() - lastCrashMs >= QUARANTINE_DURATION_MS
+    return suspects.filter(suspect => !isExpired(suspect) && suspect.parts.every(part => parts.includes(part)))
   }
 
   function durationMs ({ parts, crashCount, isCertain }: Suspect): number {
@@ -201,6 +209,8 @@
     return { backendServer, instance, parts: [...parts], wasRunning, ageMs: Math.round(clock.now() - atMs) }
   }
 
+  /** Whether a crash may still be one by the request; the others need not be reported. */
+  const isUnexplained = (crash: PartCrash) => crash.parts.some(part => verdict(survivals.get(part)?.begunMs, crash) !== 'cleared')
   const isRecent = ({ learnedMs }: { learnedMs: number }) => clock.now() - learnedMs < EVIDENCE_REPORT_MS
 
   return {
@@ -234,7 +244,7 @@
     certainQuarantines: () => [...started.values()].filter(({ isCertain }) => isCertain)
       .map(({ parts }) => ({ parts, crashes: crashesWith(parts).map(crash => toReport({ ...crash, parts })) })),
     recentEvidence () {
-      const recentCrashes = [...crashes.values()].filter(isRecent).map(toReport)
+      const recentCrashes = [...crashes.values()].filter(crash => isRecent(crash) && isUnexplained(crash)).map(toReport)
       const recentSurvivals = [...survivals].filter(([, survival]) => isRecent(survival)).map(([part, { begunMs }]) => [part, Math.round(clock.now() - begunMs)] as const)
       if (recentCrashes.length + recentSurvivals.length === 0) return undefined
       return { crashes: recentCrashes, survivals: Object.fromEntries(recentSurvivals) }
