--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -283,11 +283,13 @@
     Examples:
       | count | trouble                            | heads                |
       | 12    | a deadly part                      | early                |
+      | 12    | a deadly part in a burst           | early                |
       | 12    | a sound part that turns deadly     | early                |
       | 12    | other crashes                      | early                |
       | 12    | a deadly part beside other crashes | early                |
       | 12    | resets                             | early                |
       | 12    | a deadly part                      | with the first event |
+      | 12    | a deadly part in a burst           | with the first event |
       | 12    | a sound part that turns deadly     | with the first event |
       | 12    | other crashes                      | with the first event |
       | 12    | a deadly part beside other crashes | with the first event |
--- a/features/support/crash-world.ts
+++ b/features/support/crash-world.ts
@@ -20,13 +20,17 @@
 export const HEADS = ['early', 'with the first event', 'before a crash'] as const
 export type Heads = typeof HEADS[number]
 
-/** Why backend servers crash: a prompt part that is deadly from the start of the trouble on, other reasons, or both. */
-export const TROUBLES = ['a deadly part', 'a sound part that turns deadly', 'other crashes', 'a deadly part beside other crashes', 'resets'] as const
+/**
+ * Why backend servers crash: a prompt part that is deadly from the start of the trouble on, and in a burst comes at many VMs
+ * before they can know of a crash; other reasons; or both.
+ */
+export const TROUBLES = ['a deadly part', 'a deadly part in a burst', 'a sound part that turns deadly', 'other crashes', 'a deadly part beside other crashes', 'resets'] as const
 export type Trouble = typeof TROUBLES[number]
 
 const QUIET_MS = 6000
 const TROUBLE_MS = 22_000
 const MAX_ATTEMPTS = 3
+const BURST_REQUESTS = 12
 const BACK_AFTER_MS = 3000
 const STREAM_MS = 320
 /** The users' bounds: the time in which all VMs must know of five crashes, and the deadly requests that may arrive after it. */
@@ -53,7 +57,7 @@
   const topics = Math.round(between(4, 100))
   const longestPrefillMs = between(100, 1500)
   const hasDeadlyRequests = trouble !== 'other crashes' && trouble !== 'resets'
-  const hasOtherCrashes = trouble !== 'a deadly part' && trouble !== 'a sound part that turns deadly' && trouble !== 'resets'
+  const hasOtherCrashes = trouble === 'other crashes' || trouble === 'a deadly part beside other crashes'
   const names = Array.from({ length: vmCount }, (_, index) => brandId<VmId>(`vm-${index}`))
   const vms: Vm[] = names.map(self => createVm(self))
   const servers = Array.from({ length: Math.round(between(4, 12)) }, (_, index) => createServer(index))
@@ -172,6 +176,7 @@
   const sendDeadly = (): unknown => clock.now() < endMs && (void ask(index++, true), clock.after(-Math.log(1 - random()) * 1000 / deadlyPerS, sendDeadly))
   sendSound()
   if (hasDeadlyRequests) clock.after(isDeadlyNow ? QUIET_MS : 0, sendDeadly)
+  if (trouble === 'a deadly part in a burst') clock.after(QUIET_MS, () => { for (let i = 0; i < BURST_REQUESTS; i++) void ask(index++, true) })
   await clock.advance(endMs + 5000)
   for (const { exchange } of vms) exchange.stop()
 
