Test what the trials, the tie and the reports of the quarantine guard against

Found by taking each mechanism out: the tie between parts with the same crashes, the spread of the trials after many crashes, the third crash of another moment, the report of explained crashes and the exemption of a trial could be removed and every test passed. The fleets of prompt-parts and crash-world shared their set-up; it is in one place now.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -237,6 +237,7 @@
       | sound requests | common,a,1@s1 common,b,2@s2 | common,c,3  | 600   | accepted |
       | no others      | rare,a,1@s1 rare,b,2@s2     | rare,c,3    | 600   | refused  |
       | no others      | rare,a,1@s1 rare,b,2@s2     | rare,c,3    | 10500 | accepted |
+      | no others      | rare,a,1@s1 rare,b,2@s2@2000 | rare,c,3   | 10500 | accepted |
 
   # Guards against blame on sound requests that an engine only held while it ran the one that crashed it.
   Scenario: of the requests that were open at a crash, those whose response had begun are suspected
@@ -247,6 +248,51 @@
     Then the request sound is accepted on all VMs
     And the prompt c,deadly,3 is refused on all VMs
 
+  # Guards against the refusal of a part that all prompts share, because it was in all requests that a deadly part crashed.
+  Scenario: of two parts with the same crashes, the one without a response before them is suspected
+    Given 9 VMs that exchange evidence about prompt parts
+    When one VM gets the first event of the prompt common,1
+    And the VMs exchange evidence for 300 ms
+    And each of these crashes is seen by another VM: common,deadly,2@s1 common,deadly,3@s2
+    And the VMs exchange evidence for 2600 ms
+    Then the prompt common,4 is accepted on all VMs
+    And the prompt a,deadly,5 is refused on all VMs
+
+  # Guards against VMs that try a part after each other so fast that all have lost a backend server before they know of the first.
+  Scenario: after many crashes of one moment the trials of the VMs are further apart
+    Given 9 VMs that exchange evidence about prompt parts
+    When each of these crashes with open requests is seen by another VM: deadly@s1 deadly@s2 deadly@s3 deadly@s4 deadly@s5 deadly@s6 deadly@s7
+    And the VMs exchange evidence for 5100 ms
+    Then the request deadly is accepted on 1 VM
+    When the VMs exchange evidence for 1500 ms
+    Then the request deadly is accepted on 1 VM
+    When the VMs exchange evidence for 1000 ms
+    Then the request deadly is accepted on 2 VMs
+
+  # Guards against reports that grow with all streams of a crashed backend server for as long as new evidence is passed on.
+  Scenario: a crash whose parts all had a later response is not reported any more
+    Given 9 VMs that exchange evidence about prompt parts
+    When each of these crashes is seen by another VM: common,1@s1
+    Then 1 VM reports a crash
+    When the VMs exchange evidence for 600 ms
+    And one VM gets the first event of the prompt common,2
+    And the VMs exchange evidence for 600 ms
+    Then 0 VMs report a crash
+
+  # Guards against a trial that is given up because of what it is tried for, and one that goes on after a crash.
+  Scenario: a trial in spite of a certain quarantine runs until its own crash
+    Given crashes by the request of a caller 0, 1 and 6000 ms after the first
+    When 61000 ms pass and the request comes again
+    Then the request runs, also when it is asked again
+    And it is not withdrawn at a crash with other requests
+    But it is refused after its own crash
+
+  Scenario: a trial after the first quarantine is refused if a crash is reported before it is sent
+    Given crashes by the request of a caller 0, 1 and 2 ms after the first
+    When 6000 ms pass and the request comes again
+    Then the request runs, also when it is asked again
+    But it is refused after a crash that another VM reports
+
   # Guards against a deadly part that many requests bring back at once when its first quarantine ends.
   Scenario: a suspected part is tried with one request at a time
     Given 9 VMs that exchange evidence about prompt parts
--- a/features/steps/prompt-parts.ts
+++ b/features/steps/prompt-parts.ts
@@ -1,20 +1,21 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { brandId, type BackendServerId, type VmId } from '../../src/core/ids/index.ts'
+import type { Backend } from '../../src/core/backend-pool/types.ts'
+import { createCrashEvidence, type CrashEvidence } from '../../src/core/forwarding/crash-evidence.ts'
+import type { CallerRequest } from '../../src/core/forwarding/types.ts'
+import { brandId, type BackendServerId, type RequestId, type VmId } from '../../src/core/ids/index.ts'
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
-import type { LoadExchange } from '../../src/core/load-exchange/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
 import { createMetrics } from '../../src/core/metrics/index.ts'
 import type { FollowedKind, KindSubscription } from '../../src/core/feed-relay/index.ts'
-import { rendezvousOrder } from '../../src/core/placement/rendezvous.ts'
 import { createPartStore } from '../../src/core/quarantine/part-store.ts'
 import { createPartQuarantine, type PartQuarantine } from '../../src/core/quarantine/request-parts.ts'
 import { createRecentSurvivals, type RecentSurvivals } from '../../src/core/quarantine/recent-survivals.ts'
-import { startConnectedExchange } from '../support/load-exchange.ts'
+import { startEvidenceVms, type EvidenceVm } from '../support/evidence-vms.ts'
 
 interface PartsWorld {
   clock: ManualClock
-  vms: { exchange: LoadExchange, quarantine: PartQuarantine }[]
+  vms: EvidenceVm[]
 }
 
 const partsOf = (prompt: string) => prompt.split(',').slice(0, -1)
@@ -23,22 +24,7 @@
   const clock = createManualClock()
   const names = Array.from({ length: Number(count) }, (_, index) => brandId<VmId>(`vm-${index}`))
   this.clock = clock
-  this.vms = names.map(self => {
-    const trialPlace = (parts: readonly string[]) => rendezvousOrder(parts.join(), names).indexOf(self) / names.length
-    const quarantine = createPartQuarantine({ trialPlace, clock, log: silentLog, metrics: createMetrics() })
-    const exchange = startConnectedExchange({
-      self,
-      names,
-      exchangeOf: vm => this.vms[names.indexOf(vm)]!.exchange,
-      recentEvidence () {
-        const promptParts = quarantine.recentEvidence()
-        return promptParts && { promptParts }
-      },
-      onEvidence ({ promptParts }) { if (promptParts) quarantine.merge(promptParts) },
-      clock
-    })
-    return { exchange, quarantine }
-  })
+  this.vms = startEvidenceVms(names, clock)
 })
 
 // A crash is written as REQUEST@BACKEND-SERVER, with @MS after it for one that comes so long after the first.
@@ -93,6 +79,57 @@
   assert.deepEqual([...new Set(states)], [expected])
 })
 
+Then(/^(\d+) VMs? reports? a crash$/, function (this: PartsWorld, count: string) {
+  assert.equal(this.vms.filter(({ quarantine }) => (quarantine.recentEvidence()?.crashes.length ?? 0) > 0).length, Number(count))
+})
+
+interface TrialWorld { clock: ManualClock, quarantine: PartQuarantine, evidence: CrashEvidence, isWithdrawn: boolean }
+
+const TRIED_REQUEST = { id: brandId<RequestId>('tried'), method: 'POST', host: 'desk.example', target: '/order/1', prompt: [] } as unknown as CallerRequest
+const OTHER_REQUEST = { ...TRIED_REQUEST, target: '/order/2' }
+
+/** Another backend server at each call; it has ended. */
+let crashedBackends = 0
+const crashedBackend = () => ({ entry: { id: brandId<BackendServerId>(`crashed-${crashedBackends++}`) } }) as Backend
+
+const evidenceOf = (request: CallerRequest, quarantine: PartQuarantine) =>
+  createCrashEvidence({ request, team: undefined, body: undefined }, { quarantine, hasEnded: async () => true, log: { ...silentLog, request () {} } })
+
+Given(/^crashes by the request of a caller (\d+), (\d+) and (\d+) ms after the first$/, async function (this: TrialWorld, first: string, second: string, third: string) {
+  this.clock = createManualClock()
+  this.quarantine = createPartQuarantine({ clock: this.clock, log: silentLog, metrics: createMetrics() })
+  for (const time of [first, second, third]) {
+    await this.clock.advance(Number(time) - this.clock.now())
+    await evidenceOf(TRIED_REQUEST, this.quarantine).recordLostResponse(crashedBackend())
+  }
+})
+
+When(/^(\d+) ms pass and the request comes again$/, async function (this: TrialWorld, ms: string) {
+  await this.clock.advance(Number(ms))
+  this.evidence = evidenceOf(TRIED_REQUEST, this.quarantine)
+  this.isWithdrawn = false
+})
+
+Then('the request runs, also when it is asked again', function (this: TrialWorld) {
+  assert.deepEqual([this.evidence.isRefused(), this.evidence.isRefused()], [false, false])
+  this.evidence.watch(() => { this.isWithdrawn = true })
+})
+
+Then('it is not withdrawn at a crash with other requests', async function (this: TrialWorld) {
+  await evidenceOf(OTHER_REQUEST, this.quarantine).recordLostResponse(crashedBackend())
+  assert.equal(this.isWithdrawn, false)
+})
+
+Then('it is refused after its own crash', async function (this: TrialWorld) {
+  await this.evidence.recordLostResponse(crashedBackend())
+  assert.equal(this.evidence.isRefused(), true)
+})
+
+Then('it is refused after a crash that another VM reports', async function (this: TrialWorld) {
+  await evidenceOf(TRIED_REQUEST, this.quarantine).recordLostResponse(crashedBackend())
+  assert.deepEqual([this.isWithdrawn, this.evidence.isRefused()], [true, true])
+})
+
 interface PartStoreWorld { deletedBy: VmId[] }
 
 When(/^(\d+) VMs have read a stored quarantine whose writer is gone, and it ends on all of them$/, function (this: PartStoreWorld, count: string) {
--- a/features/support/crash-world.ts
+++ b/features/support/crash-world.ts
@@ -8,13 +8,9 @@
 import { createCrashEvidence } from '../../src/core/forwarding/crash-evidence.ts'
 import type { CallerRequest, PromptPart } from '../../src/core/forwarding/types.ts'
 import { brandId, type BackendServerId, type RequestId, type VmId } from '../../src/core/ids/index.ts'
-import type { LoadExchange } from '../../src/core/load-exchange/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
-import { createMetrics } from '../../src/core/metrics/index.ts'
-import { rendezvousOrder } from '../../src/core/placement/rendezvous.ts'
-import { createPartQuarantine, type PartQuarantine } from '../../src/core/quarantine/request-parts.ts'
 import { createRandom } from '../../src/standin/random.ts'
-import { startConnectedExchange } from './load-exchange.ts'
+import { startEvidenceVms } from './evidence-vms.ts'
 
 /** When a backend server sends the head of a stream: when it accepts the request, or with the first event; one that crashes may have sent it before. */
 export const HEADS = ['early', 'with the first event', 'before a crash'] as const
@@ -42,7 +38,6 @@
 const FIRST_PART = 'first'
 
 interface Server { backend: Backend, isUp: boolean, breakStreams: Set<() => void> }
-interface Vm { exchange: LoadExchange, quarantine: PartQuarantine }
 interface SentRequest { isDeadly: boolean, sentMs: number, isBegunAtOnce: boolean, isServed: boolean }
 
 export interface CrashWorldResult { crashes: number, brokenRules: string[] }
@@ -59,30 +54,13 @@
   const hasDeadlyRequests = trouble !== 'other crashes' && trouble !== 'resets'
   const hasOtherCrashes = trouble === 'other crashes' || trouble === 'a deadly part beside other crashes'
   const names = Array.from({ length: vmCount }, (_, index) => brandId<VmId>(`vm-${index}`))
-  const vms: Vm[] = names.map(self => createVm(self))
+  const vms = startEvidenceVms(names, clock)
   const servers = Array.from({ length: Math.round(between(4, 12)) }, (_, index) => createServer(index))
   const requests: SentRequest[] = []
   const deadlyArrivalsMs: number[] = []
   const crashesMs: number[] = []
   let isDeadlyNow = trouble !== 'a sound part that turns deadly'
 
-  function createVm (self: VmId): Vm {
-    const trialPlace = (parts: readonly string[]) => rendezvousOrder(parts.join(), names).indexOf(self) / names.length
-    const quarantine = createPartQuarantine({ trialPlace, clock, log: silentLog, metrics: createMetrics() })
-    const exchange = startConnectedExchange({
-      self,
-      names,
-      exchangeOf: vm => vms[names.indexOf(vm)]!.exchange,
-      recentEvidence () {
-        const promptParts = quarantine.recentEvidence()
-        return promptParts && { promptParts }
-      },
-      onEvidence ({ promptParts }) { if (promptParts) quarantine.merge(promptParts) },
-      clock
-    })
-    return { exchange, quarantine }
-  }
-
   function createServer (index: number): Server {
     const entry = { id: brandId<BackendServerId>(`backend-${index}`), startedWallMs: clock.wallMs() }
     return { backend: { entry } as Backend, isUp: true, breakStreams: new Set() }
