--- a/src/core/forwarding-vm/assignment.ts
+++ b/src/core/forwarding-vm/assignment.ts
@@ -3,7 +3,8 @@
  * Decisions use only the data that this VM already holds and make no calls.
  */
 import type { Backend, BackendPool } from '../backend-pool/index.ts'
-import type { EarlierSends, ForwardedRequest } from '../forwarding/forward.ts'
+import type { ForwardedRequest } from '../forwarding/forward.ts'
+import type { EarlierSends } from '../forwarding/request-progress.ts'
 import type { RouteTable } from '../forwarding/route-table.ts'
 import type { DataCentreId, ModelId, ServiceId } from '../ids/index.ts'
 import { MAX_DIRECT_VMS } from '../load-exchange/constants.ts'
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -6,7 +6,7 @@
 import type { Backend, Reservation } from '../backend-pool/types.ts'
 import { longestElapsedMs, readInstant, type Clock } from '../clock/index.ts'
 import { GatewayError, type ErrorName } from '../errors/index.ts'
-import type { ModelId, ServiceId } from '../ids/index.ts'
+import type { ServiceId } from '../ids/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { PartQuarantine } from '../quarantine/request-parts.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
@@ -14,10 +14,11 @@
 import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, type AttemptOutcome } from './attempt-outcome.ts'
 import { readPendingInput } from './pending-input.ts'
 import { pollAfter } from './poll-after.ts'
-import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome, type CrashEvidence } from './crash-evidence.ts'
+import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome } from './crash-evidence.ts'
 import { startExchange, type Codec, type Exchange } from './exchange.ts'
+import { createRequestProgress, type RequestProgress } from './request-progress.ts'
 import { isFramed, readResponse, relayEvents } from './relay.ts'
-import { createReplacements, type PendingReplacement, type ReplacementRequest, type ReplacementsOptions, type ReservedAttempt } from './replacement.ts'
+import { createReplacements, type ReplacementRequest, type ReplacementsOptions, type ReservedAttempt } from './replacement.ts'
 import type { RetryAllowance } from './retry-allowance.ts'
 import { isRepeatable, urgencyOf } from './route-table.ts'
 import type { RequestEnd, RequestObservation } from '../version-trial/index.ts'
@@ -35,14 +36,6 @@
   caller: CallerConnection
 }
 
-/** What earlier attempts of a request have shown. */
-export interface EarlierSends {
-  /** In the order of the attempts. */
-  triedBackends: ReadonlySet<Backend>
-  /** Whether a backend server failed in one of them, rather than refusing the request or answering with low confidence. */
-  hasFailed: boolean
-}
-
 export interface ForwarderOptions {
   codec: Codec
   /** Confidence, from 0 to 100, below which a response is discarded and the request escalated to the largest model. */
@@ -74,26 +67,6 @@
 
 const NONE_EXCLUDED: ReadonlySet<Backend> = new Set()
 
-export interface RequestProgress extends EarlierSends {
-  /** Number of times that the request was sent to a backend server, including the current attempt. */
-  attempts: number
-  connectAttempts: number
-  /** Whether a backend server may have run the request. */
-  mayHaveRun: boolean
-  lastEventId: number | undefined
-  model: ModelId | undefined
-  triedBackends: Set<Backend>
-  /** Whether the retry for the next attempt has already been taken from the allowance. */
-  retryReserved: boolean
-  /** What the next attempt needs, reserved while the current one is running. */
-  replacement: ReservedAttempt | undefined
-  pendingReplacement: PendingReplacement | undefined
-  isAbandoned: boolean
-  crashEvidence: CrashEvidence
-  currentExchange: Exchange | undefined
-  isFinished: boolean
-}
-
 export function createForwarder (options: ForwarderOptions) {
   const { codec, retryAllowance, recheckAccess, partQuarantine, clock, metrics, log, random } = options
 
@@ -111,22 +84,7 @@
   async function forward (forwarded: ForwardedRequest): Promise<void> {
     const { request, route, service, caller, receivedMs } = forwarded
     const deadlineMs = receivedMs + Math.min(request.timeoutMs ?? DEFAULT_TIMEOUT_MS, route.timeoutMs)
-    const progress: RequestProgress = {
-      attempts: 0,
-      connectAttempts: 0,
-      mayHaveRun: false,
-      lastEventId: request.lastEventId,
-      model: request.model ?? route.models[0],
-      triedBackends: new Set(),
-      hasFailed: false,
-      retryReserved: false,
-      replacement: undefined,
-      pendingReplacement: undefined,
-      isAbandoned: false,
-      crashEvidence: createCrashEvidence(forwarded, { quarantine: partQuarantine, log }),
-      currentExchange: undefined,
-      isFinished: false
-    }
+    const progress = createRequestProgress(forwarded, createCrashEvidence(forwarded, { quarantine: partQuarantine, log }))
     const cancelDeadline = clock.after(Math.max(0, deadlineMs - clock.now()), () => void endAtDeadline())
     caller.onDisconnect(() => {
       if (progress.isFinished) return
--- /dev/null
+++ b/src/core/forwarding/request-progress.ts
@@ -0,0 +1,54 @@
+/** State of one forwarded request over all of its attempts. */
+import type { Backend } from '../backend-pool/types.ts'
+import type { ModelId } from '../ids/index.ts'
+import type { CrashEvidence } from './crash-evidence.ts'
+import type { Exchange } from './exchange.ts'
+import type { ForwardedRequest } from './forward.ts'
+import type { PendingReplacement, ReservedAttempt } from './replacement.ts'
+
+/** What earlier attempts of a request have shown. */
+export interface EarlierSends {
+  /** In the order of the attempts. */
+  triedBackends: ReadonlySet<Backend>
+  /** Whether a backend server failed in one of them, rather than refusing the request or answering with low confidence. */
+  hasFailed: boolean
+}
+
+export interface RequestProgress extends EarlierSends {
+  /** Number of times that the request was sent to a backend server, including the current attempt. */
+  attempts: number
+  connectAttempts: number
+  /** Whether a backend server may have run the request. */
+  mayHaveRun: boolean
+  lastEventId: number | undefined
+  model: ModelId | undefined
+  triedBackends: Set<Backend>
+  /** Whether the retry for the next attempt has already been taken from the allowance. */
+  retryReserved: boolean
+  /** What the next attempt needs, reserved while the current one is running. */
+  replacement: ReservedAttempt | undefined
+  pendingReplacement: PendingReplacement | undefined
+  isAbandoned: boolean
+  crashEvidence: CrashEvidence
+  currentExchange: Exchange | undefined
+  isFinished: boolean
+}
+
+export function createRequestProgress ({ request, route }: ForwardedRequest, crashEvidence: CrashEvidence): RequestProgress {
+  return {
+    attempts: 0,
+    connectAttempts: 0,
+    mayHaveRun: false,
+    lastEventId: request.lastEventId,
+    model: request.model ?? route.models[0],
+    triedBackends: new Set(),
+    hasFailed: false,
+    retryReserved: false,
+    replacement: undefined,
+    pendingReplacement: undefined,
+    isAbandoned: false,
+    crashEvidence,
+    currentExchange: undefined,
+    isFinished: false
+  }
+}
