--- a/features/steps/prompt-parts.ts
+++ b/features/steps/prompt-parts.ts
@@ -117,6 +117,7 @@
 
 Then('it is not withdrawn at a crash with other requests', async function (this: TrialWorld) {
   await evidenceOf(OTHER_REQUEST, this.quarantine).recordLostResponse(crashedBackend())
+  await this.clock.advance(1)
   assert.equal(this.isWithdrawn, false)
 })
 
@@ -127,6 +128,7 @@
 
 Then('it is refused after a crash that another VM reports', async function (this: TrialWorld) {
   await evidenceOf(TRIED_REQUEST, this.quarantine).recordLostResponse(crashedBackend())
+  await this.clock.advance(1)
   assert.deepEqual([this.isWithdrawn, this.evidence.isRefused()], [true, true])
 })
 
--- a/src/core/quarantine/request-parts.ts
+++ b/src/core/quarantine/request-parts.ts
@@ -92,6 +92,8 @@
   /** The quarantines that have started, by the names of their parts in one text. */
   const started = new Map<string, Suspect>()
   let nextUpdateMs = -Infinity
+  /** Whether crashes were recorded that the suspects do not reflect yet. */
+  let isStale = false
   /** When the latest trial on this VM began, by the names of the suspected parts in one text. */
   const trialsMs = new Map<string, number>()
 
@@ -136,7 +138,19 @@
     return true
   }
 
+  /** Updates the suspects once for all streams that one crash breaks: before they are asked for, or at the end of this turn. */
+  function updateSoon (): void {
+    if (isStale) return
+    isStale = true
+    clock.after(0, updateIfStale)
+  }
+
+  function updateIfStale (): void {
+    if (isStale) update()
+  }
+
   function update (): void {
+    isStale = false
     for (const [key, { atMs }] of crashes) if (clock.now() - atMs >= QUARANTINE_DURATION_MS) crashes.delete(key)
     if (crashes.size === 0) survivals.clear()
     suspects = findSuspects([...crashes.values()], {
@@ -178,6 +192,7 @@
   }
 
   function matching (parts: readonly string[]): Suspect[] {
+    updateIfStale()
     const isExpired = ({ lastCrashMs }: Suspect) => clock.now() - lastCrashMs >= QUARANTINE_DURATION_MS
     return suspects.filter(suspect => !isExpired(suspect) && suspect.parts.every(part => parts.includes(part)))
   }
@@ -216,7 +231,7 @@
   return {
     recordCrash ({ backendServer, instance }, parts, { wasRunning = true } = {}) {
       const isNew = add({ backendServer, instance: `${backendServer}/${instance}`, parts, wasRunning, atMs: clock.now() }, true)
-      if (isNew) update()
+      if (isNew) updateSoon()
       return isNew
     },
     recordSurvival (parts, begunMs) {
@@ -241,8 +256,11 @@
       watchers.add(watcher)
       return () => { watchers.delete(watcher) }
     },
-    certainQuarantines: () => [...started.values()].filter(({ isCertain }) => isCertain)
-      .map(({ parts }) => ({ parts, crashes: crashesWith(parts).map(crash => toReport({ ...crash, parts })) })),
+    certainQuarantines () {
+      updateIfStale()
+      const certain = [...started.values()].filter(({ isCertain }) => isCertain)
+      return certain.map(({ parts }) => ({ parts, crashes: crashesWith(parts).map(crash => toReport({ ...crash, parts })) }))
+    },
     recentEvidence () {
       const recentCrashes = [...crashes.values()].filter(crash => isRecent(crash) && isUnexplained(crash)).map(toReport)
       const recentSurvivals = [...survivals].filter(([, survival]) => isRecent(survival)).map(([part, { begunMs }]) => [part, Math.round(clock.now() - begunMs)] as const)
