Keep a running attempt until its replacement has been taken

Callers saw streams that were cut, and late answers replaced by a 502, although their backend server was sound and went on after a second of silence. The cause: an attempt was abandoned once its replacement had a retry, capacity and a connection. A backend server that then refused the request, reset the connection or answered with a failure left nothing to deliver, because the running response had been closed.

The request is now sent to the replacement while the running attempt goes on. The running attempt is abandoned when the replacement answers with success, or has not refused within 200 ms. A refusal comes within a round trip, and two backend servers may work on a request for 400 ms. If the running attempt makes progress meanwhile, the replacement is withdrawn; if it breaks, the replacement that was sent is used and takes no second retry.

--- a/features/replacement.feature
+++ b/features/replacement.feature
@@ -15,6 +15,52 @@
     Then the caller of the forwarder gets 200 with whole
     And 1 retry is used up and no capacity is taken
 
+  # Guards against a stream that is cut because its replacement is refused, although its own backend server goes on.
+  Scenario Outline: a stream from a backend server that does <behaviour> goes on when its replacement gets <refusal>
+    Given a forwarder with 5 retries, replacements that take 5 ms and backend servers that <behaviour>, <refusal>
+    When it forwards a stream
+    Then the caller of the forwarder gets 200 with the events 1, 2, 3, 4 and the end
+    And no capacity is taken
+
+    Examples:
+      | behaviour    | refusal    |
+      | stream-pause | not-run    |
+      | stream-pause | reset      |
+      | stream-pause | answer-500 |
+      | stream-pause | answer-503 |
+      | stream-pause | no-mark    |
+      | stream-pause | garbage    |
+      | stream-late  | not-run    |
+      | stream-late  | reset      |
+
+  # Guards against an idempotent request that fails because its replacement is refused, although its own backend server answers.
+  Scenario Outline: a late answer is delivered when its replacement gets <refusal>
+    Given a forwarder with 5 retries, replacements that take 5 ms and backend servers that answer-after-1500-ms, <refusal>
+    When it forwards an idempotent request
+    Then the caller of the forwarder gets 200 with whole
+    And no capacity is taken
+
+    Examples:
+      | refusal    |
+      | not-run    |
+      | reset      |
+      | answer-500 |
+
+  # Guards against two backend servers that go on with one stream, and against events that are delivered twice.
+  Scenario: a stream that goes on while its replacement is offered is delivered by its own backend server
+    Given a forwarder with 5 retries, replacements that take 5 ms and backend servers that stream-brief-pause, silent
+    When it forwards a stream
+    Then the caller of the forwarder gets 200 with the events 1, 2, 3, 4 and the end
+    And no capacity is taken
+    And its attempts are observed as abandoned, completed
+
+  # Guards against a retry that is sent twice because the stream breaks while its replacement is offered.
+  Scenario: a stream that breaks while its replacement is offered is resumed by the replacement
+    Given a forwarder with 1 retry, replacements that take 5 ms and backend servers that stream-brief-break, stream-late-head
+    When it forwards a stream
+    Then the caller of the forwarder gets 200 with the events 1, 2, 3, 4 and the end
+    And 1 retry is used up and no capacity is taken
+
   # Guards against a response that is abandoned although its replacement has no time left.
   Scenario: a low-confidence response is delivered when its replacement is reserved too late
     Given a forwarder with 5 retries, replacements that take 230 ms by the clock and backend servers that stream-low-confidence, stream
--- a/features/steps/replacement.ts
+++ b/features/steps/replacement.ts
@@ -155,5 +155,14 @@
   let left = 0
   while (this.allowance.tryTake()) left++
   assert.equal(this.retries - left, used === 'no' ? 0 : Number(used))
-  assert.deepEqual(this.backends.map(({ inFlight }) => inFlight), this.backends.map(() => 0))
+  assertNoCapacityTaken(this)
 })
+
+Then('no capacity is taken', async function (this: ReplacementWorld) {
+  await sleep(500)
+  assertNoCapacityTaken(this)
+})
+
+function assertNoCapacityTaken ({ backends }: ReplacementWorld): void {
+  assert.deepEqual(backends.map(({ inFlight }) => inFlight), backends.map(() => 0))
+}
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -8,7 +8,7 @@
   | 'low-status' | 'switch-protocols' | 'empty-header-name' | 'stream-empty-header-name' | 'trailer'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
-  | 'stream-crash' | 'stream-comment-crash' | 'stream-headless-crash' | 'stream-head-reset' | 'stream' | 'stream-break-mid-event' | 'stream-break-late' | 'stream-gap' | 'stream-no-length' | 'stream-unframed' | 'stream-unframed-part' | 'stream-unframed-reset' | 'stream-unframed-crash' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-late' | 'stream-low-confidence' | 'stream-low-confidence-slow' | 'stream-low-confidence-stall' | 'stream-low-confidence-break' | 'stream-slow'
+  | 'stream-crash' | 'stream-comment-crash' | 'stream-headless-crash' | 'stream-head-reset' | 'stream' | 'stream-break-mid-event' | 'stream-break-late' | 'stream-gap' | 'stream-no-length' | 'stream-unframed' | 'stream-unframed-part' | 'stream-unframed-reset' | 'stream-unframed-crash' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-brief-pause' | 'stream-brief-break' | 'stream-late' | 'stream-late-head' | 'stream-low-confidence' | 'stream-low-confidence-slow' | 'stream-low-confidence-stall' | 'stream-low-confidence-break' | 'stream-slow'
 
 export interface ScriptedBackend {
   address: string
@@ -216,6 +216,17 @@
       socket.write(chunked + chunk(event(after + 1)))
       setTimeout(() => finish(all.slice(1).map(chunk).join('') + '0\r\n\r\n'), 900)
     },
+    // Goes on, or breaks, shortly after a silence of three quarters of the longest gap of 300 ms.
+    'stream-brief-pause': () => {
+      socket.write(chunked + chunk(event(after + 1)))
+      setTimeout(() => socket.write(chunk(all[1]!)), 390)
+      setTimeout(() => finish(all.slice(2).map(chunk).join('') + '0\r\n\r\n'), 590)
+    },
+    'stream-brief-break': () => {
+      socket.write(chunked + chunk(event(after + 1)))
+      setTimeout(() => socket.destroy(), 390)
+    },
+    'stream-late-head': () => { setTimeout(behaviours.stream, 120) },
     'stream-late': () => { setTimeout(behaviours.stream, 900) },
     'stream-low-confidence': () => finish(stream + 'x-test-confidence: 5\r\ntransfer-encoding: chunked\r\n\r\n' + all.map(chunk).join('') + '0\r\n\r\n'),
     // Is complete only after the next attempt can have failed.
--- a/src/core/forwarding/constants.ts
+++ b/src/core/forwarding/constants.ts
@@ -4,6 +4,11 @@
 export const CONNECT_TIMEOUT_MS = 400
 /** Timeout of the connection for an attempt that replaces a running one, which goes on meanwhile. */
 export const REPLACEMENT_CONNECT_TIMEOUT_MS = 100
+/**
+ * Time after which a replacement counts as taken if its backend server has not refused it. A refusal takes one round trip;
+ * two backend servers may work on the same request for 400 ms, which this leaves time to cancel one of them.
+ */
+export const REFUSAL_WAIT_MS = 200
 /** Time from the checks of a request to its sending after which they must be repeated: the process was paused, as a connection takes less. */
 export const MAX_SEND_DELAY_MS = 500
 /** Connections that may fail for one request before any byte is sent; they do not count as attempts. */
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -6,19 +6,19 @@
 import type { Backend, Reservation } from '../backend-pool/types.ts'
 import type { ModelChoice } from '../cascade/model-choice.ts'
 import { longestElapsedMs, readInstant } from '../clock/index.ts'
-import { GatewayError, type ErrorName } from '../errors/index.ts'
+import { errorMessage, GatewayError, type ErrorName } from '../errors/index.ts'
 import type { ModelId, ServiceId } from '../ids/index.ts'
 import type { AttemptEnd, AttemptObservation, ExpectedTimes } from '../pacing/index.ts'
 import type { PartQuarantine } from '../quarantine/request-parts.ts'
-import { DEFAULT_TIMEOUT_MS, MAX_CONNECT_ATTEMPTS, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
+import { DEFAULT_TIMEOUT_MS, MAX_CONNECT_ATTEMPTS, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, REFUSAL_WAIT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
 import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, retryOrFail, type AttemptOutcome } from './attempt-outcome.ts'
 import { readPendingInput } from './pending-input.ts'
 import { pollAfter } from './poll-after.ts'
 import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome } from './crash-evidence.ts'
-import { startExchange, type Codec } from './exchange.ts'
+import { startExchange, type Codec, type ExchangeFailure, type ExchangeResult } from './exchange.ts'
 import { createEscalations } from './escalation.ts'
-import { createRequestProgress, type RequestProgress } from './request-progress.ts'
-import { createResponseHandler, type ResponseHandlerOptions } from './response-handler.ts'
+import { createRequestProgress, type RequestProgress, type SentAttempt } from './request-progress.ts'
+import { createResponseHandler, isFailed, type ResponseHandlerOptions } from './response-handler.ts'
 import { createReplacements, type ReplacementRequest, type ReplacementsOptions, type ReservedAttempt } from './replacement.ts'
 import type { RetryAllowance } from './retry-allowance.ts'
 import { urgencyOf } from './route-table.ts'
@@ -65,6 +65,11 @@
 
 const NONE_EXCLUDED: ReadonlySet<Backend> = new Set()
 
+/** Whether a backend server has not taken a request, or has failed to answer it. */
+function isRefusal (result: ExchangeResult): boolean {
+  return result.kind !== 'head' || result.head.notRun || !result.head.authentic || isFailed(result.head)
+}
+
 export function createForwarder (options: ForwarderOptions) {
   const { codec, retryAllowance, recheckAccess, partQuarantine, clock, metrics, log, random } = options
 
@@ -78,7 +83,7 @@
     log
   })
   const escalations = createEscalations({ modelChoice: options.modelChoice, retryAllowance, clock, metrics, log })
-  const handleResponse = createResponseHandler({ ...options, escalations })
+  const { handleResponse, rejectResponse } = createResponseHandler({ ...options, escalations })
 
   /** Forwards the request and sends the response to the caller; never rejects. */
   async function forward (forwarded: ForwardedRequest): Promise<void> {
@@ -125,12 +130,20 @@
     } finally {
       cancelDeadline()
       replacements.release(forwarded, progress)
+      if (progress.taken) {
+        progress.taken.endAttempt('abandoned')
+        withdraw(service, progress.taken)
+      }
       progress.heldAnswer?.drop()
     }
   }
 
   async function attempt (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number): Promise<AttemptOutcome> {
     const { route, service } = forwarded
+    await progress.offer
+    const { taken } = progress
+    progress.taken = undefined
+    if (taken) return await awaitResponse(forwarded, progress, deadlineMs, taken)
     const noAttemptError = errorWithoutAttempt(progress)
     replacements.takeOverRetry(forwarded, progress)
     if (deadlineMs - clock.now() < MIN_ATTEMPT_MS) return outOfTime(progress)
@@ -140,7 +153,7 @@
     const { reservation, connection } = progress.replacement ?? { reservation: await options.reserveCapacity(forwarded, progress, deadlineMs - clock.now()) }
     progress.replacement = undefined
     const obstacle = findObstacle(forwarded, progress, deadlineMs, reservation)
-    if (reservation && !obstacle) return await send(forwarded, progress, deadlineMs, { reservation, connection })
+    if (reservation && !obstacle) return await awaitResponse(forwarded, progress, deadlineMs, send(forwarded, progress, deadlineMs, { reservation, connection }))
     if (reservation) replacements.cancel(service, { reservation, connection })
     const { error = noAttemptError, reason = 'no backend server has room' } = progress.capacityRefusal ?? {}
     return obstacle ?? { kind: 'failed', error, reason }
@@ -167,7 +180,8 @@
     return isRefused
   }
 
-  async function send (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { reservation, connection }: ReservedAttempt): Promise<AttemptOutcome> {
+  /** `lastEventId` is the last event that the caller has received. */
+  function send (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { reservation, connection }: ReservedAttempt, lastEventId = progress.lastEventId): SentAttempt {
     const { request, route, service, team, body } = forwarded
     const { backend } = reservation
     const remainingMs = deadlineMs - clock.now()
@@ -175,12 +189,11 @@
     progress.attempts++
 
     const call = {
-      backendServer: backend.entry.id, team: team?.id, remainingMs, urgency: urgencyOf(route, team), model: progress.model, lastEventId: progress.lastEventId
+      backendServer: backend.entry.id, team: team?.id, remainingMs, urgency: urgencyOf(route, team), model: progress.model, lastEventId
     }
     const permittedAt = readInstant(clock)
     const mayStillSend = () => longestElapsedMs(clock, permittedAt) <= MAX_SEND_DELAY_MS && (progress.attempts > 1 || recheckAccess(forwarded) === undefined)
     const exchange = startExchange({ backend, request, call, body, codec, mayStillSend, connection })
-    progress.currentExchange = exchange
     progress.triedBackends.add(backend)
     const observation = options.observe(backend, forwarded, { isFirst: progress.attempts === 1 && progress.connectAttempts + progress.misdirectedSends === 0, model: progress.model })
     const endAttempt = (end: AttemptEnd) => {
@@ -195,9 +208,27 @@
       if (progress.retryReserved) retryAllowance(service).giveBack()
       progress.retryReserved = progress.attempts > 0
     }
-    const reserveFailover = (isDue: () => boolean) => replacements.reserve(forwarded, progress, deadlineMs, { excluded: progress.triedBackends, hasFailed: true, model: progress.model, isDue })
+    return { reservation, exchange, sentMs: clock.now(), recordEvent: observation.recordEvent, endAttempt, uncountAttempt }
+  }
+
+  async function awaitResponse (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, sent: SentAttempt): Promise<AttemptOutcome> {
+    const { route, service } = forwarded
+    const { reservation, exchange, sentMs, recordEvent, endAttempt, uncountAttempt } = sent
+    const { backend } = reservation
+    progress.currentExchange = exchange
+    const reserveFailover = async (isDue: () => boolean, lastEventId = progress.lastEventId) => {
+      if (progress.offer || !await replacements.reserve(forwarded, progress, deadlineMs, { excluded: progress.triedBackends, hasFailed: true, model: progress.model, isDue })) return false
+      progress.offer = offer(forwarded, progress, deadlineMs, { isDue, lastEventId }).catch((error: unknown) => {
+        log.error('a replacement could not be sent by an error of this VM', { id: forwarded.request.id, error: errorMessage(error) })
+        return false
+      })
+      const isTaken = await progress.offer
+      progress.offer = undefined
+      return isTaken
+    }
     const reserveRepeat = async (repeat: Pick<ReplacementRequest, 'hasFailed' | 'model' | 'fraction'>) => {
       await progress.pendingReplacement?.settled
+      await progress.offer
       return await replacements.reserve(forwarded, progress, deadlineMs, { excluded: NONE_EXCLUDED, ...repeat })
     }
     let awaitsResponse = true
@@ -208,10 +239,9 @@
     }
     const onBackendRemoved = () => void abandonFor('backend server gone', () => true)
     backend.onRemoved.add(onBackendRemoved)
-    const sentMs = clock.now()
     // A request that must run once and is already running is not given up on a suspicion.
     const cancelQuarantineWatch = route.kind === 'non_idempotent' ? () => {} : progress.crashEvidence.watch(() => exchange.abort(QUARANTINE_REASON))
-    const stopResponsePoll = pollAfter(clock, firstResponseTimeoutMs(route, { remainingMs, ...options.expectedTimes?.(backend, forwarded, progress.model) }), () => abandonFor('no response in time', () => awaitsResponse))
+    const stopResponsePoll = pollAfter(clock, firstResponseTimeoutMs(route, { remainingMs: deadlineMs - clock.now(), ...options.expectedTimes?.(backend, forwarded, progress.model) }), () => abandonFor('no response in time', () => awaitsResponse))
     const cancelResponseTimer = () => {
       awaitsResponse = false
       stopResponsePoll()
@@ -220,19 +250,7 @@
       const result = await exchange.result
       if (result.kind !== 'head') {
         cancelResponseTimer()
-        if (result.kind !== 'lost') {
-          progress.connectAttempts++
-          uncountAttempt()
-          progress.hasFailed = true
-          endAttempt('not_run')
-          // A connection that was given up with its request, at the deadline or when the caller left, has not failed.
-          if (result.kind === 'not_sent' && !progress.isFinished) options.recordConnectFailure(backend)
-          return { kind: 'next', reason: result.reason, backend }
-        }
-        progress.mayHaveRun = true
-        endAttempt('failed')
-        if (!exchange.isAborted()) await progress.crashEvidence.recordLostResponse(backend)
-        return retryOrFail(route, backend, result.reason)
+        return await endWithoutResponse(forwarded, progress, sent, result)
       }
       backend.lastReceivedMs = clock.now()
       const recordSurvival = () => {
@@ -240,7 +258,7 @@
         // The first event of a stream is written when the answer begins, however early its head came.
         progress.crashEvidence.recordSurvival(route.kind === 'streaming' ? clock.now() : sentMs)
       }
-      return await handleResponse(forwarded, progress, { backend, exchange, sentMs, deadlineMs, head: result.head, body: result.body, recordSurvival, recordEvent: observation.recordEvent, endAttempt, uncountAttempt, reserveFailover, reserveRepeat, endPrompt: reservation.endPrompt, cancelResponseTimer })
+      return await handleResponse(forwarded, progress, { backend, exchange, sentMs, deadlineMs, head: result.head, body: result.body, recordSurvival, recordEvent, endAttempt, uncountAttempt, reserveFailover, reserveRepeat, endPrompt: reservation.endPrompt, cancelResponseTimer })
     } finally {
       cancelResponseTimer()
       cancelQuarantineWatch()
@@ -255,6 +273,66 @@
     }
   }
 
+  async function endWithoutResponse ({ route }: ForwardedRequest, progress: RequestProgress, { reservation: { backend }, exchange, endAttempt, uncountAttempt }: SentAttempt, { kind, reason }: ExchangeFailure): Promise<AttemptOutcome> {
+    if (kind !== 'lost') {
+      progress.connectAttempts++
+      uncountAttempt()
+      progress.hasFailed = true
+      endAttempt('not_run')
+      // A connection that was given up with its request, at the deadline or when the caller left, has not failed.
+      if (kind === 'not_sent' && !progress.isFinished) options.recordConnectFailure(backend)
+      return { kind: 'next', reason, backend }
+    }
+    progress.mayHaveRun = true
+    endAttempt('failed')
+    if (!exchange.isAborted()) await progress.crashEvidence.recordLostResponse(backend)
+    return retryOrFail(route, backend, reason)
+  }
+
+  /**
+   * Sends the request to the reserved backend server while the running attempt goes on, and returns whether it has been taken:
+   * the response has begun, or no refusal has come for a short time. The attempt is due no longer if the running one has
+   * made progress meanwhile.
+   */
+  async function offer (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { isDue, lastEventId }: { isDue: () => boolean, lastEventId: number | undefined }): Promise<boolean> {
+    const { replacement: reserved, currentExchange: running } = progress
+    if (!reserved) return false
+    if (findObstacle(forwarded, progress, deadlineMs, reserved.reservation)) {
+      replacements.release(forwarded, progress)
+      return false
+    }
+    progress.replacement = undefined
+    const sent = send(forwarded, progress, deadlineMs, reserved, lastEventId)
+    const result = await Promise.race([sent.exchange.result, clock.sleep(REFUSAL_WAIT_MS).then(readPendingInput)])
+    const isWanted = !progress.isFinished && (progress.currentExchange !== running || isDue())
+    if (isWanted && !(result && isRefusal(result))) {
+      progress.taken = sent
+      return true
+    }
+    if (result && isRefusal(result)) await endRefused(forwarded, progress, sent, result)
+    else {
+      progress.mayHaveRun = true
+      sent.endAttempt('abandoned')
+    }
+    withdraw(forwarded.service, sent)
+    replacements.release(forwarded, progress)
+    return false
+  }
+
+  async function endRefused (forwarded: ForwardedRequest, progress: RequestProgress, sent: SentAttempt, result: ExchangeResult): Promise<void> {
+    const { reservation: { backend }, exchange, endAttempt, uncountAttempt } = sent
+    if (result.kind !== 'head') await endWithoutResponse(forwarded, progress, sent, result)
+    else if (!rejectResponse(forwarded, progress, { backend, exchange, head: result.head, endAttempt, uncountAttempt })) endAttempt('failed')
+    log.request('replacement_refused', { id: forwarded.request.id, backendServer: backend.entry.id, reason: result.kind === 'head' ? `status ${result.head.status}` : result.reason, attempts: progress.attempts })
+  }
+
+  /** Gives up what an attempt holds whose response is not used. */
+  function withdraw (service: ServiceId, { reservation, exchange }: SentAttempt): void {
+    exchange.abort('not needed')
+    reservation.release()
+    options.onCapacityFreed(service)
+  }
+
   function takeRetry (service: ServiceId, fraction = 1): boolean {
     const wasTaken = retryAllowance(service).tryTake(fraction)
     if (!wasTaken) metrics.count('retries', 'budget_exhausted')
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -59,8 +59,8 @@
   route: Route
   /** Id of the last event that the caller received; the next event must follow it without a gap. */
   lastEventId: number | undefined
-  /** Reserves an attempt at another backend server that is still due then; after true, the stream must be resumed there in the same turn. */
-  reserveFailover(isDue: () => boolean): Promise<boolean>
+  /** Has another backend server take the request from the last event on, if it is still due then; after true, the stream must be resumed there in the same turn. */
+  reserveFailover(isDue: () => boolean, lastEventId: number | undefined): Promise<boolean>
   /** Whether the process of the backend server has ended. */
   hasBackendEnded(): Promise<boolean>
   /** Removes the load of the prompt from the backend server; called at the first event. */
@@ -117,7 +117,7 @@
     async function resumeIfStalled (): Promise<void> {
       if (!isStalled()) return
       await readPendingInput()
-      if (isStalled() && await reserveFailover(isStalled)) settle('broken', 'stalled')
+      if (isStalled() && await reserveFailover(isStalled, lastEventId)) settle('broken', 'stalled')
     }
 
     /** A comment is no progress: a stalled backend server may go on sending them. */
--- a/src/core/forwarding/replacement.ts
+++ b/src/core/forwarding/replacement.ts
@@ -2,6 +2,7 @@
  * Attempts that replace a running one: for a backend server that is silent or late, or for a response of a larger model.
  * The running attempt is abandoned only when the other one has a retry, capacity and a connection, because other VMs may
  * not lend the capacity and the other backend server may have ended, and then the caller would be left without a response.
+ * For the same reason, a silent or late attempt also waits until the other backend server has taken the request (`forward.ts`).
  */
 import type { Socket } from 'node:net'
 import type { Backend, Reservation } from '../backend-pool/types.ts'
--- a/src/core/forwarding/request-progress.ts
+++ b/src/core/forwarding/request-progress.ts
@@ -1,8 +1,9 @@
 /** State of one forwarded request over all of its attempts. */
-import type { Backend } from '../backend-pool/types.ts'
+import type { Backend, Reservation } from '../backend-pool/types.ts'
 import type { ChoiceReason, Verdict } from '../cascade/model-choice.ts'
 import type { ErrorName } from '../errors/index.ts'
 import type { ModelId } from '../ids/index.ts'
+import type { AttemptEnd } from '../pacing/index.ts'
 import type { CrashEvidence } from './crash-evidence.ts'
 import type { Exchange } from './exchange.ts'
 import type { ForwardedRequest } from './forward.ts'
@@ -20,6 +21,17 @@
 /** The last two keep a low-confidence answer for lack of a retry, or of a backend server for another attempt. */
 export type AnswerVerdict = Verdict | 'no_retry' | 'no_capacity'
 
+/** An attempt whose request has been sent. */
+export interface SentAttempt {
+  reservation: Reservation
+  exchange: Exchange
+  sentMs: number
+  recordEvent(): void
+  endAttempt(end: AttemptEnd): void
+  /** Takes the attempt back, because no backend server has got the request, and leaves its retry to the next one. */
+  uncountAttempt(): void
+}
+
 export interface RequestProgress extends EarlierSends {
   /** Number of times that the request was sent to a backend server, including the current attempt. */
   attempts: number
@@ -42,6 +54,10 @@
   /** What the next attempt needs, reserved while the current one is running. */
   replacement: ReservedAttempt | undefined
   pendingReplacement: PendingReplacement | undefined
+  /** Resolves when it is known whether the backend server of a replacement has taken the request; never rejects. */
+  offer: Promise<boolean> | undefined
+  /** Replacement whose backend server has taken the request. */
+  taken: SentAttempt | undefined
   /** Wait for capacity of the latest attempt, and why; for the log. */
   capacityWait?: { waitedMs: number, waitReason: string } | undefined
   /** Why the latest attempt got no capacity, if teams share it fairly; with the error unless it is the usual one, and the time until capacity is expected, if known. */
@@ -68,6 +84,8 @@
     retryReserved: false,
     replacement: undefined,
     pendingReplacement: undefined,
+    offer: undefined,
+    taken: undefined,
     isAbandoned: false,
     crashEvidence,
     currentExchange: undefined,
--- a/src/core/forwarding/response-handler.ts
+++ b/src/core/forwarding/response-handler.ts
@@ -40,40 +40,52 @@
   endAttempt(end: AttemptEnd): void
   /** Takes the attempt back, because no backend server has got the request, and leaves its retry to the next one. */
   uncountAttempt(): void
-  /** Takes a retry and capacity at a backend server that the request was not sent to yet, for a replacement that is still due then. */
-  reserveFailover(isDue: () => boolean): Promise<boolean>
+  /** Has a backend server that the request was not sent to yet take it from the last event on, as a replacement that is still due then. */
+  reserveFailover(isDue: () => boolean, lastEventId?: number): Promise<boolean>
   endPrompt(): void
   cancelResponseTimer(): void
 }
 
+type ReceivedHead = Pick<AttemptResponse, 'backend' | 'exchange' | 'head' | 'endAttempt' | 'uncountAttempt'>
+
 export function createResponseHandler (options: ResponseHandlerOptions) {
   const { escalations, clock, metrics, log, recordRefusal = () => {} } = options
 
   /** Sends the response to the caller or returns why another attempt is due. */
   async function handleResponse (forwarded: ForwardedRequest, progress: RequestProgress, received: AttemptResponse): Promise<AttemptOutcome> {
-    const response = { ...received, head: { ...received.head, misdirected: isMisdirected(forwarded, received.head) } }
+    const rejected = rejectResponse(forwarded, progress, received)
+    if (rejected) return rejected
+    const response = withTrueHead(forwarded, received)
+    const replaced = await replaceFailed(forwarded, progress, response)
+    if (replaced) return replaced
+    if (forwarded.route.kind === 'streaming' && response.head.status < 300) return await relayStream(forwarded, progress, response)
+    return await sendPlain(forwarded, progress, response)
+  }
+
+  /** Records what the head of a response says, and ends the attempt if the request did not run or the response is not authentic. */
+  function rejectResponse (forwarded: ForwardedRequest, progress: RequestProgress, received: ReceivedHead): AttemptOutcome | undefined {
+    const response = withTrueHead(forwarded, received)
     const { backend, exchange, head, endAttempt } = response
     recordStatements(response)
     if (head.notRun) return endRefused(progress, response)
     progress.mayHaveRun = true
-    if (!head.authentic) {
-      exchange.abort('response is not authentic')
-      endAttempt('failed')
-      return retryOrFail(forwarded.route, backend, 'response is not authentic')
-    }
-    const replaced = await replaceFailed(forwarded, progress, response)
-    if (replaced) return replaced
-    if (forwarded.route.kind === 'streaming' && head.status < 300) return await relayStream(forwarded, progress, response)
-    return await sendPlain(forwarded, progress, response)
+    if (head.authentic) return undefined
+    exchange.abort('response is not authentic')
+    endAttempt('failed')
+    return retryOrFail(forwarded.route, backend, 'response is not authentic')
+  }
+
+  function withTrueHead<Response extends ReceivedHead> (forwarded: ForwardedRequest, response: Response): Response {
+    return { ...response, head: { ...response.head, misdirected: isMisdirected(forwarded, response.head) } }
   }
 
   /** Records what the head says about the backend server itself. */
-  function recordStatements ({ backend, head }: AttemptResponse): void {
+  function recordStatements ({ backend, head }: ReceivedHead): void {
     if (!head.misdirected) options.recordAvailability(backend, head)
     if (head.namedLimit !== undefined ? !head.misdirected : head.authentic && !head.notRun) options.recordNamedLimit(backend, head.namedLimit)
   }
 
-  function endRefused (progress: RequestProgress, { backend, exchange, head, endAttempt, uncountAttempt }: AttemptResponse): AttemptOutcome {
+  function endRefused (progress: RequestProgress, { backend, exchange, head, endAttempt, uncountAttempt }: ReceivedHead): AttemptOutcome {
     if (head.misdirected && progress.misdirectedSends++ < MAX_MISDIRECTED_SENDS) uncountAttempt()
     endAttempt('not_run')
     exchange.abort('not run')
@@ -162,7 +174,7 @@
     })
   }
 
-  return handleResponse
+  return { handleResponse, rejectResponse }
 }
 
 /** Whether the answer proves that another backend server has the address. The same status refuses a model that the caller names and the backend server does not have. */
@@ -170,6 +182,7 @@
   return misdirected && (model === undefined || route.models.includes(model))
 }
 
-function isFailed ({ status }: BackendResponseHead): boolean {
+/** Whether the response is a failure, or has a status that promises that the request was not run. */
+export function isFailed ({ status }: BackendResponseHead): boolean {
   return status >= 500 || NOT_RUN_STATUSES.has(status)
 }
