Answer a complete request before the error of what follows it

A caller whose request with a body was followed at once by bytes that are no request, or by another request after its own `Connection: close`, got 400 in place of its answer, and the request was not run. The cause: Node reports the end of a body later than the error of the bytes behind it, and the queue took a request without its end for an incomplete one and ended the connection. A request that was received completely now counts as due.

Evidence: a real process answered 400 and sent nothing to the backend server; both new scenarios failed before the change.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -587,14 +587,22 @@
   # Guards against an error response that takes the place of the responses to earlier requests.
   Scenario Outline: requests before <bytes> are answered first
     Given a forwarding VM with a backend server that <behaviour> and has 64 slots
-    When a caller writes 2 requests to <path> at once and <bytes>
+    When a caller writes <count> requests to <path> at once and <bytes>
     Then the caller gets the statuses <statuses>
-    And the backend servers received 2 requests
+    And the backend servers received <count> requests
 
     Examples:
-      | behaviour    | path      | bytes                     | statuses      |
-      | answer-late  | /order/1  | bytes that are no request | 200, 200, 400 |
-      | stream-pause | /stream/1 | a part of a head          | 200, 200, 408 |
+      | behaviour    | count | path      | bytes                     | statuses      |
+      | answer-late  | 1     | /order/1  | bytes that are no request | 200, 400      |
+      | answer-late  | 2     | /order/1  | bytes that are no request | 200, 200, 400 |
+      | stream-pause | 2     | /stream/1 | a part of a head          | 200, 200, 408 |
+
+  # Guards against an error response that takes the place of the only response that is due on the connection.
+  Scenario: a request that closes its connection is answered although another one follows it
+    Given a forwarding VM with a backend server that answer-late and has 64 slots
+    When a caller writes a request to /order/1 that closes the connection, and another one
+    Then the caller gets the statuses 200 and then the end of the connection
+    And the backend servers received 1 requests
 
   # Guards against a status that promises that a request has not run, and runs it.
   Scenario: a request whose head is late gets 408 and does not run when the rest of it arrives
--- a/features/steps/pipelining.ts
+++ b/features/steps/pipelining.ts
@@ -26,6 +26,10 @@
   this.pipelined = await exchangePipelined(this.harness.settings.callerAddress, Array.from({ length: Number(count) }, () => pipelinedRequest({ path })).join(''))
 })
 
+When(/^a caller writes a request to (\S+) that closes the connection, and another one$/, async function (this: PipeliningWorld, path: string) {
+  this.pipelined = await exchangePipelined(this.harness.settings.callerAddress, pipelinedRequest({ path, closes: true }) + pipelinedRequest({ path }))
+})
+
 When(/^a caller writes a request to (\S+) while the VM stops, and another one when its response starts$/, async function (this: PipeliningWorld, path: string) {
   void this.harness.vm.stop()
   await sleep(STOP_BEGIN_MS)
--- a/src/core/forwarding/request-queue.ts
+++ b/src/core/forwarding/request-queue.ts
@@ -3,7 +3,7 @@
  * another at once, and ends the connection after a response that closes it, so a later one could run without an answer.
  * Here each request is handled when the response before it has been sent, and none behind a response that closes the connection.
  */
-import type { ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { MAX_WAITING_REQUESTS } from './constants.ts'
 
@@ -16,7 +16,7 @@
 
 export interface RequestQueue {
   /** Adds a request. Returns `undefined` if the connection handles no more requests. `onEnd` is called when the response or the connection has ended. */
-  add(outgoing: ServerResponse, onEnd: () => void): QueuedRequest | undefined
+  add(incoming: IncomingMessage, outgoing: ServerResponse, onEnd: () => void): QueuedRequest | undefined
   /** Whether requests wait behind the current one. */
   hasWaiting(): boolean
   /** Whether the connection must be closed after the response to the last request. */
@@ -28,6 +28,8 @@
 }
 
 interface Entry {
+  /** Whether the request has arrived completely; its `start` may still be missing then, because Node passes on the end of a body later. */
+  isComplete(): boolean
   start: (() => void) | undefined
   isStarted: boolean
   end(): void
@@ -51,21 +53,21 @@
       if (current.isStarted) return
       current.isStarted = true
       current.start()
-    } else if (lastBytes !== undefined) {
+    } else if (lastBytes !== undefined && !current?.isComplete()) {
       isClosed = true
       socket.end(lastBytes)
     }
   }
 
   return {
-    add (outgoing, onEnd) {
+    add (incoming, outgoing, onEnd) {
       if (isClosed || isFull || lastBytes !== undefined) {
         // Only reduces what is read behind the last request: Node reads on when it needs more of an earlier one.
         socket.pause()
         return undefined
       }
       isFull = entries.length > MAX_WAITING_REQUESTS
-      const entry: Entry = { start: undefined, isStarted: false, end: onEnd }
+      const entry: Entry = { isComplete: () => incoming.complete, start: undefined, isStarted: false, end: onEnd }
       entries.push(entry)
       outgoing.once('close', () => {
         const index = entries.indexOf(entry)
--- a/src/core/forwarding/server.ts
+++ b/src/core/forwarding/server.ts
@@ -85,7 +85,7 @@
     const queue = requestQueues.get(incoming.socket)!
     const request = decode(incoming.method!, incoming.url!, incoming.headers, incoming.rawHeaders)
     const claim = budget.open({ connection: incoming.socket, address: incoming.socket.remoteAddress, team: request.key })
-    const queued = queue.add(outgoing, () => {
+    const queued = queue.add(incoming, outgoing, () => {
       openRequests--
       claim.end()
     })
