Read what has arrived before a stopping process ends

Callers saw a reset instead of an answer to requests that they had sent more than 200 ms before. The process of a stopping VM had been paused for some hundred milliseconds, as on a machine short of processor time, and the timer that ends a stop runs before sockets are read. The process ended with those requests unread. None of them had been run.

At its end, a stop now reads until three turns of the event loop in a row bring no connection and no request. The requests are refused at once with 503, as others late in a stop. The bound is a number of turns, because a bound in time passes during a pause.

The ports close before the process is torn down, which takes many milliseconds in which the kernel would go on to accept connections.

--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -385,8 +385,11 @@
       log.info('VM stops', { openRequests: callerServer.openRequests() })
       startup.stop()
       void fleet.leave()
-      await runStop({ graceMs: settings.stopGraceMs, openRequests: callerServer.openRequests, unregister: fleet.unregister, clock })
-      log.info('VM stopped', { openRequests: callerServer.openRequests() })
+      await runStop({ graceMs: settings.stopGraceMs, openRequests: callerServer.openRequests, arrivals: callerServer.arrivals, unregister: fleet.unregister, clock })
+      const openRequests = callerServer.openRequests()
+      // The teardown of the process takes many milliseconds, in which its open ports would still take connections.
+      ports.close()
+      log.info('VM stopped', { openRequests })
     },
     async close () {
       resources.stop()
--- a/src/core/forwarding/server.ts
+++ b/src/core/forwarding/server.ts
@@ -58,16 +58,20 @@
   applyLimits(limits: CallerLimits): void
   /** Number of requests whose headers have been received and whose response is not finished. */
   openRequests(): number
+  /** Number of connections that have been accepted and of requests whose headers have been received. */
+  arrivals(): number
 }
 
 export function createCallerServer ({ decode, table, handle, isClosing, budget, clock, log, metrics, random }: CallerServerOptions): CallerServer {
   let openRequests = 0
+  let arrivals = 0
   const server = createServer({ maxHeaderSize: MAX_PARSER_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_PERIOD_MS, requestTimeout: 0 }, receive)
   applyTimeouts(DEFAULT_HEADER_TIMEOUT_MS, DEFAULT_IDLE_TIMEOUT_MS)
   const turns = createReadTurns({ afterTurn: run => { setImmediate(run) } })
   const requestQueues = new WeakMap<Duplex, RequestQueue>()
   const senders = new WeakMap<Duplex, UnknownSender>()
   server.on('connection', (socket: Socket) => {
+    arrivals++
     requestQueues.set(socket, createRequestQueue(socket))
     const claim = budget.open({ connection: socket, address: socket.remoteAddress, team: undefined })
     claim.add(CONNECTION_BYTES)
@@ -82,6 +86,7 @@
   })
 
   function receive (incoming: IncomingMessage, outgoing: ServerResponse): void {
+    arrivals++
     const queue = requestQueues.get(incoming.socket)!
     const request = decode(incoming.method!, incoming.url!, incoming.headers, incoming.rawHeaders)
     const claim = budget.open({ connection: incoming.socket, address: incoming.socket.remoteAddress, team: request.key })
@@ -176,7 +181,8 @@
   return {
     server,
     applyLimits ({ headerTimeoutMs, idleTimeoutMs }) { applyTimeouts(headerTimeoutMs, idleTimeoutMs) },
-    openRequests: () => openRequests
+    openRequests: () => openRequests,
+    arrivals: () => arrivals
   }
 }
 
