Read a connection before its idle timeout closes it

Callers saw a reset instead of an answer to requests that they had sent up to 550 ms before on idle connections.

A connection keeps the idle timeout under which its last response was sent. When a configuration raises the timeout, callers may reuse the connection until close to the moment at which it is closed. If the process is paused around that moment, the timer runs first and closes the connection with the request unread, and the kernel resets it.

The handler of the timeout now reads once, as the other timers that judge the silence of another process do, and closes the connection only if nothing has arrived. Node's parser and header timeout take over from there.

The timeouts of the directory and the readiness check are left: their callers ask again elsewhere after a second.

--- a/src/core/forwarding/server.ts
+++ b/src/core/forwarding/server.ts
@@ -16,6 +16,7 @@
 import { IDLE_TIMEOUT_MARGIN_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
 import { isSendableRequest } from './message-head.ts'
 import { readInTurns } from './new-connection.ts'
+import { readPendingInput } from './pending-input.ts'
 import { createRequestBody } from './request-body.ts'
 import { createRequestQueue, type RequestQueue } from './request-queue.ts'
 import type { RouteTable } from './route-table.ts'
@@ -78,6 +79,11 @@
     socket.once('close', claim.end)
     senders.set(socket, readInTurns(socket, turns))
   })
+  // After a pause of the process, the idle timeout of a connection is checked before its next request is read.
+  server.on('timeout', (socket: Socket) => {
+    const { bytesRead } = socket
+    void readPendingInput().then(() => { if (socket.bytesRead === bytesRead) socket.destroy() })
+  })
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
     metrics.count('bad_input', error.code ?? 'unreadable')
     if (error.code === 'ECONNRESET' || !socket.writable) return socket.destroy()
