--- a/src/core/forwarding/server.ts
+++ b/src/core/forwarding/server.ts
@@ -16,6 +16,7 @@
 import { IDLE_TIMEOUT_MARGIN_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
 import { isSendableRequest } from './message-head.ts'
 import { readInTurns } from './new-connection.ts'
+import { readPendingInput } from './pending-input.ts'
 import { createRequestBody } from './request-body.ts'
 import { createRequestQueue, type RequestQueue } from './request-queue.ts'
 import type { RouteTable } from './route-table.ts'
@@ -58,22 +59,31 @@
   applyLimits(limits: CallerLimits): void
   /** Number of requests whose headers have been received and whose response is not finished. */
   openRequests(): number
+  /** Number of connections that have been accepted and of requests whose headers have been received. */
+  arrivals(): number
 }
 
 export function createCallerServer ({ decode, table, handle, isClosing, budget, clock, log, metrics, random }: CallerServerOptions): CallerServer {
   let openRequests = 0
+  let arrivals = 0
   const server = createServer({ maxHeaderSize: MAX_PARSER_HEADER_BYTES, connectionsCheckingInterval: CONNECTION_CHECK_PERIOD_MS, requestTimeout: 0 }, receive)
   applyTimeouts(DEFAULT_HEADER_TIMEOUT_MS, DEFAULT_IDLE_TIMEOUT_MS)
   const turns = createReadTurns({ afterTurn: run => { setImmediate(run) } })
   const requestQueues = new WeakMap<Duplex, RequestQueue>()
   const senders = new WeakMap<Duplex, UnknownSender>()
   server.on('connection', (socket: Socket) => {
+    arrivals++
     requestQueues.set(socket, createRequestQueue(socket))
     const claim = budget.open({ connection: socket, address: socket.remoteAddress, team: undefined })
     claim.add(CONNECTION_BYTES)
     socket.once('close', claim.end)
     senders.set(socket, readInTurns(socket, turns))
   })
+  // After a pause of the process, the idle timeout of a connection is checked before its next request is read.
+  server.on('timeout', (socket: Socket) => {
+    const { bytesRead } = socket
+    void readPendingInput().then(() => { if (socket.bytesRead === bytesRead) socket.destroy() })
+  })
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
     metrics.count('bad_input', error.code ?? 'unreadable')
     if (error.code === 'ECONNRESET' || !socket.writable) return socket.destroy()
@@ -82,6 +92,7 @@
   })
 
   function receive (incoming: IncomingMessage, outgoing: ServerResponse): void {
+    arrivals++
     const queue = requestQueues.get(incoming.socket)!
     const request = decode(incoming.method!, incoming.url!, incoming.headers, incoming.rawHeaders)
     const claim = budget.open({ connection: incoming.socket, address: incoming.socket.remoteAddress, team: request.key })
@@ -176,7 +187,8 @@
   return {
     server,
     applyLimits ({ headerTimeoutMs, idleTimeoutMs }) { applyTimeouts(headerTimeoutMs, idleTimeoutMs) },
-    openRequests: () => openRequests
+    openRequests: () => openRequests,
+    arrivals: () => arrivals
   }
 }
 
