--- a/features/steps/replacement.ts
+++ b/features/steps/replacement.ts
@@ -82,7 +82,7 @@
     partQuarantine: createPartQuarantine({ clock: systemClock, log, metrics }),
     recordNamedLimit () {},
     recordAvailability () {},
-    recordConnectFailure: () => { this.connectFailures++ },
+    recordConnection: (_backend, isOpen) => { if (!isOpen) this.connectFailures++ },
     recordMisdirected () {},
     observe: () => ({ recordEvent () {}, end: end => { this.ends.push(end) } }),
     clock: { ...systemClock, now: () => systemClock.now() + aheadMs },
--- a/src/core/backend-pool/index.ts
+++ b/src/core/backend-pool/index.ts
@@ -93,6 +93,8 @@
   recordResult(backend: Backend, failed: boolean): void
   /** Forgets the failures of a backend server: without requests, no result would lower its failure rate. */
   forgetFailures(id: BackendServerId): void
+  /** Forgets the failed connections to a backend server, and what they suspended. */
+  forgetConnectFailures(id: BackendServerId): void
   get(id: BackendServerId): Backend | undefined
   size(): number
   all(): Iterable<Backend>
@@ -142,6 +144,7 @@
       lastReceivedMs: clock.now(),
       connectFailures: 0,
       suspendedUntilMs: -Infinity,
+      pausedUntilMs: -Infinity,
       isMisdirected: false,
       recentSends: departedSends.get(entry.id) ?? [],
       isMissing: false,
@@ -332,6 +335,7 @@
         metrics.count('bad_input', 'retry_after')
         return
       }
+      backend.pausedUntilMs = Math.max(backend.pausedUntilMs, clock.now() + pauseMs)
       if (suspend(backend, pauseMs)) log.info('backend server asks for a pause', { backendServer: backend.entry.id, pauseMs: Math.round(pauseMs) })
       metrics.count('backend_failures', 'requested_pause')
     },
@@ -351,6 +355,12 @@
       const backend = backends.get(id)
       if (backend) backend.failureRate = backend.connectFailures = 0
     },
+    forgetConnectFailures (id) {
+      const backend = backends.get(id)
+      if (!backend || backend.connectFailures === 0) return
+      backend.connectFailures = 0
+      backend.suspendedUntilMs = backend.pausedUntilMs
+    },
     get: id => backends.get(id),
     size: () => backends.size,
     all: () => backends.values()
--- a/src/core/backend-pool/types.ts
+++ b/src/core/backend-pool/types.ts
@@ -35,6 +35,8 @@
   connectFailures: number
   /** Monotonic time until which it gets no requests from this VM. */
   suspendedUntilMs: number
+  /** Monotonic time until which it has asked for no requests from this VM. */
+  pausedUntilMs: number
   /** Whether another backend server has answered at the address, so the process of the entry has ended. */
   isMisdirected: boolean
   /**
--- a/src/core/fleet/index.ts
+++ b/src/core/fleet/index.ts
@@ -256,6 +256,10 @@
     /** VMs that respond to pings, including this one. */
     liveVms: (): readonly VmId[] => membership.available().map(({ vm }) => vm),
     isLive: (vm: VmId): boolean => isLiveOrSuspect(membership.get(vm)),
+    /** Keys of the links, the stored one first; empty before it has been read. */
+    linkKeys: (): readonly string[] => linkKeys,
+    /** Address for callers of a registered VM. */
+    callerAddressOf: (vm: VmId): string | undefined => entries.get(vm)?.callerAddress,
     /** The members behind `liveVms`. */
     available: (): readonly Member[] => membership.available(),
     /** VMs that may relay the store: the live ones, and while this VM starts also those that it has not met yet. */
--- a/src/core/forwarding-vm/admission.ts
+++ b/src/core/forwarding-vm/admission.ts
@@ -9,6 +9,7 @@
 import { chooseService, type RouteTable } from '../forwarding/route-table.ts'
 import type { ReceivedRequest } from '../forwarding/server.ts'
 import type { CallerRequest } from '../forwarding/types.ts'
+import type { ServiceId } from '../ids/index.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { hashFraction } from '../placement/rendezvous.ts'
@@ -22,12 +23,14 @@
   isLoaded: () => boolean
   startup: Pick<Startup, 'waitToServe' | 'retryAfterMs' | 'areLimitsUsable'>
   configLease: ConfigLease
+  /** Whether this VM is cut off from a service that others reach. Default: never. */
+  isCutOff?: (service: ServiceId) => boolean
   forward(forwarded: ForwardedRequest): Promise<void>
   metrics: Metrics
   log: DecisionLog
 }
 
-export function createAdmission ({ table, isTooLate, isLoaded, startup, configLease, forward, metrics, log }: AdmissionOptions) {
+export function createAdmission ({ table, isTooLate, isLoaded, startup, configLease, isCutOff = () => false, forward, metrics, log }: AdmissionOptions) {
   /** Without teams, no request needs a key. */
   function needsKey (allowsAnonymous: boolean): boolean {
     return table()!.hasTeams && !allowsAnonymous
@@ -58,6 +61,8 @@
       isOpen: () => mayServe(request), receivedMs, timeLimitMs: () => timeLimitMs(request), bytes: body?.bytes ?? 0, onDisconnect: caller.onDisconnect
     })
     if (!table() || !isOpen) return refuse('vm_not_ready', startup.retryAfterMs())
+    // A VM that knows less would judge by what is no longer valid.
+    if (request.origin && request.origin.configVersion > table()!.version) return refuse('vm_outdated')
     const exceededLimit = limitError()
     if (exceededLimit) return refuse(exceededLimit)
     const allowsAnonymous = table()!.match(request.host, request.target)?.allowsAnonymous ?? false
@@ -73,6 +78,7 @@
     if (request.model !== undefined && route.models.length > 0 && !route.models.includes(request.model)) return refuse('model_not_on_route')
     const service = chooseService(route, hashFraction(request.session ?? request.id))
     if (!service) return refuse('permit_refused')
+    if (request.origin && isCutOff(service)) return refuse('vm_cut_off')
     await forward({ request, route, service, team, body, receivedMs, caller })
   }
 
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -41,6 +41,7 @@
 import { createFairCapacity } from './fair-capacity.ts'
 import { createFeeds } from './feeds.ts'
 import { createLoadReports } from './load-reports.ts'
+import { createPartitionHandling } from './partition.ts'
 import { createPorts } from './ports.ts'
 import { createStartup, type ProcessStart } from './startup.ts'
 import { acceptanceMs, runStop } from './stop.ts'
@@ -167,6 +168,7 @@
     metrics
   })
   const refusals = createFleetRefusals({ self: settings.vm, isSelfRefusing: resources.isRefusing, clock })
+  const { reachability, probes, peers } = createPartitionHandling({ settings, fleet, pool, pacing, refusals, clock, log, metrics, random })
   const trials = createVersionTrials({
     vm: settings.vm,
     boot: fleet.boot,
@@ -182,7 +184,7 @@
     metrics
   })
   fleet.peers.handle('rollout.outcomes', report => trials.acceptReport(report as TrialReport))
-  const loads = createLoadReports({ settings, fleet, pool, partQuarantine, pacing, trials, refusals, shares, configVersion: () => table?.version, onConfigVersion: (from, version) => configExchange.onReport(from, version), clock, metrics })
+  const loads = createLoadReports({ settings, fleet, pool, partQuarantine, pacing, trials, refusals, reachability, shares, configVersion: () => table?.version, onConfigVersion: (from, version) => configExchange.onReport(from, version), clock, metrics })
 
   function decodeConfig (object: StoredObject): TrafficConfig | undefined {
     try {
@@ -280,10 +282,17 @@
     recheckAccess: forwarded => admission.recheckAccess(forwarded),
     partQuarantine,
     recordNamedLimit: (backend, rate) => pool.namedLimits.record(backend.entry.id, rate),
-    recordConnectFailure (backend) {
+    recordConnection (backend, isOpen) {
+      const { id, service } = backend.entry
+      reachability.recordConnection(service, id, isOpen)
+      if (isOpen) return
       pool.recordConnectFailure(backend)
-      pacing.recordConnectFailure(backend.entry.id)
+      // The other VMs must not take a partition of this one for failures of the backend servers.
+      if (!reachability.isDoubtful(service)) pacing.recordConnectFailure(id)
     },
+    peers,
+    doubtMs: reachability.doubtMs,
+    configVersion: () => table?.version,
     recordAvailability (backend, { leaving, requestedPauseMs }) {
       if (leaving) pool.recordLeaving(backend)
       if (requestedPauseMs) pool.recordRequestedPause(backend, requestedPauseMs)
@@ -301,7 +310,7 @@
   const callerServer = createCallerServer({
     budget: resources.budget,
     random,
-    decode: adapter.decodeCallerRequest,
+    decode: (method, target, headers, raw) => peers.receive(adapter.decodeCallerRequest(method, target, headers, raw), raw),
     table: () => table,
     handle: received => admission.admit(received),
     isClosing: () => stoppingSinceMs !== undefined,
@@ -348,6 +357,7 @@
     isLoaded,
     startup,
     configLease,
+    isCutOff: reachability.isCutOff,
     forward: forwarder.forward,
     metrics,
     log
@@ -359,7 +369,7 @@
     callers: callerServer.server,
     isReady,
     maxAddressTtlMs: () => settings.maxAddressTtlMs,
-    addresses: () => fleet.addresses(isReady(), vms => preferAccepting(vms, refusals.isRefusing)),
+    addresses: () => fleet.addresses(isReady(), vms => preferAccepting(vms, vm => refusals.isRefusing(vm) || reachability.isVmCutOff(vm))),
     limitServers: resources.limitServers,
     metrics
   })
@@ -368,6 +378,7 @@
   fleet.start()
   trials.start()
   loads.start()
+  probes.start()
   const stopPartStore = partStore.start()
   startup.start()
   let isClosed = false
@@ -395,6 +406,7 @@
       feedRelay.stop()
       trials.stop()
       loads.stop()
+      probes.stop()
       stopPartStore()
       await fleet.close()
       ports.close()
--- a/src/core/forwarding-vm/load-reports.ts
+++ b/src/core/forwarding-vm/load-reports.ts
@@ -10,6 +10,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { Pacing } from '../pacing/index.ts'
 import type { PartQuarantine } from '../quarantine/request-parts.ts'
+import type { Reachability } from '../reachability/index.ts'
 import type { FleetRefusals } from '../resource-limits/index.ts'
 import type { VersionTrials } from '../version-trial/index.ts'
 import { MIN_REPORTED_LOAD } from './constants.ts'
@@ -23,6 +24,7 @@
   pacing: Pacing
   trials: Pick<VersionTrials, 'sessionsReport' | 'mergeSessions'>
   refusals: FleetRefusals
+  reachability: Pick<Reachability, 'report' | 'merge'>
   /** Default: teams do not share capacity fairly. */
   shares?: FairShares | undefined
   configVersion: () => number | undefined
@@ -31,7 +33,7 @@
   metrics: Metrics
 }
 
-export function createLoadReports ({ settings, fleet, pool, partQuarantine, pacing, trials, refusals, shares, configVersion, onConfigVersion, clock, metrics }: LoadReportsOptions): LoadExchange {
+export function createLoadReports ({ settings, fleet, pool, partQuarantine, pacing, trials, refusals, reachability, shares, configVersion, onConfigVersion, clock, metrics }: LoadReportsOptions): LoadExchange {
   const currentCollectors = () => chooseCollectors(fleet.available(), { vm: settings.vm, dataCentre: settings.dataCentre })
 
   /** A collector passes on the samples of the VMs that report to it, but not those of the other collectors. */
@@ -56,16 +58,17 @@
       const departures = pool.recentDepartures()
       const paces = pacing.report(audience)
       return withoutMissing({
-        promptParts, limits: hasLimits ? limits : undefined, departures, paces, trialSessions: trials.sessionsReport(audience), refusals: refusals.report()
+        promptParts, limits: hasLimits ? limits : undefined, departures, paces, trialSessions: trials.sessionsReport(audience), refusals: refusals.report(), reachability: reachability.report()
       })
     },
-    onEvidence ({ promptParts, limits, departures, paces, trialSessions, refusals: refusing }, from) {
+    onEvidence ({ promptParts, limits, departures, paces, trialSessions, refusals: refusing, reachability: reached }, from) {
       if (promptParts) partQuarantine.merge(promptParts)
       if (limits) pool.namedLimits.merge(limits)
       if (departures) pool.mergeDepartures(departures)
       if (paces) pacing.merge(paces, { isRelay: isRelayedFrom(from) })
       if (trialSessions) trials.mergeSessions(trialSessions)
       if (refusing) refusals.merge(refusing)
+      if (reached) reachability.merge(reached)
     },
     configVersion,
     onConfigVersion,
--- /dev/null
+++ b/src/core/forwarding-vm/partition.ts
@@ -0,0 +1,65 @@
+/** What a VM does about a partition between itself and the backend servers: it decides, probes, and hands requests to other VMs. */
+import type { BackendPool } from '../backend-pool/index.ts'
+import type { Clock } from '../clock/index.ts'
+import type { Fleet } from '../fleet/index.ts'
+import { openConnection } from '../forwarding/exchange.ts'
+import type { Log } from '../logging/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import type { Pacing } from '../pacing/index.ts'
+import { createPeerForwarding } from '../peer-forwarding/index.ts'
+import { createReachability } from '../reachability/index.ts'
+import { createProbes } from '../reachability/probes.ts'
+import type { FleetRefusals } from '../resource-limits/index.ts'
+import type { ForwardingVmSettings } from './types.ts'
+
+export interface PartitionOptions {
+  settings: Pick<ForwardingVmSettings, 'vm' | 'dataCentre'>
+  fleet: Fleet
+  pool: BackendPool
+  pacing: Pick<Pacing, 'forgetOwnFailures'>
+  refusals: Pick<FleetRefusals, 'isRefusing'>
+  clock: Clock
+  log: Log
+  metrics: Metrics
+  random: () => number
+}
+
+export function createPartitionHandling ({ settings, fleet, pool, pacing, refusals, clock, log, metrics, random }: PartitionOptions) {
+  const { vm: self, dataCentre } = settings
+  const reachability = createReachability({
+    self,
+    serverCount: service => pool.list(service).length,
+    onReturn (service) {
+      for (const { entry } of pool.list(service)) {
+        pool.forgetConnectFailures(entry.id)
+        pacing.forgetOwnFailures(entry.id)
+      }
+    },
+    clock,
+    log,
+    metrics
+  })
+  const probes = createProbes({
+    reachability,
+    backendServers: service => pool.list(service).filter(({ entry, isMisdirected }) => !entry.leaving && !isMisdirected),
+    async connect ({ entry }, timeoutMs) {
+      const connection = await openConnection(entry.address, timeoutMs)
+      connection?.destroy()
+      return connection !== undefined
+    },
+    clock,
+    random
+  })
+  const peers = createPeerForwarding({
+    self: { vm: self, dataCentre },
+    vms: fleet.available,
+    isCutOff: reachability.isCutOff,
+    mayServe: (vm, service) => !reachability.isVmCutOff(vm, service) && !refusals.isRefusing(vm),
+    addressOf: fleet.callerAddressOf,
+    keys: fleet.linkKeys,
+    connect: openConnection,
+    metrics,
+    random
+  })
+  return { reachability, probes, peers }
+}
--- a/src/core/forwarding/attempt-outcome.ts
+++ b/src/core/forwarding/attempt-outcome.ts
@@ -9,8 +9,8 @@
 /** Outcome of one attempt; `next` requests another attempt. */
 export type AttemptOutcome =
   | { kind: 'done' }
-  | { kind: 'next', reason: string, backend: Backend }
-  | { kind: 'failed', error: ErrorName, reason: string }
+  | { kind: 'next', reason: string, backend?: Backend | undefined }
+  | { kind: 'failed', error: ErrorName, reason: string, retryAfterMs?: number | undefined }
 
 export function errorWithoutAttempt ({ mayHaveRun }: { mayHaveRun: boolean }): ErrorName {
   return mayHaveRun ? 'backend_failed' : 'permit_refused'
@@ -21,7 +21,7 @@
 }
 
 /** Another attempt where the request may be repeated after one that may have run. */
-export function retryOrFail (route: Route, backend: Backend, reason: string): AttemptOutcome {
+export function retryOrFail (route: Route, backend: Backend | undefined, reason: string): AttemptOutcome {
   return isRepeatable(route) ? { kind: 'next', reason, backend } : { kind: 'failed', error: 'backend_failed', reason }
 }
 
--- a/src/core/forwarding/caller-connection.ts
+++ b/src/core/forwarding/caller-connection.ts
@@ -1,6 +1,7 @@
 /** The caller's side of one request. If a response cannot be completed, its connection is destroyed so that the caller sees it as truncated. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { LacewingError } from '../errors/index.ts'
+import { FORWARDED_ERROR_HEADER } from '../peer-forwarding/message.ts'
 import { RESPONSE_PIECE_BYTES, RESPONSE_PROGRESS_WINDOW_MS } from '../resource-limits/constants.ts'
 import type { Blocks, ByteClaim } from '../resource-limits/index.ts'
 
@@ -32,6 +33,8 @@
   incoming: IncomingMessage
   outgoing: ServerResponse
   claim: ByteClaim
+  /** Whether the caller is another VM, which needs the name of an error. */
+  isPeer?: boolean
   /** Reads the rest of the request's body, up to a bound; `undefined` if it has none. */
   discardBody: ((onEnd: () => void) => void) | undefined
   /** Whether the connection must be closed after the response. */
@@ -40,7 +43,7 @@
   onClosing: () => void
 }
 
-export function createCallerConnection ({ incoming, outgoing, claim, discardBody, isClosing, onClosing }: CallerConnectionOptions): CallerConnection {
+export function createCallerConnection ({ incoming, outgoing, claim, isPeer = false, discardBody, isClosing, onClosing }: CallerConnectionOptions): CallerConnection {
   let isFinished = false
   /** Charged bytes of a streamed response that the caller has not taken; `undefined` while it keeps up. */
   let unreadBytes: number | undefined
@@ -128,6 +131,7 @@
       const body = Buffer.from(JSON.stringify({ error: { type: kind, message, hint } }))
       const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)]
       if (httpStatus === NOT_RUN_STATUS && retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1000).toFixed(2))
+      if (isPeer) headers.push(FORWARDED_ERROR_HEADER, kind)
       if (isClosing() || !incoming.complete) {
         headers.push('Connection', 'close')
         onClosing()
--- a/src/core/forwarding/constants.ts
+++ b/src/core/forwarding/constants.ts
@@ -8,6 +8,8 @@
 export const MAX_SEND_DELAY_MS = 500
 /** Connections that may fail for one request before any byte is sent; they do not count as attempts. */
 export const MAX_CONNECT_ATTEMPTS = 4
+/** Period at which a request waits for the decision whether this VM is cut off; a report of the others comes every 250 ms. */
+export const DOUBT_CHECK_PERIOD_MS = 50
 /** Status with which a backend server refuses a request that is meant for another one, or for a model that it does not have. */
 export const MISDIRECTED_STATUS = 421
 /**
--- a/src/core/forwarding/exchange.ts
+++ b/src/core/forwarding/exchange.ts
@@ -1,5 +1,5 @@
 /**
- * One request to one backend server on its own connection. A new connection carries no late, extra or mixed-up bytes of
+ * One request to one backend server, or through another VM, on its own connection. A new connection carries no late, extra or mixed-up bytes of
  * earlier responses, and a failure to connect proves that nothing was sent. A new connection costs a fraction of
  * what repeating one request costs.
  */
@@ -39,23 +39,38 @@
   abort(reason: string): void
 }
 
-export interface ExchangeOptions {
+export interface ExchangeOptions extends TransportOptions {
   backend: Backend
   request: CallerRequest
   call: BackendCall
   body: Blocks | undefined
   codec: Codec
+}
+
+interface TransportOptions {
   /** Whether the request may still be sent; asked in the turn in which its bytes are written. Default: always. */
   mayStillSend?: () => boolean
   /** Open connection to the backend server that has not been used yet. Default: a new one. */
   connection?: Socket | undefined
   connectTimeoutMs?: number
+  /** Called when the connection is open. */
+  onConnected?: () => void
+}
+
+export interface AddressedExchangeOptions extends TransportOptions {
+  /** `IP:PORT`. */
+  address: string
+  request: Pick<CallerRequest, 'method' | 'target'>
+  /** With alternating names and values. */
+  headers: string[]
+  body: Blocks | undefined
+  decodeHead: (status: number, headers: IncomingMessage['headers'], raw: string[]) => BackendResponseHead
 }
 
 const agent = new Agent({ keepAlive: false, maxSockets: Infinity })
 
 /** Opens a connection before the request for it is due; resolves with `undefined` if that fails or takes longer. */
-export function openConnection ({ entry: { address } }: Backend, timeoutMs: number): Promise<Socket | undefined> {
+export function openConnection (address: string, timeoutMs: number): Promise<Socket | undefined> {
   const socket = connect({ ...parseAddress(address), noDelay: true })
   return new Promise(resolve => {
     const timer = setTimeout(() => void readPendingInput().then(() => { settle(false) }), timeoutMs)
@@ -75,8 +90,19 @@
   return { host: host!, port: Number(port) }
 }
 
-export function startExchange ({ backend, request, call, body, codec, mayStillSend = () => true, connection, connectTimeoutMs = CONNECT_TIMEOUT_MS }: ExchangeOptions): Exchange {
-  const { host, port } = parseAddress(backend.entry.address)
+export function startExchange ({ backend, request, call, body, codec, ...transport }: ExchangeOptions): Exchange {
+  return startAddressedExchange({
+    address: backend.entry.address,
+    request,
+    headers: codec.encodeBackendRequest(request, call, body?.bytes ?? 0),
+    body,
+    decodeHead: (status, headers, raw) => codec.decodeBackendHead(request, status, headers, raw),
+    ...transport
+  })
+}
+
+export function startAddressedExchange ({ address, request, headers, body, decodeHead, mayStillSend = () => true, connection, connectTimeoutMs = CONNECT_TIMEOUT_MS, onConnected = () => {} }: AddressedExchangeOptions): Exchange {
+  const { host, port } = parseAddress(address)
   const transport = connection ? { createConnection: () => connection } : { agent }
   let connected = false
   let connectionFailed = false
@@ -84,9 +110,8 @@
   let settle: (result: ExchangeResult) => void = () => {}
   const result = new Promise<ExchangeResult>(resolve => { settle = resolve })
 
-  const headers = codec.encodeBackendRequest(request, call, body?.bytes ?? 0)
   const outgoing = httpRequest({ ...transport, host, port, method: request.method, path: request.target, headers, setHost: false } as object, incoming => {
-    const head = codec.decodeBackendHead(request, incoming.statusCode!, incoming.headers, incoming.rawHeaders)
+    const head = decodeHead(incoming.statusCode!, incoming.headers, incoming.rawHeaders)
     // Prevents an unhandled 'error' event; the reader of the body detects the failure itself.
     incoming.on('error', () => {})
     settle({ kind: 'head', head, body: incoming })
@@ -108,6 +133,7 @@
 
   /** The headers are sent with the body, so nothing leaves before this. */
   function send (): void {
+    if (!connection) onConnected()
     if (!mayStillSend()) return fail('not permitted any more', 'not_permitted')
     connected = true
     clearTimeout(timer)
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -8,15 +8,17 @@
 import { longestElapsedMs, readInstant } from '../clock/index.ts'
 import { GatewayError, type ErrorName } from '../errors/index.ts'
 import type { ModelId, ServiceId } from '../ids/index.ts'
+import type { PeerForwarding } from '../peer-forwarding/index.ts'
 import type { AttemptEnd, AttemptObservation, ExpectedTimes } from '../pacing/index.ts'
 import type { PartQuarantine } from '../quarantine/request-parts.ts'
-import { DEFAULT_TIMEOUT_MS, MAX_CONNECT_ATTEMPTS, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
+import { DEFAULT_TIMEOUT_MS, DOUBT_CHECK_PERIOD_MS, MAX_CONNECT_ATTEMPTS, MAX_SEND_DELAY_MS, MIN_ATTEMPT_MS, RETRY_AFTER_JITTER_S, RETRY_AFTER_S } from './constants.ts'
 import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, retryOrFail, type AttemptOutcome } from './attempt-outcome.ts'
 import { readPendingInput } from './pending-input.ts'
 import { pollAfter } from './poll-after.ts'
 import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome } from './crash-evidence.ts'
 import { startExchange, type Codec } from './exchange.ts'
 import { createEscalations } from './escalation.ts'
+import { createPeerAttempts } from './peer-attempt.ts'
 import { createRequestProgress, type RequestProgress } from './request-progress.ts'
 import { createResponseHandler, type ResponseHandlerOptions } from './response-handler.ts'
 import { createReplacements, type ReplacementRequest, type ReplacementsOptions, type ReservedAttempt } from './replacement.ts'
@@ -55,7 +57,14 @@
   recheckAccess(forwarded: ForwardedRequest): ErrorName | undefined
   /** Refuses requests that crash backend servers. */
   partQuarantine: PartQuarantine
-  recordConnectFailure(backend: Backend): void
+  /** Records whether a connection to a backend server was opened. */
+  recordConnection(backend: Backend, isOpen: boolean): void
+  /** Hands requests to other VMs while this one is cut off from their service. Default: never. */
+  peers?: PeerForwarding | undefined
+  /** Time for which a request without capacity waits for the decision whether this VM is cut off from its service; 0 if it is clear. Default: 0. */
+  doubtMs?(service: ServiceId): number
+  /** Version of the configuration in force. Default: none. */
+  configVersion?: () => number | undefined
   /** Starts to observe an attempt; `isFirst` for the first one of the request. */
   observe(backend: Backend, forwarded: ForwardedRequest, attempt: { isFirst: boolean, model: ModelId | undefined }): AttemptObservation
   /** Typical times of the answer to an attempt. Default: unknown. */
@@ -66,11 +75,12 @@
 const NONE_EXCLUDED: ReadonlySet<Backend> = new Set()
 
 export function createForwarder (options: ForwarderOptions) {
-  const { codec, retryAllowance, recheckAccess, partQuarantine, clock, metrics, log, random } = options
+  const { codec, peers, retryAllowance, recheckAccess, partQuarantine, clock, metrics, log, random, doubtMs = () => 0, configVersion = () => undefined } = options
 
   const replacements = createReplacements({
     reserveCapacity: options.reserveReplacement,
-    recordConnectFailure: options.recordConnectFailure,
+    recordConnection: options.recordConnection,
+    openPeer: async (forwarded, progress) => mustHandOn(forwarded) ? await peerAttempts?.openPeer(forwarded, progress) : undefined,
     onCapacityFreed: options.onCapacityFreed,
     takeRetry,
     giveBackRetry: service => retryAllowance(service).giveBack(),
@@ -79,6 +89,17 @@
   })
   const escalations = createEscalations({ modelChoice: options.modelChoice, retryAllowance, clock, metrics, log })
   const handleResponse = createResponseHandler({ ...options, escalations })
+  const peerAttempts = peers && createPeerAttempts({
+    peers,
+    codec,
+    configVersion: () => configVersion() ?? 0,
+    reserveFailover: (forwarded, progress, deadlineMs, isDue) => replacements.reserve(forwarded, progress, deadlineMs, { excluded: progress.triedBackends, hasFailed: true, model: progress.model, isDue }),
+    mayStillSend: (forwarded, progress) => progress.attempts > 1 || recheckAccess(forwarded) === undefined,
+    clock,
+    log,
+    metrics
+  })
+  const mustHandOn = ({ service, request }: ForwardedRequest) => peers?.isNeeded(service, request) ?? false
 
   /** Forwards the request and sends the response to the caller; never rejects. */
   async function forward (forwarded: ForwardedRequest): Promise<void> {
@@ -94,7 +115,8 @@
       progress.heldAnswer?.drop()
       metrics.count('requests', 'caller_gone')
     })
-    retryAllowance(service).recordRequest()
+    // The VM that sends a request counts it.
+    if (!mustHandOn(forwarded) && progress.earlierAttempts === 0) retryAllowance(service).recordRequest()
     escalations.chooseFirstModel(forwarded, progress)
 
     async function endAtDeadline (): Promise<void> {
@@ -102,14 +124,14 @@
       finish(progress.mayHaveRun || progress.currentExchange ? 'backend_timeout' : 'overloaded', 'deadline')
     }
 
-    function finish (error: ErrorName, reason: string): void {
+    function finish (error: ErrorName, reason: string, statedRetryAfterMs?: number): void {
       if (progress.isFinished) return
       progress.isFinished = true
       progress.currentExchange?.abort(reason)
       if (escalations.deliverHeld(forwarded, progress, reason)) return
       log.request('failed', { id: request.id, route: route.name, error, reason, attempts: progress.attempts, ...progress.capacityWait, afterMs: Math.round(clock.now() - receivedMs) })
       const quarantineMs = error === 'prompt_quarantined' ? progress.crashEvidence.remainingMs() : 0
-      const retryAfterMs = quarantineMs || (options.retryAfterMs?.(forwarded, progress, deadlineMs - clock.now()) ?? (RETRY_AFTER_S + random() * RETRY_AFTER_JITTER_S) * 1000)
+      const retryAfterMs = quarantineMs || (statedRetryAfterMs ?? options.retryAfterMs?.(forwarded, progress, deadlineMs - clock.now()) ?? (RETRY_AFTER_S + random() * RETRY_AFTER_JITTER_S) * 1000)
       caller.fail(new GatewayError(error, { retryAfterMs }))
     }
 
@@ -119,8 +141,8 @@
         if (progress.isFinished) break
         if (outcome.kind === 'done') progress.isFinished = true
         if (outcome.kind === 'failed') await escalations.awaitHeld(progress)
-        if (outcome.kind === 'failed') finish(outcome.error, outcome.reason)
-        if (outcome.kind === 'next') log.request('attempt_repeated', { id: request.id, backendServer: outcome.backend.entry.id, reason: outcome.reason, attempts: progress.attempts })
+        if (outcome.kind === 'failed') finish(outcome.error, outcome.reason, outcome.retryAfterMs)
+        if (outcome.kind === 'next') log.request('attempt_repeated', { id: request.id, backendServer: outcome.backend?.entry.id, reason: outcome.reason, attempts: progress.attempts })
       }
     } finally {
       cancelDeadline()
@@ -135,29 +157,52 @@
     replacements.takeOverRetry(forwarded, progress)
     if (deadlineMs - clock.now() < MIN_ATTEMPT_MS) return outOfTime(progress)
     if (isQuarantined(progress)) return quarantineOutcome(progress)
-    if (progress.attempts >= route.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
+    if (progress.attempts + progress.earlierAttempts >= route.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
+    if (peers?.isRefused(service, forwarded.request)) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : 'vm_cut_off', reason: 'cut off from the service' }
+    if (!progress.replacement && mustHandOn(forwarded)) return await handOn(forwarded, progress, deadlineMs)
     if (!progress.replacement && progress.connectAttempts >= MAX_CONNECT_ATTEMPTS) return { kind: 'failed', error: noAttemptError, reason: 'connection attempt limit reached' }
-    const { reservation, connection } = progress.replacement ?? { reservation: await options.reserveCapacity(forwarded, progress, deadlineMs - clock.now()) }
+    const reserved = progress.replacement ?? await reserveFirst(forwarded, progress, deadlineMs)
     progress.replacement = undefined
-    const obstacle = findObstacle(forwarded, progress, deadlineMs, reservation)
-    if (reservation && !obstacle) return await send(forwarded, progress, deadlineMs, { reservation, connection })
-    if (reservation) replacements.cancel(service, { reservation, connection })
+    const obstacle = findObstacle(forwarded, progress, deadlineMs, reserved !== undefined)
+    if (reserved && !obstacle) return reserved.peer ? await peerAttempts!.send(forwarded, progress, deadlineMs, reserved.peer) : await send(forwarded, progress, deadlineMs, reserved)
+    if (reserved) replacements.cancel(service, reserved)
+    // The VM may have turned out to be cut off while the request waited for capacity.
+    if (!obstacle && mustHandOn(forwarded)) return await handOn(forwarded, progress, deadlineMs)
     const { error = noAttemptError, reason = 'no backend server has room' } = progress.capacityRefusal ?? {}
     return obstacle ?? { kind: 'failed', error, reason }
   }
 
+  async function reserveFirst (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number): Promise<ReservedAttempt | undefined> {
+    const reservation = await options.reserveCapacity(forwarded, progress, deadlineMs - clock.now())
+    if (reservation) return { reservation }
+    for (let waitMs = doubtMs(forwarded.service); waitMs > 0 && !progress.isFinished && !mustHandOn(forwarded); waitMs = doubtMs(forwarded.service)) await clock.sleep(Math.min(waitMs, DOUBT_CHECK_PERIOD_MS))
+    return undefined
+  }
+
+  /** Sends the request through another VM. */
+  async function handOn (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number): Promise<AttemptOutcome> {
+    const obstacle = findObstacle(forwarded, progress, deadlineMs, true)
+    if (obstacle) return obstacle
+    // Returned with the request if it is not sent.
+    progress.retryReserved = progress.attempts > 0
+    const peer = await peerAttempts!.openPeer(forwarded, progress)
+    if (peer && !progress.isFinished) return await peerAttempts!.send(forwarded, progress, deadlineMs, peer)
+    peer?.connection.destroy()
+    return { kind: 'failed', error: errorWithoutAttempt(progress), reason: 'no other VM takes the request' }
+  }
+
   /**
    * Why the request must not be sent, if so: the time left, the configuration and the quarantine may have changed while it
    * waited for capacity. Takes the retry that a repeated request needs.
    */
-  function findObstacle (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, reservation: Reservation | undefined): AttemptOutcome | undefined {
+  function findObstacle (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, isPossible: boolean): AttemptOutcome | undefined {
     if (progress.isFinished) return { kind: 'done' }
     if (deadlineMs - clock.now() < MIN_ATTEMPT_MS) return outOfTime(progress)
     if (isQuarantined(progress)) return quarantineOutcome(progress)
     // Only the first attempt is checked: a request that was sent with a valid key is completed even if the key is withdrawn later.
     const accessError = progress.attempts === 0 ? recheckAccess(forwarded) : undefined
     if (accessError) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : accessError, reason: 'may not run any more' }
-    if (!reservation || progress.attempts === 0 || progress.retryReserved || takeRetry(forwarded.service)) return undefined
+    if (!isPossible || progress.attempts === 0 || progress.retryReserved || takeRetry(forwarded.service)) return undefined
     return { kind: 'failed', error: errorWithoutAttempt(progress), reason: 'retry budget exhausted' }
   }
 
@@ -167,7 +212,7 @@
     return isRefused
   }
 
-  async function send (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { reservation, connection }: ReservedAttempt): Promise<AttemptOutcome> {
+  async function send (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { reservation, connection }: Extract<ReservedAttempt, { reservation: Reservation }>): Promise<AttemptOutcome> {
     const { request, route, service, team, body } = forwarded
     const { backend } = reservation
     const remainingMs = deadlineMs - clock.now()
@@ -179,7 +224,7 @@
     }
     const permittedAt = readInstant(clock)
     const mayStillSend = () => longestElapsedMs(clock, permittedAt) <= MAX_SEND_DELAY_MS && (progress.attempts > 1 || recheckAccess(forwarded) === undefined)
-    const exchange = startExchange({ backend, request, call, body, codec, mayStillSend, connection })
+    const exchange = startExchange({ backend, request, call, body, codec, mayStillSend, connection, onConnected: () => options.recordConnection(backend, true) })
     progress.currentExchange = exchange
     progress.triedBackends.add(backend)
     const observation = options.observe(backend, forwarded, { isFirst: progress.attempts === 1 && progress.connectAttempts + progress.misdirectedSends === 0, model: progress.model })
@@ -226,7 +271,7 @@
           progress.hasFailed = true
           endAttempt('not_run')
           // A connection that was given up with its request, at the deadline or when the caller left, has not failed.
-          if (result.kind === 'not_sent' && !progress.isFinished) options.recordConnectFailure(backend)
+          if (result.kind === 'not_sent' && !progress.isFinished) options.recordConnection(backend, false)
           return { kind: 'next', reason: result.reason, backend }
         }
         progress.mayHaveRun = true
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -51,7 +51,10 @@
 }
 
 export interface EventRelayOptions {
-  backend: Backend
+  /** Where the stream comes from. */
+  backend: Pick<Backend, 'lastReceivedMs'>
+  /** Gaps after which the stream has stalled, as multiples of the route's maximum gap. Default: those of a backend server. */
+  stallFactors?: { sending: number, silent: number }
   exchange: Exchange
   head: BackendResponseHead
   body: IncomingMessage
@@ -81,7 +84,7 @@
 
 /** Relays complete events until the stream is complete, breaks or stalls. The response to the caller starts with the first event. */
 export function relayEvents (options: EventRelayOptions): Promise<EventRelayResult> {
-  const { backend, exchange, head, body, caller, route, reserveFailover, clock } = options
+  const { backend, exchange, head, body, caller, route, reserveFailover, clock, stallFactors = { sending: STALL_FACTOR, silent: SILENT_SERVER_STALL_FACTOR } } = options
   const splitter = createEventSplitter()
   let { lastEventId } = options
   let firstEventMs: number | undefined
@@ -109,8 +112,8 @@
     function isStalled (): boolean {
       if (isSettled || firstEventMs === undefined || isCallerBlocked) return false
       const gapMs = clock.now() - lastEventMs
-      const isServerSilent = clock.now() - backend.lastReceivedMs > route.maxEventGapMs * SILENT_SERVER_STALL_FACTOR
-      return gapMs > route.maxEventGapMs * (isServerSilent ? SILENT_SERVER_STALL_FACTOR : STALL_FACTOR)
+      const isServerSilent = clock.now() - backend.lastReceivedMs > route.maxEventGapMs * stallFactors.silent
+      return gapMs > route.maxEventGapMs * (isServerSilent ? stallFactors.silent : stallFactors.sending)
     }
 
     /** Ends a stalled stream so that it is resumed at another backend server. */
--- a/src/core/forwarding/replacement.ts
+++ b/src/core/forwarding/replacement.ts
@@ -9,6 +9,7 @@
 import { errorMessage } from '../errors/index.ts'
 import type { ModelId, ServiceId } from '../ids/index.ts'
 import type { DecisionLog } from '../logging/decision-log.ts'
+import type { PeerConnection } from '../peer-forwarding/index.ts'
 import { MAX_CONNECT_ATTEMPTS, MIN_ATTEMPT_MS, REPLACEMENT_CONNECT_TIMEOUT_MS } from './constants.ts'
 import { openConnection } from './exchange.ts'
 import type { ForwardedRequest } from './forward.ts'
@@ -16,8 +17,8 @@
 import { isRepeatable } from './route-table.ts'
 import type { Route } from './types.ts'
 
-/** Capacity for an attempt, and a connection if it has been opened already. */
-export interface ReservedAttempt { reservation: Reservation, connection?: Socket }
+/** Capacity for an attempt, and a connection if it has been opened already; or a connection to another VM, which has the capacity. */
+export type ReservedAttempt = { reservation: Reservation, connection?: Socket, peer?: undefined } | { peer: PeerConnection, reservation?: undefined }
 
 /** An attempt that is to replace a running one. */
 export interface Replacement {
@@ -43,7 +44,9 @@
 export interface ReplacementsOptions {
   /** Reserves capacity, without waiting for it; resolves with `undefined` if no backend server has room. */
   reserveCapacity(forwarded: ForwardedRequest, progress: RequestProgress, replacement: Replacement): Promise<Reservation | undefined>
-  recordConnectFailure(backend: Backend): void
+  recordConnection(backend: Backend, isOpen: boolean): void
+  /** Opens a connection to another VM if the request must go through one; resolves with `undefined` if not, or if there is none. */
+  openPeer?: (forwarded: ForwardedRequest, progress: RequestProgress) => Promise<PeerConnection | undefined>
   /** Called when capacity for a service has become free. */
   onCapacityFreed(service: ServiceId): void
   /** Takes a retry from a fraction of the allowance; returns whether there was one. */
@@ -53,7 +56,7 @@
   log: DecisionLog
 }
 
-export function createReplacements ({ reserveCapacity, recordConnectFailure, onCapacityFreed, takeRetry, giveBackRetry, clock, log }: ReplacementsOptions) {
+export function createReplacements ({ reserveCapacity, recordConnection, openPeer = async () => undefined, onCapacityFreed, takeRetry, giveBackRetry, clock, log }: ReplacementsOptions) {
   /**
    * Takes a retry, capacity and a connection for another attempt, if the request may be repeated, and returns whether it has them. A running
    * attempt is abandoned only after that and in the same turn, because a late or low-confidence response is better than none.
@@ -87,11 +90,13 @@
   }
 
   async function connect (forwarded: ForwardedRequest, progress: RequestProgress, replacement: Replacement): Promise<ReservedAttempt | undefined> {
+    const peer = replacement.hasFailed ? await openPeer(forwarded, progress) : undefined
+    if (peer) return { peer }
     const reservation = await reserveCapacity(forwarded, progress, replacement)
     if (!reservation) return undefined
-    const connection = await openConnection(reservation.backend, REPLACEMENT_CONNECT_TIMEOUT_MS)
+    const connection = await openConnection(reservation.backend.entry.address, REPLACEMENT_CONNECT_TIMEOUT_MS)
+    recordConnection(reservation.backend, connection !== undefined)
     if (connection) return { reservation, connection }
-    recordConnectFailure(reservation.backend)
     cancel(forwarded.service, { reservation })
     return undefined
   }
@@ -112,14 +117,16 @@
     progress.replacement = undefined
   }
 
-  function cancel (service: ServiceId, { reservation, connection }: ReservedAttempt): void {
+  function cancel (service: ServiceId, reserved: ReservedAttempt): void {
+    if (reserved.peer) return void reserved.peer.connection.destroy()
+    const { reservation, connection } = reserved
     connection?.destroy()
     reservation.cancel()
     onCapacityFreed(service)
   }
 
-  function mayRepeat (route: Route, { attempts, connectAttempts }: RequestProgress): boolean {
-    return isRepeatable(route) && attempts < route.maxAttempts && connectAttempts < MAX_CONNECT_ATTEMPTS
+  function mayRepeat (route: Route, { attempts, earlierAttempts, connectAttempts }: RequestProgress): boolean {
+    return isRepeatable(route) && attempts + earlierAttempts < route.maxAttempts && connectAttempts < MAX_CONNECT_ATTEMPTS
   }
 
   return { reserve, takeOverRetry, release, cancel }
--- a/src/core/forwarding/request-progress.ts
+++ b/src/core/forwarding/request-progress.ts
@@ -2,7 +2,7 @@
 import type { Backend } from '../backend-pool/types.ts'
 import type { ChoiceReason, Verdict } from '../cascade/model-choice.ts'
 import type { ErrorName } from '../errors/index.ts'
-import type { ModelId } from '../ids/index.ts'
+import type { ModelId, VmId } from '../ids/index.ts'
 import type { CrashEvidence } from './crash-evidence.ts'
 import type { Exchange } from './exchange.ts'
 import type { ForwardedRequest } from './forward.ts'
@@ -23,6 +23,10 @@
 export interface RequestProgress extends EarlierSends {
   /** Number of times that the request was sent to a backend server, including the current attempt. */
   attempts: number
+  /** Number of times that the VM which handed the request on had sent it. */
+  earlierAttempts: number
+  /** Other VMs that the request was to go through. */
+  triedPeers: Set<VmId>
   connectAttempts: number
   /** Number of times that a wrong backend server answered; these are not attempts. */
   misdirectedSends: number
@@ -55,6 +59,8 @@
 export function createRequestProgress ({ request, route }: ForwardedRequest, crashEvidence: CrashEvidence): RequestProgress {
   return {
     attempts: 0,
+    earlierAttempts: request.origin?.attempts ?? 0,
+    triedPeers: new Set(),
     connectAttempts: 0,
     misdirectedSends: 0,
     mayHaveRun: false,
--- a/src/core/forwarding/response-handler.ts
+++ b/src/core/forwarding/response-handler.ts
@@ -11,6 +11,7 @@
 import { retryOrFail, type AttemptOutcome } from './attempt-outcome.ts'
 import { MAX_MISDIRECTED_SENDS, MISDIRECTED_STATUS, NOT_RUN_STATUSES } from './constants.ts'
 import type { Escalations, UnsentResponse } from './escalation.ts'
+import { FORWARDED_MODEL_HEADER } from '../peer-forwarding/message.ts'
 import type { ForwardedRequest } from './forward.ts'
 import { isFramed, readResponse, relayEvents } from './relay.ts'
 import type { RequestProgress } from './request-progress.ts'
@@ -121,7 +122,9 @@
       progress.heldAnswer?.drop()
       if (isWhole) escalations.recordFirstEvent(forwarded, progress, response.sentMs)
     }
-    const relayed = await relayEvents({ ...response, onFirstEvent, hasBackendEnded: () => progress.crashEvidence.hasEnded(backend), caller, route, lastEventId: progress.lastEventId, clock })
+    // The VM that handed the request on needs the model to have the stream continued through another one.
+    const headers = forwarded.request.origin && progress.model !== undefined ? [...head.headers, FORWARDED_MODEL_HEADER, progress.model] : head.headers
+    const relayed = await relayEvents({ ...response, head: { ...head, headers }, onFirstEvent, hasBackendEnded: () => progress.crashEvidence.hasEnded(backend), caller, route, lastEventId: progress.lastEventId, clock })
     progress.lastEventId = relayed.lastEventId
     endAttempt(relayed.kind === 'broken' ? 'failed' : 'completed')
     if (relayed.endedBeforeFirstEvent) await progress.crashEvidence.recordLostResponse(backend, { hadHead: true })
--- a/src/core/forwarding/server.ts
+++ b/src/core/forwarding/server.ts
@@ -104,6 +104,7 @@
       incoming,
       outgoing,
       claim,
+      isPeer: request.origin !== undefined,
       discardBody: requestBody?.discard,
       // The last response that is due closes the connection, so that all requests that were received are answered.
       isClosing: () => (isClosing() || queue.isFull()) && !queue.hasWaiting(),
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -1,4 +1,5 @@
 /** Types of forwarding: routes, services, teams and limits, a caller's request, and a backend server's response head. */
+import type { Origin } from '../peer-forwarding/message.ts'
 import type { BackendServerId, ModelId, RequestId, ServiceId, SessionId, TeamId } from '../ids/index.ts'
 
 /** Determines whether a request that may have run is sent again: idempotent ones are, streaming ones if the route is resumable. */
@@ -94,6 +95,10 @@
   lastEventId: number | undefined
   /** Headers to forward, with alternating names and values. */
   headers: readonly string[]
+  /** All headers as received, for another VM. */
+  rawHeaders?: readonly string[]
+  /** Set if another VM has handed the request on. */
+  origin?: Origin
 }
 
 /** What the VM adds to a request for one backend server. */
--- a/src/core/load-exchange/index.ts
+++ b/src/core/load-exchange/index.ts
@@ -14,6 +14,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { Audience, PaceReport } from '../pacing/index.ts'
 import type { PartEvidence } from '../quarantine/request-parts.ts'
+import type { ReachabilityReport } from '../reachability/index.ts'
 import type { RefusalReport } from '../resource-limits/index.ts'
 import type { TrialSessionsReport } from '../version-trial/index.ts'
 import { sumUsage } from './usage-sum.ts'
@@ -26,7 +27,7 @@
 export interface VmReport { loads: LoadReport, evidence?: FleetEvidence, configVersion?: number, usage?: UsageReport }
 
 /** Evidence that one VM has and all must know; receivers pass on what is new to them. */
-export interface FleetEvidence { promptParts?: PartEvidence, limits?: ReportedLimits, departures?: ReportedDepartures, paces?: PaceReport, trialSessions?: TrialSessionsReport, refusals?: RefusalReport }
+export interface FleetEvidence { promptParts?: PartEvidence, limits?: ReportedLimits, departures?: ReportedDepartures, paces?: PaceReport, trialSessions?: TrialSessionsReport, refusals?: RefusalReport, reachability?: ReachabilityReport }
 
 /** The VMs that sum the reports of a large fleet. */
 export interface Collectors {
--- a/src/core/metrics/index.ts
+++ b/src/core/metrics/index.ts
@@ -11,7 +11,7 @@
   'cold_starts', 'lease_changes', 'config_applied', 'config_conflicts', 'object_api_calls', 'object_api_failures',
   'peer_failures', 'claims', 'billing_records', 'billing_flushes', 'budget_reservations', 'session_pins',
   'quarantined', 'ratings', 'rollout_steps', 'local_admission', 'membership_changes', 'streams', 'bad_input', 'backend_failures',
-  'feed_source', 'feed_relay_failures', 'capacity_loans', 'resource_limits', 'model_choices', 'start_waits', 'fair_shares', 'backend_speeds', 'backend_returns'
+  'feed_source', 'feed_relay_failures', 'capacity_loans', 'resource_limits', 'model_choices', 'start_waits', 'fair_shares', 'backend_speeds', 'backend_returns', 'reachability', 'peer_forwarding'
 ] as const
 export type CounterName = typeof COUNTER_NAMES[number]
 
--- a/src/core/pacing/index.ts
+++ b/src/core/pacing/index.ts
@@ -50,6 +50,8 @@
   /** Records that a backend server has started or may be used again, so that it gets its load step by step. */
   recordReturn: Returns['begin']
   recordConnectFailure(id: BackendServerId): void
+  /** Forgets the failures that this VM alone has seen at a backend server, because they were its own. */
+  forgetOwnFailures: Returns['forgetOwnFailures']
   recordRefusal: Returns['recordRefusal']
   /** Whether this VM's share of the limit permits one more request beside those in flight. */
   permits: Returns['permits']
@@ -230,6 +232,7 @@
     },
     recordReturn: returns.begin,
     recordConnectFailure: id => returns.recordFailure(id, 'connection'),
+    forgetOwnFailures: returns.forgetOwnFailures,
     recordRefusal: returns.recordRefusal,
     limitOf: returns.limitOf,
     stateOf: returns.stateOf,
--- a/src/core/pacing/returns.ts
+++ b/src/core/pacing/returns.ts
@@ -70,6 +70,8 @@
   begin(id: BackendServerId, reason: ReturnReason): void
   recordFailure(id: BackendServerId, kind: 'connection' | 'answer'): void
   recordRefusal(id: BackendServerId): void
+  /** Forgets the failures that this VM has seen, because they were its own. */
+  forgetOwnFailures(id: BackendServerId): void
   /** Records that a server has more load than it can carry at its pace; its limit is cut and held until it keeps its pace. */
   recordOverload(id: BackendServerId): void
   /** Records whether the samples since the limit was lowered keep the usual pace. */
@@ -277,6 +279,14 @@
       }
       stateOf(id)
     },
+    forgetOwnFailures (id) {
+      const server = servers.get(id)
+      if (!server) return
+      server.strikes = 0
+      server.ownLimit = Infinity
+      server.failures.delete(ownHash)
+      stateOf(id)
+    },
     stateOf,
     limitOf: id => Math.min(slotsOf(id) ?? Infinity, stateOf(id) === 'trial' ? 1 : servers.get(id)?.limit ?? Infinity),
     permits (id, inFlight) {
--- /dev/null
+++ b/src/core/reachability/constants.ts
@@ -0,0 +1,30 @@
+/** Times and counts of the decision that a VM has lost its way to a service. */
+
+/** Backend servers that must have failed in a run of failures; one alone may have crashed. */
+export const MIN_FAILED_SERVERS = 2
+/** Failed connections that are needed where a service has a single backend server. */
+export const MIN_FAILURES_OF_ONE_SERVER = 2
+/** Time without a failure after which the next one begins a new run: failures that far apart need no common cause. */
+export const MAX_FAILURE_GAP_MS = 5000
+/** Time by which a report may make a connection look newer than it is; what is not newer by more is the same connection. */
+export const MAX_REPORT_DELAY_MS = 300
+/** Age from which on a connection of another VM no longer proves that the service can be reached; several periods of the load reports. */
+export const MAX_EVIDENCE_AGE_MS = 3000
+/** Age from which on a report that a VM is cut off is ignored; as for reports of VMs that refuse requests. */
+export const MAX_CUT_OFF_AGE_MS = 2000
+/** Largest number of VMs that one report names; the most recent ones are kept. */
+export const MAX_REPORTED_VMS = 64
+/** Services that a report may name; more than a configuration has in use. */
+export const MAX_REPORTED_SERVICES = 64
+/** Mean pause between two probes of a service; a return is noticed after two of them. */
+export const PROBE_PERIOD_MS = 500
+/** Timeout of a probe; that of a connection for a request. */
+export const PROBE_TIMEOUT_MS = 400
+/** Time after the start of a run of failures within which the reports of the others show whether this VM is cut off. */
+export const DECISION_TIME_MS = 1500
+/** Successful probes in a row that end the state. */
+export const PROBES_TO_RETURN = 2
+/** Time after a return within which a new loss doubles the number of probes for the next return. */
+export const UNSTABLE_AFTER_RETURN_MS = 5000
+/** Largest number of probes for a return, so that a link that has become stable is used after a few seconds. */
+export const MAX_PROBES_TO_RETURN = 8
--- /dev/null
+++ b/src/core/reachability/index.ts
@@ -0,0 +1,225 @@
+/**
+ * Decides for each service whether this VM has lost its way to it: its own connections to several backend servers fail in
+ * a row, while other VMs still open connections to the same service. It answers partitions between some VMs and all
+ * backend servers, where the requests of this VM can still be served through another one. If nobody reaches the
+ * service, it is gone, and no VM counts as cut off.
+ */
+import type { BackendServerId, ServiceId, VmId } from '../ids/index.ts'
+import type { Clock } from '../clock/index.ts'
+import type { Log } from '../logging/index.ts'
+import type { Metrics } from '../metrics/index.ts'
+import {
+  DECISION_TIME_MS, MAX_CUT_OFF_AGE_MS, MAX_EVIDENCE_AGE_MS, MAX_FAILURE_GAP_MS, MAX_PROBES_TO_RETURN, MAX_REPORT_DELAY_MS, MAX_REPORTED_SERVICES, MAX_REPORTED_VMS, MIN_FAILED_SERVERS, MIN_FAILURES_OF_ONE_SERVER, PROBES_TO_RETURN, UNSTABLE_AFTER_RETURN_MS
+} from './constants.ts'
+
+/** What the VMs know of the ways to the services. */
+export interface ReachabilityReport {
+  /** By service: the last connection that a VM has opened, with its age in ms and the VM. */
+  reached?: Record<ServiceId, readonly [ageMs: number, vm: VmId]>
+  /** VMs that are cut off: the age in ms of what is known, and the services. */
+  cutOff?: Record<VmId, readonly [ageMs: number, services: readonly ServiceId[]]>
+}
+
+export interface Reachability {
+  /** Records whether a connection of this VM to a backend server was opened. */
+  recordConnection(service: ServiceId, backendServer: BackendServerId, isOpen: boolean): void
+  /** Whether this VM has lost its way to a service that other VMs reach. */
+  isCutOff(service: ServiceId): boolean
+  /** Whether connections to several backend servers have failed since one was opened, so that a failure says nothing about a single one. */
+  isDoubtful(service: ServiceId): boolean
+  /** Time that the decision whether this VM is cut off may still take, in milliseconds; 0 if it is clear. */
+  doubtMs(service: ServiceId): number
+  /** Whether another VM says that it is cut off, from a service or from any. */
+  isVmCutOff(vm: VmId, service?: ServiceId): boolean
+  /** Services that this VM is cut off from. */
+  lostServices(): ServiceId[]
+  /** Records the result of a connection that was opened to find out whether the way is back. */
+  recordProbe(service: ServiceId, backendServer: BackendServerId, isOpen: boolean): void
+  /** What is known, for the other VMs; `undefined` if it is nothing. */
+  report(): ReachabilityReport | undefined
+  /** Takes over another VM's report; ignores what cannot be read. */
+  merge(report: unknown): void
+}
+
+export interface ReachabilityOptions {
+  self: VmId
+  /** Number of backend servers of a service that this VM may use. */
+  serverCount: (service: ServiceId) => number
+  /** Called when this VM reaches a service again. Default: ignored. */
+  onReturn?: (service: ServiceId) => void
+  clock: Pick<Clock, 'now'>
+  log: Log
+  metrics: Metrics
+}
+
+interface ServiceState {
+  /** Monotonic time of this VM's last successful connection. */
+  openedMs: number
+  /** The last connection of another VM. */
+  others: { openedMs: number, vm: VmId | undefined }
+  /** The run of failures and the backend servers in it; `undefined` after a success. */
+  failures: { sinceMs: number, lastMs: number, count: number, backendServers: Set<BackendServerId> } | undefined
+  /** Whether this VM was cut off at the last check. */
+  wasCutOff: boolean
+  /** Backend servers of successful probes since the last failed one, and their number. */
+  probes: { count: number, backendServers: Set<BackendServerId> }
+  probesToReturn: number
+  returnedMs: number
+}
+
+export function createReachability ({ self, serverCount, onReturn = () => {}, clock, log, metrics }: ReachabilityOptions): Reachability {
+  const services = new Map<ServiceId, ServiceState>()
+  /** What other VMs have said that they are cut off from, and when. */
+  const cutOffVms = new Map<VmId, { atMs: number, services: ReadonlySet<ServiceId> }>()
+  metrics.gaugeBy('cut_off', 'Whether this VM has lost its way to a service', 'service', () => [...services.keys()].map(service => [service, isCutOff(service) ? 1 : 0] as const))
+
+  function stateOf (service: ServiceId): ServiceState {
+    const known = services.get(service)
+    if (known) return known
+    const created: ServiceState = {
+      openedMs: -Infinity, others: { openedMs: -Infinity, vm: undefined }, failures: undefined, wasCutOff: false, probes: { count: 0, backendServers: new Set() }, probesToReturn: PROBES_TO_RETURN, returnedMs: -Infinity
+    }
+    services.set(service, created)
+    return created
+  }
+
+  function isDoubtful (service: ServiceId): boolean {
+    const failures = services.get(service)?.failures
+    if (!failures) return false
+    if (failures.backendServers.size >= MIN_FAILED_SERVERS) return true
+    return serverCount(service) === 1 && failures.count >= MIN_FAILURES_OF_ONE_SERVER
+  }
+
+  /** The state follows from the evidence, so that it ends by itself when that becomes too old. */
+  function isCutOff (service: ServiceId): boolean {
+    const state = services.get(service)
+    if (!state) return false
+    const isFresh = clock.now() - state.others.openedMs <= MAX_EVIDENCE_AGE_MS
+    const isLost = isDoubtful(service) && isFresh && state.others.openedMs > state.failures!.sinceMs
+    if (isLost !== state.wasCutOff) recordChange(service, state, isLost)
+    return isLost
+  }
+
+  function recordChange (service: ServiceId, state: ServiceState, isLost: boolean): void {
+    state.wasCutOff = isLost
+    state.probes = { count: 0, backendServers: new Set() }
+    metrics.count('reachability', isLost ? 'cut_off' : 'connected')
+    if (!isLost) return log.info('VM is no longer cut off from a service', { service, reason: state.failures ? 'no other VM reaches it' : 'connected' })
+    const isUnstable = clock.now() - state.returnedMs < UNSTABLE_AFTER_RETURN_MS
+    state.probesToReturn = isUnstable ? Math.min(MAX_PROBES_TO_RETURN, state.probesToReturn * 2) : PROBES_TO_RETURN
+    log.warn('VM is cut off from a service that other VMs reach', {
+      service, failedServers: state.failures!.backendServers.size, failingForMs: Math.round(clock.now() - state.failures!.sinceMs), evidenceAgeMs: Math.round(clock.now() - state.others.openedMs)
+    })
+  }
+
+  function recordOpen (service: ServiceId, state: ServiceState): void {
+    const hadLost = state.wasCutOff
+    state.openedMs = clock.now()
+    state.failures = undefined
+    if (!hadLost) return
+    state.returnedMs = clock.now()
+    recordChange(service, state, false)
+    onReturn(service)
+  }
+
+  function recordFailure (state: ServiceState, backendServer: BackendServerId): void {
+    const nowMs = clock.now()
+    if (state.failures && nowMs - state.failures.lastMs > MAX_FAILURE_GAP_MS) state.failures = undefined
+    state.failures ??= { sinceMs: nowMs, lastMs: nowMs, count: 0, backendServers: new Set() }
+    state.failures.lastMs = nowMs
+    state.failures.count++
+    state.failures.backendServers.add(backendServer)
+  }
+
+  /** VMs that are cut off, this one included, the most recent news first. */
+  function currentCutOffs (): [VmId, [number, readonly ServiceId[]]][] {
+    const own = lostServices()
+    const others = [...cutOffVms].flatMap(([vm, { atMs, services: lost }]): [VmId, [number, readonly ServiceId[]]][] => {
+      const ageMs = clock.now() - atMs
+      if (ageMs > MAX_CUT_OFF_AGE_MS) cutOffVms.delete(vm)
+      return ageMs > MAX_CUT_OFF_AGE_MS ? [] : [[vm, [Math.round(ageMs), [...lost]]]]
+    })
+    const all = own.length > 0 ? [[self, [0, own]] as [VmId, [number, readonly ServiceId[]]], ...others] : others
+    return all.sort(([, [a]], [, [b]]) => a - b).slice(0, MAX_REPORTED_VMS)
+  }
+
+  function lostServices (): ServiceId[] {
+    return [...services.keys()].filter(isCutOff)
+  }
+
+  function mergeReached (reached: unknown): void {
+    for (const [service, known] of Object.entries(reached ?? {}).slice(0, MAX_REPORTED_SERVICES) as [ServiceId, unknown][]) {
+      if (!Array.isArray(known)) continue
+      const [ageMs, vm] = known as [unknown, unknown]
+      // What this VM has reported itself comes back through the others.
+      if (!isAge(ageMs, MAX_EVIDENCE_AGE_MS) || typeof vm !== 'string' || vm === self) continue
+      const { others } = stateOf(service)
+      const openedMs = clock.now() - ageMs
+      // Each hop makes a connection look newer than it is.
+      const newerByMs = others.vm === vm ? MAX_REPORT_DELAY_MS : 0
+      if (openedMs > others.openedMs + newerByMs) Object.assign(others, { openedMs, vm })
+    }
+  }
+
+  function mergeCutOffs (cutOff: unknown): void {
+    for (const [vm, known] of Object.entries(cutOff ?? {}).slice(0, MAX_REPORTED_VMS) as [VmId, unknown][]) {
+      if (vm === self || !Array.isArray(known)) continue
+      const [ageMs, lost] = known as [unknown, unknown]
+      if (!isAge(ageMs, MAX_CUT_OFF_AGE_MS) || !Array.isArray(lost)) continue
+      const atMs = clock.now() - ageMs
+      if (atMs > (cutOffVms.get(vm)?.atMs ?? -Infinity)) cutOffVms.set(vm, { atMs, services: new Set(lost.slice(0, MAX_REPORTED_SERVICES) as ServiceId[]) })
+    }
+  }
+
+  return {
+    recordConnection (service, backendServer, isOpen) {
+      const state = stateOf(service)
+      if (!isOpen) return recordFailure(state, backendServer)
+      // While cut off, only probes decide, so that one connection through a bad link does not end the state.
+      if (!isCutOff(service)) recordOpen(service, state)
+    },
+    isCutOff,
+    isDoubtful,
+    doubtMs (service) {
+      const failures = services.get(service)?.failures
+      return failures && !isCutOff(service) ? Math.max(0, failures.sinceMs + DECISION_TIME_MS - clock.now()) : 0
+    },
+    isVmCutOff (vm, service) {
+      if (vm === self) return service === undefined ? lostServices().length > 0 : isCutOff(service)
+      const known = cutOffVms.get(vm)
+      if (!known || clock.now() - known.atMs > MAX_CUT_OFF_AGE_MS) return false
+      return service === undefined ? known.services.size > 0 : known.services.has(service)
+    },
+    lostServices,
+    recordProbe (service, backendServer, isOpen) {
+      const state = stateOf(service)
+      if (!isOpen) {
+        state.probes = { count: 0, backendServers: new Set() }
+        return recordFailure(state, backendServer)
+      }
+      state.probes.count++
+      state.probes.backendServers.add(backendServer)
+      const needed = Math.min(2, serverCount(service))
+      if (state.probes.count >= state.probesToReturn && state.probes.backendServers.size >= needed) recordOpen(service, state)
+    },
+    report () {
+      const reached = [...services].flatMap(([service, { openedMs, others }]) => {
+        const ageMs = Math.round(clock.now() - Math.max(openedMs, others.openedMs))
+        return ageMs <= MAX_EVIDENCE_AGE_MS ? [[service, [ageMs, openedMs >= others.openedMs ? self : others.vm!]] as const] : []
+      })
+      const cutOffs = currentCutOffs()
+      if (reached.length === 0 && cutOffs.length === 0) return undefined
+      return { ...reached.length > 0 && { reached: Object.fromEntries(reached) }, ...cutOffs.length > 0 && { cutOff: Object.fromEntries(cutOffs) } }
+    },
+    merge (report) {
+      if (typeof report !== 'object' || report === null) return
+      const { reached, cutOff } = report as Partial<Record<keyof ReachabilityReport, unknown>>
+      mergeReached(reached)
+      mergeCutOffs(cutOff)
+    }
+  }
+}
+
+function isAge (value: unknown, maxMs: number): value is number {
+  return typeof value === 'number' && value >= 0 && value <= maxMs
+}
