--- /dev/null
+++ b/features/steps/peer-forwarding.ts
@@ -0,0 +1,175 @@
+import assert from 'node:assert/strict'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { eventsOf, sendTo, startPartitionedFleet, type Answer, type FleetVm, type PartitionedFleet, type RequestOptions, type SentRequest } from '../support/partitioned-fleet.ts'
+import type { LinkState } from '../support/links.ts'
+import { STREAM_LENGTH, type Run } from '../support/task-backend.ts'
+
+export interface PeerWorld {
+  fleet: PartitionedFleet
+  cutMs: number
+  stopTraffic(): Promise<void>
+  /** Answers to the traffic, by VM. */
+  traffic: { vm: number, answer: Answer }[]
+  sent: SentRequest[]
+}
+
+const TRAFFIC_PERIOD_MS = 100
+const MAX_WAIT_MS = 4000
+
+After({ tags: '@peer-forwarding' }, async function (this: Partial<PeerWorld>) {
+  await this.stopTraffic?.()
+  await this.fleet?.close()
+})
+
+/** Sends a request to each VM again and again. */
+function startTraffic (world: PeerWorld): void {
+  const open = new Set<Promise<void>>()
+  world.traffic = []
+  const timer = setInterval(() => {
+    world.fleet.vms.forEach((vm, index) => {
+      const done = sendTo(vm, '/read/traffic').answer.then(answer => { world.traffic.push({ vm: index, answer }) })
+      open.add(done)
+      void done.then(() => open.delete(done))
+    })
+  }, TRAFFIC_PERIOD_MS)
+  world.stopTraffic = async () => {
+    clearInterval(timer)
+    await Promise.all(open)
+  }
+}
+
+export async function until (isTrue: () => boolean, maxMs = MAX_WAIT_MS): Promise<void> {
+  const endMs = performance.now() + maxMs
+  while (!isTrue()) {
+    assert.ok(performance.now() < endMs, 'did not happen in time')
+    await sleep(10)
+  }
+}
+
+const vmAt = ({ fleet }: PeerWorld, number: number | string): FleetVm => fleet.vms[Number(number) - 1]!
+const handedOnBy = ({ decisions }: FleetVm) => decisions.filter(({ decision }) => decision === 'handed_on')
+export const runsOf = ({ fleet }: PeerWorld, { id }: Pick<SentRequest, 'id'>): Run[] => fleet.runs.filter(run => run.id === id)
+
+async function cut (world: PeerWorld, vm: FleetVm, state: LinkState, services = [...vm.links.keys()]): Promise<void> {
+  for (const service of services) await vm.links.get(service)!.set(state)
+  world.cutMs = performance.now()
+}
+
+/** Number of the VM that serves a request for another one. */
+function receiverOf (world: PeerWorld, { id }: SentRequest, sender = vmAt(world, 1)): FleetVm {
+  const to = handedOnBy(sender).filter(({ fields }) => fields.id === id).at(-1)?.fields.to
+  const found = world.fleet.vms.find(({ settings }) => settings.vm === to)
+  assert.ok(found, `${id} was not handed on`)
+  return found
+}
+
+Given(/^(\d+) forwarding VMs with callers(?:, of which VM 1 has a (?:configuration of its own))?$/, { timeout: 20_000 }, async function (this: PeerWorld, count: string) {
+  this.fleet = await startPartitionedFleet(Number(count))
+  this.sent = []
+  startTraffic(this)
+  await sleep(300)
+})
+
+Given(/^(\d+) forwarding VMs of which VM 1 is cut off$/, { timeout: 30_000 }, async function (this: PeerWorld, count: string) {
+  this.fleet = await startPartitionedFleet(Number(count))
+  this.sent = []
+  startTraffic(this)
+  await sleep(300)
+  await cut(this, vmAt(this, 1), 'refused')
+  await until(() => handedOnBy(vmAt(this, 1)).length > 2)
+})
+
+When(/^the links of VMs? ([\d, ]+) (?:are|become) (\w+)$/, async function (this: PeerWorld, numbers: string, state: LinkState) {
+  for (const number of numbers.split(',')) await cut(this, vmAt(this, number), state)
+})
+
+When(/^(\d+) ms pass(?: with callers)?$/, { timeout: 20_000 }, async function (this: PeerWorld, ms: string) {
+  await sleep(Number(ms))
+})
+
+/** Answers to requests that were sent from some time after the last change of the links. */
+function answersOf (world: PeerWorld, vm: number, fromMs: number): Answer[] {
+  return world.traffic.filter(({ vm: index, answer }) => index === vm - 1 && answer.sentMs >= world.cutMs + fromMs).map(({ answer }) => answer)
+}
+
+Then(/^the requests at VM (\d) from (\d+) ms after the cut are served within (\d+) ms$/, async function (this: PeerWorld, vm: string, fromMs: string, ms: string) {
+  await this.stopTraffic()
+  const answers = answersOf(this, Number(vm), Number(fromMs))
+  assert.ok(answers.length >= 10, `${answers.length} answers`)
+  const bad = answers.filter(({ status, afterMs }) => status !== 200 || afterMs > Number(ms))
+  assert.deepEqual(bad.map(({ status, sentMs, afterMs }) => `${status} ${Math.round(sentMs - this.cutMs)} ${Math.round(afterMs)}`), [])
+})
+
+Then(/^the requests at VM (\d) from (\d+) ms after the cut are refused within (\d+) ms$/, async function (this: PeerWorld, vm: string, fromMs: string, ms: string) {
+  await this.stopTraffic()
+  const answers = answersOf(this, Number(vm), Number(fromMs))
+  assert.ok(answers.length >= 10, `${answers.length} answers`)
+  const bad = answers.filter(({ status, afterMs }) => status !== 503 || afterMs > Number(ms))
+  assert.deepEqual(bad.map(({ status, sentMs, afterMs }) => `${status} ${Math.round(sentMs - this.cutMs)} ${Math.round(afterMs)}`), [])
+})
+
+Then(/^VM (\d) hands requests on, and VM (\d) does not$/, function (this: PeerWorld, one: string, other: string) {
+  assert.ok(handedOnBy(vmAt(this, one)).length > 0)
+  assert.equal(handedOnBy(vmAt(this, other)).length, 0)
+})
+
+Then(/^no VM has logged an error$/, function (this: PeerWorld) {
+  assert.deepEqual(this.fleet.vms.flatMap(({ errors }) => errors), [])
+})
+
+When(/^VM (\d) gets (an order|a read|a stream|a cascade)(?: with (?:(\d+) ms|the task (.+)))?$/, function (this: PeerWorld, vm: string, kind: string, waitMs: string | null, task: string | null) {
+  const path = { 'an order': '/order/1', 'a read': '/read/1', 'a stream': '/stream/1', 'a cascade': '/cascade/1' }[kind]!
+  const options: RequestOptions = { method: kind === 'an order' ? 'POST' : 'GET', waitMs: Number(waitMs ?? 3000), task: waitMs ? 'late 2000' : task ?? '' }
+  this.sent.push(sendTo(vmAt(this, vm), path, options))
+})
+
+When('the request runs', async function (this: PeerWorld) {
+  await until(() => runsOf(this, this.sent.at(-1)!).length > 0)
+})
+
+When(/^the caller has got (\d+) events$/, async function (this: PeerWorld, count: string) {
+  await until(() => eventsOf(this.sent.at(-1)!.received()).length >= Number(count))
+})
+
+When('the VM that serves it ends', async function (this: PeerWorld) {
+  await receiverOf(this, this.sent.at(-1)!).vm.close()
+})
+
+When('the VM that serves it is stopped', function (this: PeerWorld) {
+  void receiverOf(this, this.sent.at(-1)!).vm.stop()
+})
+
+When(/^VM (\d) is stopped$/, function (this: PeerWorld, vm: string) {
+  void vmAt(this, vm).vm.stop()
+})
+
+When(/^the caller leaves$/, function (this: PeerWorld) {
+  this.sent.at(-1)!.leave()
+})
+
+Then(/^the answer has status (\d+)(?: within (\d+) ms)?$/, { timeout: 10_000 }, async function (this: PeerWorld, status: string, ms: string | null) {
+  const answer = await this.sent.at(-1)!.answer
+  assert.equal(answer.status, Number(status), answer.body)
+  assert.equal(answer.wasCut, false)
+  if (ms) assert.ok(answer.afterMs <= Number(ms), `after ${Math.round(answer.afterMs)} ms`)
+})
+
+Then(/^it has run (\d+) times?$/, async function (this: PeerWorld, times: string) {
+  await sleep(300)
+  assert.equal(runsOf(this, this.sent.at(-1)!).length, Number(times))
+})
+
+Then('the run is cancelled', async function (this: PeerWorld) {
+  await until(() => runsOf(this, this.sent.at(-1)!).some(({ isCancelled }) => isCancelled), 500)
+})
+
+Then('the caller gets every event once', { timeout: 10_000 }, async function (this: PeerWorld) {
+  const { status, body, wasCut } = await this.sent.at(-1)!.answer
+  assert.deepEqual({ status, wasCut, events: eventsOf(body) }, { status: 200, wasCut: false, events: Array.from({ length: STREAM_LENGTH }, (_, index) => index + 1) })
+})
+
+Then('all events are of one model', async function (this: PeerWorld) {
+  const { body } = await this.sent.at(-1)!.answer
+  assert.deepEqual([...new Set([...body.matchAll(/^data: (\w+)/gm)].map(([, model]) => model))], ['small'])
+})
--- a/features/support/forwarding-vm-harness.ts
+++ b/features/support/forwarding-vm-harness.ts
@@ -6,7 +6,7 @@
 import { systemClock, type Clock } from '../../src/core/clock/index.ts'
 import type { BackendResponseHead, Route, TrafficConfig } from '../../src/core/forwarding/types.ts'
 import { brandId, type BackendServerId, type DataCentreId, type ModelId, type RegionId, type RequestId, type ServiceId, type SessionId, type TeamId, type VersionId, type VmId } from '../../src/core/ids/index.ts'
-import { silentLog } from '../../src/core/logging/index.ts'
+import { silentLog, type DecisionLog } from '../../src/core/logging/index.ts'
 import { startForwardingVm, type ForwardingVm, type ForwardingVmSettings, type PlatformAdapter } from '../../src/core/forwarding-vm/index.ts'
 import { createMemoryStore, type MemoryStore } from './memory-store.ts'
 
@@ -170,14 +170,18 @@
   settings: ForwardingVmSettings
   /** Messages that the VM has logged as errors. */
   errors: string[]
+  /** Decisions about requests that the VM has logged. */
+  decisions: { decision: string, fields: Record<string, unknown> }[]
 }
 
-export async function startForwardingVmHarness ({ clock = systemClock, configured = true, coldRate, store = createMemoryStore(), overrides = {}, random }: { clock?: Clock, configured?: boolean, coldRate?: number, store?: MemoryStore, overrides?: Partial<ForwardingVmSettings>, random?: () => number } = {}): Promise<ForwardingVmHarness> {
+export async function startForwardingVmHarness ({ clock = systemClock, configured = true, coldRate, store = createMemoryStore(), overrides = {}, random, adapter: ownAdapter = adapter }: { clock?: Clock, configured?: boolean, coldRate?: number, store?: MemoryStore, overrides?: Partial<ForwardingVmSettings>, random?: () => number, adapter?: PlatformAdapter } = {}): Promise<ForwardingVmHarness> {
   const settings = { ...harnessSettings(await findFreePorts(5)), ...overrides }
   if (configured) store.put(KINDS.config, 'main', trafficConfig(1, { coldRate }))
   const errors: string[] = []
-  const vm = await startForwardingVm({ settings, adapter, store, clock, random, log: { ...silentLog, error: message => { errors.push(message) }, request () {} } })
-  return { vm, store, settings, errors }
+  const decisions: ForwardingVmHarness['decisions'] = []
+  const log: DecisionLog = { ...silentLog, error: message => { errors.push(message) }, request (decision, fields) { decisions.push({ decision, fields: { ...fields } }) } }
+  const vm = await startForwardingVm({ settings, adapter: ownAdapter, store, clock, random, log })
+  return { vm, store, settings, errors, decisions }
 }
 
 export interface RawResponse { status: number, head: string, body: string, ended: 'closed' | 'reset', connected: boolean }
