--- a/features/steps/peer-forwarding.ts
+++ b/features/steps/peer-forwarding.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { KEY_KIND, KEY_NAME } from '../../src/core/fleet/constants.ts'
+import { brandId, type RequestId } from '../../src/core/ids/index.ts'
+import { encodeOrigin, FORWARDED_ERROR_HEADER, FORWARDED_HEADER } from '../../src/core/peer-forwarding/message.ts'
 import { eventsOf, sendTo, startPartitionedFleet, type Answer, type FleetVm, type PartitionedFleet, type RequestOptions, type SentRequest } from '../support/partitioned-fleet.ts'
 import type { LinkState } from '../support/links.ts'
-import { STREAM_LENGTH, type Run } from '../support/task-backend.ts'
+import { digestOf, STREAM_LENGTH, type Run } from '../support/task-backend.ts'
 
 export interface PeerWorld {
   fleet: PartitionedFleet
@@ -12,6 +15,7 @@
   /** Answers to the traffic, by VM. */
   traffic: { vm: number, answer: Answer }[]
   sent: SentRequest[]
+  body: Buffer
 }
 
 const TRAFFIC_PERIOD_MS = 100
@@ -64,7 +68,7 @@
   return found
 }
 
-Given(/^(\d+) forwarding VMs with callers(?:, of which VM 1 has a (?:configuration of its own))?$/, { timeout: 20_000 }, async function (this: PeerWorld, count: string) {
+Given(/^(\d+) forwarding VMs with callers$/, { timeout: 20_000 }, async function (this: PeerWorld, count: string) {
   this.fleet = await startPartitionedFleet(Number(count))
   this.sent = []
   startTraffic(this)
@@ -93,7 +97,7 @@
   return world.traffic.filter(({ vm: index, answer }) => index === vm - 1 && answer.sentMs >= world.cutMs + fromMs).map(({ answer }) => answer)
 }
 
-Then(/^the requests at VM (\d) from (\d+) ms after the cut are served within (\d+) ms$/, async function (this: PeerWorld, vm: string, fromMs: string, ms: string) {
+Then(/^the requests at VM (\d) from (\d+) ms after (?:the cut|the change|the end of VM 2) are served within (\d+) ms$/, async function (this: PeerWorld, vm: string, fromMs: string, ms: string) {
   await this.stopTraffic()
   const answers = answersOf(this, Number(vm), Number(fromMs))
   assert.ok(answers.length >= 10, `${answers.length} answers`)
@@ -164,12 +168,110 @@
   await until(() => runsOf(this, this.sent.at(-1)!).some(({ isCancelled }) => isCancelled), 500)
 })
 
-Then('the caller gets every event once', { timeout: 10_000 }, async function (this: PeerWorld) {
+Then(/^the caller gets every (?:event|one of (\d+) events) once$/, { timeout: 10_000 }, async function (this: PeerWorld, count: string | null) {
   const { status, body, wasCut } = await this.sent.at(-1)!.answer
-  assert.deepEqual({ status, wasCut, events: eventsOf(body) }, { status: 200, wasCut: false, events: Array.from({ length: STREAM_LENGTH }, (_, index) => index + 1) })
+  assert.deepEqual({ status, wasCut, events: eventsOf(body) }, { status: 200, wasCut: false, events: Array.from({ length: Number(count ?? STREAM_LENGTH) }, (_, index) => index + 1) })
 })
 
 Then('all events are of one model', async function (this: PeerWorld) {
   const { body } = await this.sent.at(-1)!.answer
   assert.deepEqual([...new Set([...body.matchAll(/^data: (\w+)/gm)].map(([, model]) => model))], ['small'])
 })
+
+Then(/^no request has been handed on from (\d+) ms after the cut$/, function (this: PeerWorld, ms: string) {
+  const late = this.fleet.vms.flatMap(handedOnBy).filter(({ atMs }) => atMs > this.cutMs + Number(ms))
+  assert.deepEqual(late.map(({ fields }) => fields), [])
+})
+
+When(/^the links of VM (\d) to the first service become (\w+)$/, async function (this: PeerWorld, vm: string, state: LinkState) {
+  await cut(this, vmAt(this, vm), state, ['service'])
+})
+
+When(/^VM (\d) gets a read of the second service$/, function (this: PeerWorld, vm: string) {
+  this.sent.push(sendTo(vmAt(this, vm), '/second/1'))
+})
+
+Then('it was not handed on, but others were', function (this: PeerWorld) {
+  const ids = handedOnBy(vmAt(this, 1)).map(({ fields }) => fields.id)
+  assert.ok(ids.length > 0)
+  assert.ok(!ids.includes(this.sent.at(-1)!.id))
+})
+
+When(/^VM (\d) ends$/, async function (this: PeerWorld, vm: string) {
+  this.cutMs = performance.now()
+  await vmAt(this, vm).vm.close()
+})
+
+When(/^VM (\d) does not take version 2 of the configuration, which the others have$/, async function (this: PeerWorld, vm: string) {
+  vmAt(this, vm).newestConfig.version = 1
+  this.fleet.putConfig(2)
+  await sleep(300)
+  this.cutMs = performance.now()
+})
+
+Then(/^VM (\d) has got the refusal "(\w+)" from VM (\d)$/, function (this: PeerWorld, vm: string, error: string, refusing: string) {
+  const { decisions } = vmAt(this, vm)
+  const refused = decisions.filter(({ decision, fields }) => decision === 'attempt_repeated' && fields.reason === error)
+  assert.ok(refused.length > 0)
+  const { id } = refused[0]!.fields
+  assert.equal(decisions.find(({ decision, fields }) => decision === 'handed_on' && fields.id === id)?.fields.to, vmAt(this, refusing).settings.vm)
+})
+
+When(/^VM (\d) gets (an|a chunked) order of (\d+) bytes$/, function (this: PeerWorld, vm: string, kind: string, bytes: string) {
+  this.body = Buffer.from(Array.from({ length: Number(bytes) }, (_, index) => index * 7919 % 251))
+  this.sent.push(sendTo(vmAt(this, vm), '/order/1', { method: 'POST', body: this.body, isChunked: kind === 'a chunked' }))
+})
+
+Then('the backend server got the same bytes and a length', function (this: PeerWorld) {
+  const [run] = runsOf(this, this.sent.at(-1)!)
+  assert.equal(run!.digest, digestOf(this.body))
+  assert.equal(run!.headers['content-length'], String(this.body.length))
+})
+
+When(/^VM (\d) gets a (GET|HEAD) request$/, function (this: PeerWorld, vm: string, method: string) {
+  this.sent.push(sendTo(vmAt(this, vm), '/read/1', { method }))
+})
+
+Then(/^fewer than (\d+) events have been written$/, function (this: PeerWorld, count: string) {
+  const [run] = runsOf(this, this.sent.at(-1)!)
+  assert.ok(run!.events < Number(count), `${run!.events} events`)
+})
+
+When(/^the caller reads nothing for (\d+) ms$/, async function (this: PeerWorld, ms: string) {
+  const request = this.sent.at(-1)!
+  await until(() => request.received() !== '')
+  request.pause()
+  await sleep(Number(ms))
+  setImmediate(request.resume)
+})
+
+Then(/^it has a time to return: (yes|no)$/, async function (this: PeerWorld, has: string) {
+  const { headers } = await this.sent.at(-1)!.answer
+  assert.equal(headers['retry-after'] !== undefined, has === 'yes')
+})
+
+Then(/^it has run at most (\d+) times$/, async function (this: PeerWorld, times: string) {
+  await sleep(300)
+  const { length } = runsOf(this, this.sent.at(-1)!)
+  assert.ok(length >= 1 && length <= Number(times), `${length} runs`)
+})
+
+When(/^the request has run (\d+) times$/, async function (this: PeerWorld, times: string) {
+  await until(() => runsOf(this, this.sent.at(-1)!).length >= Number(times))
+})
+
+/** Sends a request to a VM as another one hands it on. */
+When(/^VM (\d) gets (an|a busy) order handed on(?: with configuration (\d+)| with the key ([\w-]+)| after (\d) attempt| with (\d+) ms| with a (forged) statement)? of VM (\d)$/, function (this: PeerWorld, vm: string, kind: string, configVersion: string | null, ownKey: string | null, attempts: string | null, remainingMs: string | null, forged: string | null, sender: string) {
+  const receiver = vmAt(this, vm)
+  const id = `handed-on-${this.sent.length}`
+  const stored = (this.fleet.store.peek(KEY_KIND, KEY_NAME)!.spec as { key: string }).key
+  const origin = { vm: vmAt(this, sender).settings.vm, remainingMs: Number(remainingMs ?? 3000), attempts: Number(attempts ?? 0), configVersion: Number(configVersion ?? 1) }
+  const statement = encodeOrigin(origin, { receiver: receiver.settings.vm, id: brandId<RequestId>(id), method: 'POST', target: '/order/1' }, forged ? 'guessed' : stored)
+  const task = kind === 'a busy' ? 'busy' : remainingMs ? 'late 1000' : ''
+  this.sent.push(sendTo(receiver, '/order/1', { method: 'POST', id, key: ownKey ?? 'good-key', task, headers: { [FORWARDED_HEADER]: statement } }))
+})
+
+Then(/^it names the error "(\w+)"$/, async function (this: PeerWorld, error: string) {
+  const { headers } = await this.sent.at(-1)!.answer
+  assert.equal(headers[FORWARDED_ERROR_HEADER.toLowerCase()], error)
+})
--- a/features/support/forwarding-vm-harness.ts
+++ b/features/support/forwarding-vm-harness.ts
@@ -6,7 +6,8 @@
 import { systemClock, type Clock } from '../../src/core/clock/index.ts'
 import type { BackendResponseHead, Route, TrafficConfig } from '../../src/core/forwarding/types.ts'
 import { brandId, type BackendServerId, type DataCentreId, type ModelId, type RegionId, type RequestId, type ServiceId, type SessionId, type TeamId, type VersionId, type VmId } from '../../src/core/ids/index.ts'
-import { silentLog, type DecisionLog } from '../../src/core/logging/index.ts'
+import type { DecisionLog } from '../../src/core/logging/decision-log.ts'
+import { silentLog } from '../../src/core/logging/index.ts'
 import { startForwardingVm, type ForwardingVm, type ForwardingVmSettings, type PlatformAdapter } from '../../src/core/forwarding-vm/index.ts'
 import { createMemoryStore, type MemoryStore } from './memory-store.ts'
 
@@ -171,7 +172,7 @@
   /** Messages that the VM has logged as errors. */
   errors: string[]
   /** Decisions about requests that the VM has logged. */
-  decisions: { decision: string, fields: Record<string, unknown> }[]
+  decisions: { decision: string, fields: Record<string, unknown>, atMs: number }[]
 }
 
 export async function startForwardingVmHarness ({ clock = systemClock, configured = true, coldRate, store = createMemoryStore(), overrides = {}, random, adapter: ownAdapter = adapter }: { clock?: Clock, configured?: boolean, coldRate?: number, store?: MemoryStore, overrides?: Partial<ForwardingVmSettings>, random?: () => number, adapter?: PlatformAdapter } = {}): Promise<ForwardingVmHarness> {
@@ -179,7 +180,7 @@
   if (configured) store.put(KINDS.config, 'main', trafficConfig(1, { coldRate }))
   const errors: string[] = []
   const decisions: ForwardingVmHarness['decisions'] = []
-  const log: DecisionLog = { ...silentLog, error: message => { errors.push(message) }, request (decision, fields) { decisions.push({ decision, fields: { ...fields } }) } }
+  const log: DecisionLog = { ...silentLog, error: message => { errors.push(message) }, request (decision, fields) { decisions.push({ decision, fields: { ...fields }, atMs: performance.now() }) } }
   const vm = await startForwardingVm({ settings, adapter: ownAdapter, store, clock, random, log })
   return { vm, store, settings, errors, decisions }
 }
--- a/features/support/links.ts
+++ b/features/support/links.ts
@@ -31,14 +31,16 @@
   const ports = []
   let servers = []
   let isReset = false
-  const resetAll = () => { for (const socket of sockets) socket.resetAndDestroy() }
+  // Resetting a socket that has been ended or has not connected yet keeps the loop of the thread busy for ever.
+  const reset = socket => { if (socket.connecting || socket.writableEnded) socket.destroy(); else socket.resetAndDestroy() }
+  const resetAll = () => { for (const socket of sockets) reset(socket) }
   function relay (client, target) {
-    if (isReset) return client.on('error', () => {}).resetAndDestroy()
+    if (isReset) return reset(client.on('error', () => {}))
     const [host, port] = target.split(':')
     const server = connect({ host, port: Number(port), noDelay: true, allowHalfOpen: true })
     for (const [from, to] of [[client, server], [server, client]]) {
       sockets.add(from)
-      from.on('error', () => to.resetAndDestroy())
+      from.on('error', () => reset(to))
       from.on('close', () => {
         sockets.delete(from)
         to.destroy()
@@ -86,8 +88,8 @@
     async set (state) {
       unblock()
       const done = once(worker, 'message')
-      worker.postMessage(state)
       if (state === 'silent') Atomics.store(blocked, 0, 0)
+      worker.postMessage(state)
       await done
       if (state !== 'silent') return
       filling = ports.flatMap(port => Array.from({ length: FILLING_CONNECTIONS }, () => connect(port, '127.0.0.1').on('error', () => {})))
