Remove the names of errors from the responses of backend servers to other VMs

Cause: the VM that hands a request on reads the header Lacewingstage-Error as the receiver's refusal. A backend server that sends it, because it is faulty or passes a header through, made an order that had run look like one that no VM had taken: it was sent again and the caller got 503, not run. The header that names the model of a stream could be set in the same way.

Change: a VM removes both headers from what backend servers answer to a request of another VM.

--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -280,12 +280,13 @@
         return retryOrFail(route, backend, result.reason)
       }
       backend.lastReceivedMs = clock.now()
+      const head = { ...result.head, headers: peers?.responseHeaders(result.head.headers, request) ?? result.head.headers }
       const recordSurvival = () => {
         cancelQuarantineWatch()
         // The first event of a stream is written when the answer begins, however early its head came.
         progress.crashEvidence.recordSurvival(route.kind === 'streaming' ? clock.now() : sentMs)
       }
-      return await handleResponse(forwarded, progress, { backend, exchange, sentMs, deadlineMs, head: result.head, body: result.body, recordSurvival, recordEvent: observation.recordEvent, endAttempt, uncountAttempt, reserveFailover, reserveRepeat, endPrompt: reservation.endPrompt, cancelResponseTimer })
+      return await handleResponse(forwarded, progress, { backend, exchange, sentMs, deadlineMs, head, body: result.body, recordSurvival, recordEvent: observation.recordEvent, endAttempt, uncountAttempt, reserveFailover, reserveRepeat, endPrompt: reservation.endPrompt, cancelResponseTimer })
     } finally {
       cancelResponseTimer()
       cancelQuarantineWatch()
--- a/src/core/peer-forwarding/index.ts
+++ b/src/core/peer-forwarding/index.ts
@@ -8,7 +8,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import { choosePeer, type Candidate, type ChoiceOptions } from './choice.ts'
 import { PEER_CONNECT_TIMEOUT_MS } from './constants.ts'
-import { decodeOrigin, encodeOrigin, FORWARDED_HEADER, type Origin } from './message.ts'
+import { decodeOrigin, encodeOrigin, FORWARDED_ERROR_HEADER, FORWARDED_HEADER, FORWARDED_MODEL_HEADER, type Origin } from './message.ts'
 
 export { FORWARDED_ERROR_HEADER, FORWARDED_MODEL_HEADER, type Origin } from './message.ts'
 
@@ -81,6 +81,10 @@
       return headers
     },
 
+    /** Headers of a backend server's response for the VM that handed the request on, which must not take them for statements of this VM. */
+    responseHeaders: (headers: string[], { origin }: CallerRequest): string[] =>
+      origin ? withoutHeader(withoutHeader(headers, FORWARDED_ERROR_HEADER), FORWARDED_MODEL_HEADER) : headers,
+
     /** Adds to a decoded request what the VM that handed it on states about it, if one did. */
     receive (request: CallerRequest, rawHeaders: readonly string[]): CallerRequest {
       const value = findHeader(rawHeaders, FORWARDED_HEADER)
