Keep both VMs within the attempts of a route

Cause: the VM that hands a request on counted one attempt for it, but the receiver may make all attempts of the route. When the receiver ended, the request was sent again: four runs of a route that permits three.

Change: the statement says how often the receiver may send the request. Where the request may be repeated and at least three attempts are left, one is kept for the loss of the receiver; without a response, all that were granted count as made. A request that fails at the receiver uses the attempt that was kept, with a retry of the VM that hands on.

--- a/features/steps/peer-forwarding.ts
+++ b/features/steps/peer-forwarding.ts
@@ -265,7 +265,7 @@
   const receiver = vmAt(this, vm)
   const id = `handed-on-${this.sent.length}`
   const stored = (this.fleet.store.peek(KEY_KIND, KEY_NAME)!.spec as { key: string }).key
-  const origin = { vm: vmAt(this, sender).settings.vm, remainingMs: Number(remainingMs ?? 3000), attempts: Number(attempts ?? 0), configVersion: Number(configVersion ?? 1) }
+  const origin = { vm: vmAt(this, sender).settings.vm, remainingMs: Number(remainingMs ?? 3000), attempts: Number(attempts ?? 0), maxAttempts: 1, configVersion: Number(configVersion ?? 1) }
   const statement = encodeOrigin(origin, { receiver: receiver.settings.vm, id: brandId<RequestId>(id), method: 'POST', target: '/order/1' }, forged ? 'guessed' : stored)
   const task = kind === 'a busy' ? 'busy' : remainingMs ? 'late 1000' : ''
   this.sent.push(sendTo(receiver, '/order/1', { method: 'POST', id, key: ownKey ?? 'good-key', task, headers: { [FORWARDED_HEADER]: statement } }))
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -152,12 +152,12 @@
   }
 
   async function attempt (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number): Promise<AttemptOutcome> {
-    const { route, service } = forwarded
+    const { service } = forwarded
     const noAttemptError = errorWithoutAttempt(progress)
     replacements.takeOverRetry(forwarded, progress)
     if (deadlineMs - clock.now() < MIN_ATTEMPT_MS) return outOfTime(progress)
     if (isQuarantined(progress)) return quarantineOutcome(progress)
-    if (progress.attempts + progress.earlierAttempts >= route.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
+    if (progress.attempts + progress.earlierAttempts >= progress.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
     if (peers?.isRefused(service, forwarded.request)) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : 'vm_cut_off', reason: 'cut off from the service' }
     if (!progress.replacement && mustHandOn(forwarded)) return await handOn(forwarded, progress, deadlineMs)
     if (!progress.replacement && progress.connectAttempts >= MAX_CONNECT_ATTEMPTS) return { kind: 'failed', error: noAttemptError, reason: 'connection attempt limit reached' }
--- a/src/core/forwarding/peer-attempt.ts
+++ b/src/core/forwarding/peer-attempt.ts
@@ -18,7 +18,8 @@
 import { pollAfter } from './poll-after.ts'
 import { isFramed, readResponse, relayEvents } from './relay.ts'
 import type { RequestProgress } from './request-progress.ts'
-import type { BackendResponseHead } from './types.ts'
+import { isRepeatable } from './route-table.ts'
+import type { BackendResponseHead, Route } from './types.ts'
 
 export interface PeerAttemptsOptions {
   peers: PeerForwarding
@@ -55,15 +56,24 @@
   async function send (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { vm, address, connection }: PeerConnection): Promise<AttemptOutcome> {
     const { request, route, body } = forwarded
     const remainingMs = deadlineMs - clock.now()
-    const { attempts } = progress
+    const attempts = progress.attempts + progress.earlierAttempts
+    const grantedAttempts = attemptsToGrant(route, progress.maxAttempts - attempts)
     progress.retryReserved = false
     progress.attempts++
+    // Without a response, the other VM may have made all of them.
+    progress.earlierAttempts += grantedAttempts - 1
+    const uncountAttempt = () => {
+      progress.attempts--
+      progress.earlierAttempts -= grantedAttempts - 1
+      // The retry of an attempt that no backend server has got is left to the next one.
+      progress.retryReserved = progress.attempts > 0
+    }
     const continued = progress.lastEventId === request.lastEventId ? {} : { lastEventId: progress.lastEventId, model: progress.model }
     log.request('handed_on', { id: request.id, route: route.name, to: vm, attempts, lastEventId: continued.lastEventId, remainingMs: Math.round(remainingMs) })
     const exchange = startAddressedExchange({
       address,
       request,
-      headers: peers.encodeHeaders(request, vm, { remainingMs: Math.max(0, Math.floor(remainingMs)), attempts, configVersion: configVersion(), ...continued }, body?.bytes ?? 0),
+      headers: peers.encodeHeaders(request, vm, { remainingMs: Math.max(0, Math.floor(remainingMs)), attempts, maxAttempts: grantedAttempts, configVersion: configVersion(), ...continued }, body?.bytes ?? 0),
       body,
       decodeHead: (status, headers, raw) => codec.decodeBackendHead(request, status, headers, raw),
       mayStillSend: () => mayStillSend(forwarded, progress),
@@ -83,9 +93,9 @@
     }
     try {
       const result = await exchange.result
-      if (result.kind === 'head') return await handleResponse(forwarded, progress, { ...result, exchange, deadlineMs, cancelResponseTimer, vm })
+      if (result.kind === 'head') return await handleResponse(forwarded, progress, { ...result, exchange, deadlineMs, cancelResponseTimer, uncountAttempt, vm })
       if (result.kind !== 'lost') {
-        uncountAttempt(progress)
+        uncountAttempt()
         return { kind: 'next', reason: result.reason }
       }
       progress.mayHaveRun = true
@@ -98,20 +108,14 @@
     }
   }
 
-  /** Takes an attempt back that no backend server has got, and leaves its retry to the next one. */
-  function uncountAttempt (progress: RequestProgress): void {
-    progress.attempts--
-    progress.retryReserved = progress.attempts > 0
-  }
-
-  interface ReceivedResponse extends PeerResponse { exchange: Exchange, deadlineMs: number, cancelResponseTimer: () => void, vm: PeerConnection['vm'] }
+  interface ReceivedResponse extends PeerResponse { exchange: Exchange, deadlineMs: number, cancelResponseTimer: () => void, uncountAttempt: () => void, vm: PeerConnection['vm'] }
 
   async function handleResponse (forwarded: ForwardedRequest, progress: RequestProgress, response: ReceivedResponse): Promise<AttemptOutcome> {
-    const { exchange, head, body, vm } = response
+    const { exchange, head, body, uncountAttempt, vm } = response
     const error = headerOf(body, FORWARDED_ERROR_HEADER)
     if (error !== undefined) {
       exchange.abort('refused')
-      return endWithError(progress, { error, status: head.status, retryAfterMs: retryAfterMs(body) })
+      return endWithError(forwarded, progress, { error, status: head.status, retryAfterMs: retryAfterMs(body), uncountAttempt })
     }
     progress.mayHaveRun = true
     if (!head.authentic) {
@@ -125,14 +129,16 @@
   }
 
   /** Another VM is tried if this one only speaks for itself; any other error is that of the request. */
-  function endWithError (progress: RequestProgress, { error, status, retryAfterMs }: { error: string, status: number, retryAfterMs: number | undefined }): AttemptOutcome {
+  function endWithError ({ route }: ForwardedRequest, progress: RequestProgress, { error, status, retryAfterMs, uncountAttempt }: { error: string, status: number, retryAfterMs: number | undefined, uncountAttempt: () => void }): AttemptOutcome {
     metrics.count('peer_forwarding', VM_ERRORS.has(error) ? 'refused' : 'failed')
     const name = isErrorName(error) ? error : 'backend_failed'
     if (VM_ERRORS.has(name)) {
-      uncountAttempt(progress)
+      uncountAttempt()
       return { kind: 'next', reason: name }
     }
     if (catalogueEntry(name).run !== 'not_run') progress.mayHaveRun = true
+    // This VM has kept an attempt.
+    if (name === 'backend_failed') return retryOrFail(route, undefined, 'failed at another VM')
     return { kind: 'failed', error: progress.mayHaveRun && status === 503 ? 'backend_failed' : name, reason: 'failed at another VM', retryAfterMs }
   }
 
@@ -186,3 +192,8 @@
 function isErrorName (name: string): name is ErrorName {
   return Object.hasOwn(CATALOGUE, name)
 }
+
+/** The receiver gets all attempts but one that is kept for the loss of the receiver, and at least two, as its backend servers fail more often than it does. */
+function attemptsToGrant (route: Route, left: number): number {
+  return isRepeatable(route) && left > 2 ? left - 1 : left
+}
--- a/src/core/forwarding/replacement.ts
+++ b/src/core/forwarding/replacement.ts
@@ -125,8 +125,8 @@
     onCapacityFreed(service)
   }
 
-  function mayRepeat (route: Route, { attempts, earlierAttempts, connectAttempts }: RequestProgress): boolean {
-    return isRepeatable(route) && attempts + earlierAttempts < route.maxAttempts && connectAttempts < MAX_CONNECT_ATTEMPTS
+  function mayRepeat (route: Route, { attempts, earlierAttempts, maxAttempts, connectAttempts }: RequestProgress): boolean {
+    return isRepeatable(route) && attempts + earlierAttempts < maxAttempts && connectAttempts < MAX_CONNECT_ATTEMPTS
   }
 
   return { reserve, takeOverRetry, release, cancel }
--- a/src/core/forwarding/request-progress.ts
+++ b/src/core/forwarding/request-progress.ts
@@ -23,8 +23,10 @@
 export interface RequestProgress extends EarlierSends {
   /** Number of times that the request was sent to a backend server, including the current attempt. */
   attempts: number
-  /** Number of times that the VM which handed the request on had sent it. */
+  /** Number of times that other VMs have sent it, or may have: the one that handed it on, or those that it was handed to. */
   earlierAttempts: number
+  /** Limit of `attempts` and `earlierAttempts` together. */
+  maxAttempts: number
   /** Other VMs that the request was to go through. */
   triedPeers: Set<VmId>
   connectAttempts: number
@@ -60,6 +62,7 @@
   return {
     attempts: 0,
     earlierAttempts: request.origin?.attempts ?? 0,
+    maxAttempts: Math.min(route.maxAttempts, request.origin ? request.origin.attempts + request.origin.maxAttempts : Infinity),
     triedPeers: new Set(),
     connectAttempts: 0,
     misdirectedSends: 0,
--- a/src/core/peer-forwarding/message.ts
+++ b/src/core/peer-forwarding/message.ts
@@ -24,6 +24,8 @@
   remainingMs: number
   /** Times that the request has been sent to a backend server already. */
   attempts: number
+  /** Times that the receiver may send it; the sender keeps the others for the case that it gets no response. */
+  maxAttempts: number
   /** Version of the configuration by which the sender has admitted it. */
   configVersion: number
   /** Last event that the caller has got, and the model that made it, if this continues a stream. */
@@ -39,6 +41,7 @@
   vm: z.string().min(1),
   remainingMs: z.number().nonnegative(),
   attempts: z.number().int().nonnegative(),
+  maxAttempts: z.number().int().nonnegative(),
   configVersion: z.number(),
   lastEventId: z.number().int().nonnegative().optional(),
   model: z.string().optional()
