Judge the headers of a handed on request without those of the VMs

Cause: the receiver counted the statement of the VM that handed the request on, some 300 bytes, to the headers of the caller. A request within 300 bytes of the limit was refused with 431.

Change: the receiver measures the headers without the statement.

Measured: a request with 3,900 bytes of headers under a limit of 4,000 got 431 before and is served now.

--- a/features/peer-forwarding.feature
+++ b/features/peer-forwarding.feature
@@ -225,3 +225,25 @@
     When VM 1 gets a busy order handed on with a forged statement of VM 2
     Then the answer has status 503
     And it has a time to return: yes
+
+  # Guards against requests within the limits that the second VM refuses because of the headers that the first one adds.
+  Scenario: headers just within the limit are handed on
+    Given 2 forwarding VMs of which VM 1 is cut off
+    When VM 1 gets an order with 3900 bytes of headers
+    Then the answer has status 200
+
+  # Guards against a key that goes on to work at a VM which does not know yet that it has been withdrawn.
+  Scenario: a key that only the second VM knows to be withdrawn is refused
+    Given 2 forwarding VMs of which VM 1 is cut off
+    When VM 1 does not take version 2 of the configuration, which withdraws the key
+    And VM 1 gets an order
+    Then the answer has status 401
+    And it has run 0 times
+
+  # Guards against retries that two VMs count, or none.
+  Scenario: a request that is handed on counts for the retries of the VM that sends it
+    Given 3 forwarding VMs without retries of their own, of which VM 1 is cut off
+    When 1500 ms pass with callers
+    And VM 1 gets a read with the task break
+    Then the answer has status 502
+    And it has run 2 times
--- a/features/steps/peer-forwarding.ts
+++ b/features/steps/peer-forwarding.ts
@@ -75,8 +75,8 @@
   await sleep(300)
 })
 
-Given(/^(\d+) forwarding VMs of which VM 1 is cut off$/, { timeout: 30_000 }, async function (this: PeerWorld, count: string) {
-  this.fleet = await startPartitionedFleet(Number(count))
+Given(/^(\d+) forwarding VMs( without retries of their own,)? of which VM 1 is cut off$/, { timeout: 30_000 }, async function (this: PeerWorld, count: string, isWithoutRetries: string | null) {
+  this.fleet = await startPartitionedFleet(Number(count), isWithoutRetries ? { retryShare: 0.9, retrySlack: 0, retryWindowMs: 1000 } : {})
   this.sent = []
   startTraffic(this)
   await sleep(300)
@@ -275,3 +275,14 @@
   const { headers } = await this.sent.at(-1)!.answer
   assert.equal(headers[FORWARDED_ERROR_HEADER.toLowerCase()], error)
 })
+
+When(/^VM (\d) gets an order with (\d+) bytes of headers$/, function (this: PeerWorld, vm: string, bytes: string) {
+  // The other headers of the request take up some 200 bytes.
+  this.sent.push(sendTo(vmAt(this, vm), '/order/1', { method: 'POST', headers: { 'x-filler': 'x'.repeat(Number(bytes) - 200) } }))
+})
+
+When(/^VM (\d) does not take version 2 of the configuration, which withdraws the key$/, async function (this: PeerWorld, vm: string) {
+  vmAt(this, vm).newestConfig.version = 1
+  this.fleet.putConfig(2, { keys: ['new-key'] })
+  await sleep(300)
+})
--- a/src/core/forwarding/server.ts
+++ b/src/core/forwarding/server.ts
@@ -117,7 +117,7 @@
     if (queued.isExcess) return refuse('overloaded')
     if (!isSendableRequest(incoming.url!, incoming.rawHeaders)) return refuse('bad_request')
     const limits = table()?.limits
-    const receivedHeaderBytes = headerBytes(incoming.rawHeaders)
+    const receivedHeaderBytes = headerBytes(request.rawHeaders ?? incoming.rawHeaders)
     if (limits && receivedHeaderBytes > limits.maxHeaderBytes) return refuse('headers_too_large')
     // A body over the default limit may be legal under the configuration that has not been loaded yet.
     const tooLarge = limits ? 'body_too_large' : 'vm_not_ready'
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -95,7 +95,7 @@
   lastEventId: number | undefined
   /** Headers to forward, with alternating names and values. */
   headers: readonly string[]
-  /** All headers as received, for another VM. */
+  /** All headers as received from the caller, also through another VM. */
   rawHeaders?: readonly string[]
   /** Set if another VM has handed the request on. */
   origin?: Origin
--- a/src/core/peer-forwarding/index.ts
+++ b/src/core/peer-forwarding/index.ts
@@ -93,7 +93,8 @@
       return {
         ...request,
         origin,
-        rawHeaders,
+        // The limit of the headers is for those of the caller.
+        rawHeaders: withoutHeader(rawHeaders, FORWARDED_HEADER),
         headers: withoutHeader(request.headers, FORWARDED_HEADER),
         timeoutMs: Math.min(request.timeoutMs ?? Infinity, origin.remainingMs),
         lastEventId: origin.lastEventId ?? request.lastEventId,
