--- a/features/support/links.ts
+++ b/features/support/links.ts
@@ -76,6 +76,7 @@
   const worker = new Worker(WORKER, { eval: true, workerData: { targets, flag, backlog: BACKLOG } })
   const [ports] = await once(worker, 'message') as [number[]]
   let filling: Socket[] = []
+  let current: LinkState = 'open'
 
   function unblock (): void {
     for (const socket of filling.splice(0)) socket.destroy()
@@ -86,6 +87,8 @@
   return {
     addresses: ports.map(port => `127.0.0.1:${port}`),
     async set (state) {
+      if (state === current) return
+      current = state
       unblock()
       const done = once(worker, 'message')
       if (state === 'silent') Atomics.store(blocked, 0, 0)
