Check where a stream that another VM continues begins, and orders with several attempts

A VM that hands a stream on without its last event was not noticed, because it drops the events that the caller has; and the order's route permitted one attempt, so that the limit of attempts hid what the kind of the route forbids.

Change: the run that continues a stream must begin behind the last event, with the model stated; the order's route permits three attempts.

Measured: without the last event in the statement, the scenario fails now.

--- a/features/peer-forwarding.feature
+++ b/features/peer-forwarding.feature
@@ -43,6 +43,12 @@
     And the VM that serves it ends
     Then the caller gets every event once
     And all events are of one model
+    And the second run has begun behind the last event of the first one
+
+  Scenario: a stream that another VM continues is of the model that began it
+    Given 2 forwarding VMs of which VM 1 is cut off
+    When VM 2 gets a cascade handed on by VM 1 behind event 5 of the model "large"
+    Then its run begins with event 6 of the model "large"
 
   # Guards against requests that go round among VMs which are all cut off, and against waits for a service that is gone.
   Scenario Outline: <state> links of all VMs make no request go round
@@ -205,7 +211,7 @@
       | refuses it while it is cut off   | 1  | an order handed on                             | 503    | vm_cut_off      |
       | refuses a newer configuration    | 2  | an order handed on with configuration 9        | 503    | vm_outdated     |
       | refuses a withdrawn key          | 2  | an order handed on with the key old-key        | 401    | unauthenticated |
-      | keeps to the attempts            | 2  | an order handed on after 1 attempt             | 503    | permit_refused  |
+      | keeps to the attempts            | 2  | an order handed on after 3 attempts            | 503    | permit_refused  |
 
   Scenario: a VM that gets a request of another one keeps to its time
     Given 2 forwarding VMs of which VM 1 is cut off
--- a/features/steps/peer-forwarding.ts
+++ b/features/steps/peer-forwarding.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { KEY_KIND, KEY_NAME } from '../../src/core/fleet/constants.ts'
-import { brandId, type RequestId } from '../../src/core/ids/index.ts'
+import { brandId, type ModelId, type RequestId } from '../../src/core/ids/index.ts'
 import { encodeOrigin, FORWARDED_ERROR_HEADER, FORWARDED_HEADER } from '../../src/core/peer-forwarding/message.ts'
 import { eventsOf, sendTo, startPartitionedFleet, type Answer, type FleetVm, type PartitionedFleet, type RequestOptions, type SentRequest } from '../support/partitioned-fleet.ts'
 import type { LinkState } from '../support/links.ts'
@@ -261,7 +261,7 @@
 })
 
 /** Sends a request to a VM as another one hands it on. */
-When(/^VM (\d) gets (an|a busy) order handed on(?: with configuration (\d+)| with the key ([\w-]+)| after (\d) attempt| with (\d+) ms| with a (forged) statement)? of VM (\d)$/, function (this: PeerWorld, vm: string, kind: string, configVersion: string | null, ownKey: string | null, attempts: string | null, remainingMs: string | null, forged: string | null, sender: string) {
+When(/^VM (\d) gets (an|a busy) order handed on(?: with configuration (\d+)| with the key ([\w-]+)| after (\d) attempts| with (\d+) ms| with a (forged) statement)? of VM (\d)$/, function (this: PeerWorld, vm: string, kind: string, configVersion: string | null, ownKey: string | null, attempts: string | null, remainingMs: string | null, forged: string | null, sender: string) {
   const receiver = vmAt(this, vm)
   const id = `handed-on-${this.sent.length}`
   const stored = (this.fleet.store.peek(KEY_KIND, KEY_NAME)!.spec as { key: string }).key
@@ -286,3 +286,24 @@
   this.fleet.putConfig(2, { keys: ['new-key'] })
   await sleep(300)
 })
+
+Then('the second run has begun behind the last event of the first one', function (this: PeerWorld) {
+  const [first, second] = runsOf(this, this.sent.at(-1)!)
+  // The last events of the first run may have been lost with the receiver.
+  assert.ok(second!.firstEvent > 5 && second!.firstEvent <= first!.events + 1, `${second!.firstEvent} after ${first!.events}`)
+})
+
+When(/^VM (\d) gets a cascade handed on by VM (\d) behind event (\d+) of the model "(\w+)"$/, function (this: PeerWorld, vm: string, sender: string, lastEventId: string, model: string) {
+  const receiver = vmAt(this, vm)
+  const id = `continued-${this.sent.length}`
+  const { key } = this.fleet.store.peek(KEY_KIND, KEY_NAME)!.spec as { key: string }
+  const origin = { vm: vmAt(this, sender).settings.vm, remainingMs: 3000, attempts: 1, maxAttempts: 1, configVersion: 1, lastEventId: Number(lastEventId), model: brandId<ModelId>(model) }
+  const statement = encodeOrigin(origin, { receiver: receiver.settings.vm, id: brandId<RequestId>(id), method: 'GET', target: '/cascade/1' }, key)
+  this.sent.push(sendTo(receiver, '/cascade/1', { id, headers: { [FORWARDED_HEADER]: statement } }))
+})
+
+Then(/^its run begins with event (\d+) of the model "(\w+)"$/, async function (this: PeerWorld, event: string, model: string) {
+  await this.sent.at(-1)!.answer
+  const [run] = runsOf(this, this.sent.at(-1)!)
+  assert.deepEqual([run!.firstEvent, run!.headers['x-test-model']], [Number(event), model])
+})
--- a/features/support/partitioned-fleet.ts
+++ b/features/support/partitioned-fleet.ts
@@ -36,7 +36,8 @@
   const basic = trafficConfig(version, { keys })
   return {
     ...basic,
-    routes: [...basic.routes, route('/second/', 'idempotent', { targets: [{ service: second, weight: 1 }] })],
+    // A limit of several attempts, so that only the kind of the route keeps an order from running again.
+    routes: [...basic.routes.map(one => (one.name === '/order/' ? { ...one, maxAttempts: 3 } : one)), route('/second/', 'idempotent', { targets: [{ service: second, weight: 1 }] })],
     services: [...basic.services, { ...basic.services[0]!, id: second }],
     limits: { ...basic.limits, maxBodyBytes: MAX_BODY_BYTES }
   }
