--- a/src/core/forwarding/request-progress.ts
+++ b/src/core/forwarding/request-progress.ts
@@ -2,7 +2,7 @@
 import type { Backend, Reservation } from '../backend-pool/types.ts'
 import type { ChoiceReason, Verdict } from '../cascade/model-choice.ts'
 import type { ErrorName } from '../errors/index.ts'
-import type { ModelId } from '../ids/index.ts'
+import type { ModelId, VmId } from '../ids/index.ts'
 import type { AttemptEnd } from '../pacing/index.ts'
 import type { CrashEvidence } from './crash-evidence.ts'
 import type { Exchange } from './exchange.ts'
@@ -35,6 +35,12 @@
 export interface RequestProgress extends EarlierSends {
   /** Number of times that the request was sent to a backend server, including the current attempt. */
   attempts: number
+  /** Number of times that other VMs have sent it, or may have: the one that handed it on, or those that it was handed to. */
+  earlierAttempts: number
+  /** Limit of `attempts` and `earlierAttempts` together. */
+  maxAttempts: number
+  /** Other VMs that the request was to go through. */
+  triedPeers: Set<VmId>
   connectAttempts: number
   /** Number of times that a wrong backend server answered; these are not attempts. */
   misdirectedSends: number
@@ -71,6 +77,9 @@
 export function createRequestProgress ({ request, route }: ForwardedRequest, crashEvidence: CrashEvidence): RequestProgress {
   return {
     attempts: 0,
+    earlierAttempts: request.origin?.attempts ?? 0,
+    maxAttempts: Math.min(route.maxAttempts, request.origin ? request.origin.attempts + request.origin.maxAttempts : Infinity),
+    triedPeers: new Set(),
     connectAttempts: 0,
     misdirectedSends: 0,
     mayHaveRun: false,
--- a/src/core/forwarding/server.ts
+++ b/src/core/forwarding/server.ts
@@ -115,6 +115,7 @@
       incoming,
       outgoing,
       claim,
+      isPeer: request.origin !== undefined,
       discardBody: requestBody?.discard,
       // The last response that is due closes the connection, so that all requests that were received are answered.
       isClosing: () => (isClosing() || queue.isFull()) && !queue.hasWaiting(),
@@ -127,7 +128,7 @@
     if (queued.isExcess) return refuse('overloaded')
     if (!isSendableRequest(incoming.url!, incoming.rawHeaders)) return refuse('bad_request')
     const limits = table()?.limits
-    const receivedHeaderBytes = headerBytes(incoming.rawHeaders)
+    const receivedHeaderBytes = headerBytes(request.rawHeaders ?? incoming.rawHeaders)
     if (limits && receivedHeaderBytes > limits.maxHeaderBytes) return refuse('headers_too_large')
     // A body over the default limit may be legal under the configuration that has not been loaded yet.
     const tooLarge = limits ? 'body_too_large' : 'vm_not_ready'
