Tell copies of a statement from a new one

Statements of a connection or of a cut-off VM go round between the VMs, and a copy looks newer by the delay of each hop. A margin of 300 ms for the same VM let copies with two such hops through, so that evidence of a service that was gone renewed itself: 9 VMs with 300 ms a hop counted as cut off for up to 30 s after all had lost the service (100 ms: 3.1 s). A VM that had returned stayed excluded in the same way.

Each statement carries a stamp that grows with each new one of its VM, and a copy only corrects the time backwards. Evidence must be newer than the failures by the delay of a report. Services that only reports name are forgotten after 30 s, and statements that are not texts are ignored.

The scenarios decide without a network.

--- /dev/null
+++ b/features/reachability.feature
@@ -0,0 +1,291 @@
+@reachability
+Feature: A VM decides that it has lost its way to a service, without a network
+
+  # Guards against a VM that never learns of its partition, learns it later than 2 s, or does not return.
+  Scenario: a partitioned VM is cut off within 2 s and returns within 2 s
+    Given 9 VMs and the service chat with 4 servers
+    And all VMs serve callers of chat
+    When 3000 ms pass for the VMs
+    And VM 1 loses chat
+    And 2000 ms pass for the VMs
+    Then VM 1 is cut off from chat
+    And VM 2 is not cut off from chat
+    And VM 2 knows that VM 1 is cut off from chat
+    When VM 1 reaches chat
+    And 2000 ms pass for the VMs
+    Then VM 1 is not cut off from chat
+    And VM 1 has returned 1 time
+
+  # Guards against two failures that are not enough, and against connections of others that are taken for those of this VM.
+  Scenario: two failed servers and another VM's later connection cut a VM off
+    Given 2 VMs and the service chat with 4 servers
+    And VM 1 loses chat
+    When VM 1 fails at chat server 1
+    And VM 1 fails at chat server 2
+    And 500 ms pass for the VMs
+    Then VM 1 is not cut off from chat
+    When VM 2 connects to chat server 1
+    And 500 ms pass for the VMs
+    Then VM 1 is cut off from chat
+
+  # Guards against a VM that takes a crashed backend server for a partition.
+  Scenario: one failing server of several does not cut a VM off
+    Given 2 VMs and the service chat with 4 servers
+    And VM 2 serves callers of chat
+    When VM 1 fails at chat server 1
+    And VM 1 fails at chat server 1
+    And VM 1 fails at chat server 1
+    And 500 ms pass for the VMs
+    Then VM 1 is not cut off from chat
+
+  # Guards against a VM that stays connected for lack of a second backend server.
+  Scenario: two failures at the only server of a service cut a VM off
+    Given 2 VMs and the service chat with 1 server
+    And VM 2 serves callers of chat
+    And VM 1 loses chat
+    When VM 1 fails at chat server 1
+    And 1000 ms pass for the VMs
+    Then VM 1 is not cut off from chat
+    When VM 1 fails at chat server 1
+    And 500 ms pass for the VMs
+    Then VM 1 is cut off from chat
+    When VM 1 reaches chat
+    And 2000 ms pass for the VMs
+    Then VM 1 is not cut off from chat
+
+  # Guards against failures of different causes that are added up.
+  Scenario: a success between the failures begins a new run
+    Given 2 VMs and the service chat with 4 servers
+    And VM 2 serves callers of chat
+    When VM 1 fails at chat server 1
+    And VM 1 connects to chat server 3
+    And VM 1 fails at chat server 2
+    And 500 ms pass for the VMs
+    Then VM 1 is not cut off from chat
+
+  Scenario: failures more than 5 s apart are no run
+    Given 2 VMs and the service chat with 4 servers
+    And VM 2 serves callers of chat
+    And VM 1 loses chat
+    When VM 1 fails at chat server 1
+    And 5100 ms pass for the VMs
+    And VM 1 fails at chat server 2
+    And 500 ms pass for the VMs
+    Then VM 1 is not cut off from chat
+    When VM 1 fails at chat server 3
+    And 500 ms pass for the VMs
+    Then VM 1 is cut off from chat
+
+  # Guards against VMs that hand requests to each other when the service is gone for all, on reports that look newer with each hop.
+  Scenario Outline: <vms> VMs are not cut off when the service is gone, with <delay> ms of delay a hop
+    Given <vms> VMs and the service chat with 4 servers, with <delay> ms of delay a hop
+    And all VMs serve callers of chat
+    When 3000 ms pass for the VMs
+    And all VMs lose chat
+    Then no VM is cut off from chat in the next 20000 ms
+    And the reports are empty
+
+    Examples:
+      | vms | delay |
+      | 2   | 1     |
+      | 9   | 1     |
+      | 9   | 100   |
+      | 9   | 300   |
+
+  # Guards against a VM that takes its own connections for those of others.
+  Scenario: own connections that come back are no evidence
+    Given 3 VMs and the service chat with 4 servers, with 300 ms of delay a hop
+    When VM 1 connects to chat server 1
+    And VM 1 fails at chat server 1
+    And VM 1 fails at chat server 2
+    Then no VM is cut off from chat in the next 20000 ms
+
+  # Guards against a state that outlasts the service, in which requests would be handed to VMs that do not reach it either.
+  Scenario: the state ends after 3 s without evidence and begins again with it
+    Given 2 VMs and the service chat with 4 servers
+    And all VMs serve callers of chat
+    When VM 1 loses chat
+    And 2000 ms pass for the VMs
+    Then VM 1 is cut off from chat
+    When the reports of VM 2 are lost
+    And 2500 ms pass for the VMs
+    Then VM 1 is cut off from chat
+    When 1000 ms pass for the VMs
+    Then VM 1 is not cut off from chat
+    When the reports of VM 2 arrive
+    And 1500 ms pass for the VMs
+    Then VM 1 is cut off from chat
+
+  # Guards against a state that ends by one connection through a bad link, or by probes of one backend server.
+  Scenario Outline: probes <results> at <servers> servers leave a VM <state>
+    Given 2 VMs and the service chat with <servers> servers
+    And VM 1 is cut off from chat by callers of VM 2
+    When VM 1 probes chat with the results <results>
+    Then VM 1 is <state> chat
+
+    Examples:
+      | servers | results           | state            |
+      | 4       | 1+                | cut off from     |
+      | 4       | 1+ 1+             | cut off from     |
+      | 4       | 1+ 2+             | not cut off from |
+      | 4       | 1+ 2- 3+          | cut off from     |
+      | 4       | 1+ 2- 3+ 4+       | not cut off from |
+      | 4       | 1+ 2- 1+ 2-       | cut off from     |
+      | 1       | 1+                | cut off from     |
+      | 1       | 1+ 1+             | not cut off from |
+
+  # Guards against requests that are risked to find out whether the way is back, and against a connection that ends the state.
+  Scenario: a connection for a request does not end the state
+    Given 2 VMs and the service chat with 4 servers
+    And VM 1 is cut off from chat by callers of VM 2
+    When VM 1 connects to chat server 1
+    And VM 1 connects to chat server 2
+    Then VM 1 is cut off from chat
+
+  # Guards against a link that comes and goes and makes the state flap.
+  Scenario: each return within 5 s of the last doubles the probes, up to 8
+    Given 2 VMs and the service chat with 4 servers
+    And VM 2 serves callers of chat
+    Then VM 1, cut off again and again, needs 2, 4, 8, 8 and 8 probes to return
+    And after 6 s on a good link it needs 2 probes
+
+  # Guards against a VM that is cut off from one service and stops to serve the others.
+  Scenario: each service has a state of its own
+    Given 2 VMs and the service chat with 4 servers
+    And the service code with 4 servers
+    And all VMs serve callers of chat
+    And all VMs serve callers of code
+    When VM 1 loses chat
+    And 2000 ms pass for the VMs
+    Then VM 1 is cut off from chat
+    And VM 1 is not cut off from code
+    And VM 2 knows that VM 1 is cut off from chat
+    And VM 2 knows that VM 1 is not cut off from code
+
+  # Guards against probes of services that are reached, of one backend server only, and at a rate that grows.
+  Scenario: a VM probes one server after the other, only while it is cut off
+    Given 2 VMs and the service chat with 4 servers
+    And all VMs serve callers of chat
+    When 3000 ms pass for the VMs
+    Then VM 1 has probed no server
+    When VM 1 loses chat
+    And 11000 ms pass for the VMs
+    Then VM 1 has probed 4 servers evenly, 14 to 28 times
+
+  # Guards against VMs that stay excluded after they have returned, also when old reports go round.
+  Scenario Outline: reports of cut-off VMs expire, with <delay> ms of delay a hop
+    Given 9 VMs and the service chat with 4 servers, with <delay> ms of delay a hop
+    And all VMs serve callers of chat
+    When VM 1 loses chat
+    And 4000 ms pass for the VMs
+    Then VM 2 knows that VM 1 is cut off from chat
+    When VM 1 reaches chat
+    And 5500 ms pass for the VMs
+    Then VM 2 knows that VM 1 is not cut off from chat
+    And no report names VM 1 as cut off
+
+    Examples:
+      | delay |
+      | 1     |
+      | 300   |
+
+  # Guards against reports that grow with the fleet.
+  Scenario: a report names at most 64 VMs, the latest ones
+    Given 2 VMs and the service chat with 4 servers
+    When VM 1 learns of 100 cut-off VMs, 10 ms apart
+    Then its report names the latest 64 of them
+
+  # Guards against a report of another version or a faulty VM that stops the exchange or is passed on.
+  Scenario Outline: the unreadable report <report> changes nothing
+    Given 2 VMs and the service chat with 4 servers
+    When VM 1 gets the report <report>
+    Then VM 1 reports nothing
+
+    Examples:
+      | report                                          |
+      | null                                            |
+      | "text"                                          |
+      | 7                                               |
+      | []                                              |
+      | {"reached":7,"cutOff":"text"}                   |
+      | {"reached":{"chat":"now"}}                      |
+      | {"reached":{"chat":[-1,"vm-9",1]}}              |
+      | {"reached":{"chat":[4000,"vm-9",1]}}            |
+      | {"reached":{"chat":["1","vm-9",1]}}             |
+      | {"reached":{"chat":[1,9,1]}}                    |
+      | {"reached":{"chat":[1,"vm-9"]}}                 |
+      | {"reached":{"chat":[1,"vm-1",1]}}               |
+      | {"cutOff":{"vm-9":[1,"chat",1]}}                |
+      | {"cutOff":{"vm-9":[-1,["chat"],1]}}             |
+      | {"cutOff":{"vm-9":[3000,["chat"],1]}}           |
+      | {"cutOff":{"vm-9":[1,[7,{}],1]}}                |
+      | {"cutOff":{"vm-9":[1,["chat"]]}}                |
+      | {"cutOff":{"vm-1":[1,["chat"],1]}}              |
+
+  # Guards against services in reports that fill the memory.
+  Scenario: services that only reports name are forgotten
+    Given 2 VMs and the service chat with 4 servers
+    When VM 1 hears of 5000 services that nobody uses, one every 20 ms
+    Then VM 1 keeps at most 2000 services
+
+  # Guards against requests that wait although the decision is clear, or for longer than the decision takes.
+  Scenario: the doubt ends after 1.5 s, with a success, or with the decision
+    Given 2 VMs and the service chat with 4 servers
+    Then the doubt of VM 1 about chat is 0 ms
+    When VM 1 fails at chat server 1
+    Then the doubt of VM 1 about chat is 1500 ms
+    When 600 ms pass for the VMs
+    And VM 1 fails at chat server 2
+    Then the doubt of VM 1 about chat is 900 ms
+    When 1000 ms pass for the VMs
+    And VM 1 fails at chat server 2
+    Then the doubt of VM 1 about chat is 0 ms
+    When VM 1 connects to chat server 2
+    And VM 1 fails at chat server 2
+    Then the doubt of VM 1 about chat is 1500 ms
+    When VM 1 connects to chat server 2
+    Then the doubt of VM 1 about chat is 0 ms
+    When VM 1 is cut off from chat by callers of VM 2
+    Then the doubt of VM 1 about chat is 0 ms
+
+  # Guards against a VM that gets the requests of all others in its data centre, and against needless traffic between data centres.
+  Scenario Outline: of <local> VMs here and <away> elsewhere, <usable> and <usableAway> can take requests
+    Given <local> VMs in the own data centre, of which <usable> others can take requests, and <away> VMs elsewhere, of which <usableAway> can
+    When 3000 requests are handed on
+    Then they go to <where>
+
+    Examples:
+      | local | usable | away | usableAway | where                       |
+      | 9     | 8      | 18   | 18         | 8 VMs here, evenly          |
+      | 9     | 3      | 18   | 18         | 3 VMs here, evenly          |
+      | 9     | 2      | 18   | 18         | 20 VMs anywhere, evenly     |
+      | 9     | 0      | 18   | 5          | 5 VMs anywhere, evenly      |
+      | 1     | 0      | 2    | 2          | 2 VMs anywhere, evenly      |
+      | 9     | 1      | 0    | 0          | 1 VMs anywhere, evenly      |
+      | 9     | 0      | 18   | 0          | nobody                      |
+
+  # Guards against callers that pass for a VM, and statements that are used for another request or at another VM.
+  Scenario: a statement about a request is read as it was made
+    Then a statement with all fields, and one with the required ones, are read as they were made
+    And one that was made with the previous key is read
+
+  Scenario Outline: a statement <fault> is refused
+    Then a statement <fault> is refused
+
+    Examples:
+      | fault                               |
+      | with a changed field                |
+      | for another receiver                |
+      | for another request id              |
+      | for another method                  |
+      | for another target                  |
+      | with an unknown key                 |
+      | without keys at the receiver        |
+      | with an HMAC that is cut short      |
+      | without an HMAC                     |
+      | of another format                   |
+      | with negative time left             |
+      | that is no JSON                     |
+      | that is empty                       |
+      | that is garbage                     |
+      | that is too long                    |
--- a/src/core/reachability/constants.ts
+++ b/src/core/reachability/constants.ts
@@ -6,12 +6,14 @@
 export const MIN_FAILURES_OF_ONE_SERVER = 2
 /** Time without a failure after which the next one begins a new run: failures that far apart need no common cause. */
 export const MAX_FAILURE_GAP_MS = 5000
-/** Time by which a report may make a connection look newer than it is; what is not newer by more is the same connection. */
+/** Time by which the way of a report may make a connection look newer than it is: one opened before a service was gone for all must not count as later. */
 export const MAX_REPORT_DELAY_MS = 300
 /** Age from which on a connection of another VM no longer proves that the service can be reached; several periods of the load reports. */
 export const MAX_EVIDENCE_AGE_MS = 3000
 /** Age from which on a report that a VM is cut off is ignored; as for reports of VMs that refuse requests. */
 export const MAX_CUT_OFF_AGE_MS = 2000
+/** Time for which the latest statement of a VM is remembered, so that late copies of it are not taken for new; all VMs have dropped it long before. */
+export const STATEMENT_MEMORY_MS = 30_000
 /** Largest number of VMs that one report names; the most recent ones are kept. */
 export const MAX_REPORTED_VMS = 64
 /** Services that a report may name; more than a configuration has in use. */
--- a/src/core/reachability/index.ts
+++ b/src/core/reachability/index.ts
@@ -9,17 +9,24 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import {
-  DECISION_TIME_MS, MAX_CUT_OFF_AGE_MS, MAX_EVIDENCE_AGE_MS, MAX_FAILURE_GAP_MS, MAX_PROBES_TO_RETURN, MAX_REPORT_DELAY_MS, MAX_REPORTED_SERVICES, MAX_REPORTED_VMS, MIN_FAILED_SERVERS, MIN_FAILURES_OF_ONE_SERVER, PROBES_TO_RETURN, UNSTABLE_AFTER_RETURN_MS
+  DECISION_TIME_MS, MAX_CUT_OFF_AGE_MS, MAX_EVIDENCE_AGE_MS, MAX_FAILURE_GAP_MS, MAX_PROBES_TO_RETURN, MAX_REPORT_DELAY_MS, MAX_REPORTED_SERVICES, MAX_REPORTED_VMS, MIN_FAILED_SERVERS,
+  MIN_FAILURES_OF_ONE_SERVER, PROBES_TO_RETURN, STATEMENT_MEMORY_MS, UNSTABLE_AFTER_RETURN_MS
 } from './constants.ts'
 
-/** What the VMs know of the ways to the services. */
+/**
+ * What the VMs know of the ways to the services. The stamp of a statement grows with each new one of the same VM. A
+ * copy of a statement looks newer with each hop by the delay of the hop; the stamp shows that it is a copy.
+ */
 export interface ReachabilityReport {
-  /** By service: the last connection that a VM has opened, with its age in ms and the VM. */
-  reached?: Record<ServiceId, readonly [ageMs: number, vm: VmId]>
-  /** VMs that are cut off: the age in ms of what is known, and the services. */
-  cutOff?: Record<VmId, readonly [ageMs: number, services: readonly ServiceId[]]>
+  /** By service: the last connection that a VM has opened, with its age in ms, the VM and its stamp. */
+  reached?: Record<ServiceId, readonly [ageMs: number, vm: VmId, stamp: number]>
+  /** VMs that are cut off: the age in ms of what is known, the services and the stamp of the VM. */
+  cutOff?: Record<VmId, readonly [ageMs: number, services: readonly ServiceId[], stamp: number]>
 }
 
+/** When a VM has stated something, as far as this VM knows. */
+interface Statement { atMs: number, stamp: number }
+
 export interface Reachability {
   /** Records whether a connection of this VM to a backend server was opened. */
   recordConnection(service: ServiceId, backendServer: BackendServerId, isOpen: boolean): void
@@ -47,7 +54,7 @@
   serverCount: (service: ServiceId) => number
   /** Called when this VM reaches a service again. Default: ignored. */
   onReturn?: (service: ServiceId) => void
-  clock: Pick<Clock, 'now'>
+  clock: Pick<Clock, 'now' | 'wallMs'>
   log: Log
   metrics: Metrics
 }
@@ -55,8 +62,8 @@
 interface ServiceState {
   /** Monotonic time of this VM's last successful connection. */
   openedMs: number
-  /** The last connection of another VM. */
-  others: { openedMs: number, vm: VmId | undefined }
+  /** The last connection of each other VM. */
+  others: Map<VmId, Statement>
   /** The run of failures and the backend servers in it; `undefined` after a success. */
   failures: { sinceMs: number, lastMs: number, count: number, backendServers: Set<BackendServerId> } | undefined
   /** Whether this VM was cut off at the last check. */
@@ -70,36 +77,54 @@
 export function createReachability ({ self, serverCount, onReturn = () => {}, clock, log, metrics }: ReachabilityOptions): Reachability {
   const services = new Map<ServiceId, ServiceState>()
   /** What other VMs have said that they are cut off from, and when. */
-  const cutOffVms = new Map<VmId, { atMs: number, services: ReadonlySet<ServiceId> }>()
+  const cutOffVms = new Map<VmId, Statement & { services: ReadonlySet<ServiceId> }>()
+  /** By the wall clock at the start, so that stamps also grow over a restart, and do not fall when the wall clock is set back. */
+  const firstStamp = clock.wallMs() - clock.now()
   metrics.gaugeBy('cut_off', 'Whether this VM has lost its way to a service', 'service', () => [...services.keys()].map(service => [service, isCutOff(service) ? 1 : 0] as const))
 
   function stateOf (service: ServiceId): ServiceState {
     const known = services.get(service)
     if (known) return known
     const created: ServiceState = {
-      openedMs: -Infinity, others: { openedMs: -Infinity, vm: undefined }, failures: undefined, wasCutOff: false, probes: { count: 0, backendServers: new Set() }, probesToReturn: PROBES_TO_RETURN, returnedMs: -Infinity
+      openedMs: -Infinity, others: new Map(), failures: undefined, wasCutOff: false, probes: { count: 0, backendServers: new Set() }, probesToReturn: PROBES_TO_RETURN, returnedMs: -Infinity
     }
     services.set(service, created)
     return created
   }
 
+  function stampOf (openedMs: number): number {
+    return Math.round(firstStamp + openedMs)
+  }
+
   function isDoubtful (service: ServiceId): boolean {
-    const failures = services.get(service)?.failures
+    const { failures } = services.get(service) ?? {}
     if (!failures) return false
     if (failures.backendServers.size >= MIN_FAILED_SERVERS) return true
-    return serverCount(service) === 1 && failures.count >= MIN_FAILURES_OF_ONE_SERVER
+    return serverCount(service) <= 1 && failures.count >= MIN_FAILURES_OF_ONE_SERVER
+  }
+
+  /** The last connection that another VM has opened. */
+  function latestOther ({ others }: ServiceState): (Statement & { vm: VmId }) | undefined {
+    let latest: Statement & { vm: VmId } | undefined
+    for (const [vm, { atMs, stamp }] of others) if (!latest || atMs > latest.atMs) latest = { vm, atMs, stamp }
+    return latest
   }
 
   /** The state follows from the evidence, so that it ends by itself when that becomes too old. */
   function isCutOff (service: ServiceId): boolean {
     const state = services.get(service)
     if (!state) return false
-    const isFresh = clock.now() - state.others.openedMs <= MAX_EVIDENCE_AGE_MS
-    const isLost = isDoubtful(service) && isFresh && state.others.openedMs > state.failures!.sinceMs
+    const isLost = isDoubtful(service) && hasEvidence(state, state.failures!)
     if (isLost !== state.wasCutOff) recordChange(service, state, isLost)
     return isLost
   }
 
+  /** Whether another VM has opened a connection since the failures began, and lately. */
+  function hasEvidence (state: ServiceState, { sinceMs }: { sinceMs: number }): boolean {
+    const openedMs = latestOther(state)?.atMs ?? -Infinity
+    return clock.now() - openedMs <= MAX_EVIDENCE_AGE_MS && openedMs > sinceMs + MAX_REPORT_DELAY_MS
+  }
+
   function recordChange (service: ServiceId, state: ServiceState, isLost: boolean): void {
     state.wasCutOff = isLost
     state.probes = { count: 0, backendServers: new Set() }
@@ -108,7 +133,7 @@
     const isUnstable = clock.now() - state.returnedMs < UNSTABLE_AFTER_RETURN_MS
     state.probesToReturn = isUnstable ? Math.min(MAX_PROBES_TO_RETURN, state.probesToReturn * 2) : PROBES_TO_RETURN
     log.warn('VM is cut off from a service that other VMs reach', {
-      service, failedServers: state.failures!.backendServers.size, failingForMs: Math.round(clock.now() - state.failures!.sinceMs), evidenceAgeMs: Math.round(clock.now() - state.others.openedMs)
+      service, failedServers: state.failures!.backendServers.size, failingForMs: Math.round(clock.now() - state.failures!.sinceMs), evidenceAgeMs: Math.round(clock.now() - latestOther(state)!.atMs)
     })
   }
 
@@ -131,16 +156,27 @@
     state.failures.backendServers.add(backendServer)
   }
 
-  /** VMs that are cut off, this one included, the most recent news first. */
-  function currentCutOffs (): [VmId, [number, readonly ServiceId[]]][] {
+  /** VMs that are cut off, this one included, the most recent statements first. */
+  function currentCutOffs (): [VmId, [number, readonly ServiceId[], number]][] {
     const own = lostServices()
-    const others = [...cutOffVms].flatMap(([vm, { atMs, services: lost }]): [VmId, [number, readonly ServiceId[]]][] => {
-      const ageMs = clock.now() - atMs
-      if (ageMs > MAX_CUT_OFF_AGE_MS) cutOffVms.delete(vm)
-      return ageMs > MAX_CUT_OFF_AGE_MS ? [] : [[vm, [Math.round(ageMs), [...lost]]]]
-    })
-    const all = own.length > 0 ? [[self, [0, own]] as [VmId, [number, readonly ServiceId[]]], ...others] : others
-    return all.sort(([, [a]], [, [b]]) => a - b).slice(0, MAX_REPORTED_VMS)
+    const statements = new Map(cutOffVms)
+    if (own.length > 0) statements.set(self, { atMs: clock.now(), stamp: stampOf(clock.now()), services: new Set(own) })
+    return [...statements]
+      .filter(([, { atMs }]) => clock.now() - atMs <= MAX_CUT_OFF_AGE_MS)
+      .sort(([, a], [, b]) => b.atMs - a.atMs)
+      .slice(0, MAX_REPORTED_VMS)
+      .map(([vm, { atMs, stamp, services: lost }]) => [vm, [Math.round(clock.now() - atMs), [...lost], stamp]])
+  }
+
+  /** Forgets what is too old to be in a report of any VM, and services that no VM has reached since. */
+  function forgetOld (): void {
+    const isOld = (atMs: number) => clock.now() - atMs > STATEMENT_MEMORY_MS
+    const deleteOld = (statements: Map<VmId, Statement>) => { for (const [vm, { atMs }] of statements) if (isOld(atMs)) statements.delete(vm) }
+    deleteOld(cutOffVms)
+    for (const [service, { others, openedMs, failures }] of services) {
+      deleteOld(others)
+      if (others.size === 0 && isOld(openedMs) && (!failures || isOld(failures.lastMs))) services.delete(service)
+    }
   }
 
   function lostServices (): ServiceId[] {
@@ -150,24 +186,22 @@
   function mergeReached (reached: unknown): void {
     for (const [service, known] of Object.entries(reached ?? {}).slice(0, MAX_REPORTED_SERVICES) as [ServiceId, unknown][]) {
       if (!Array.isArray(known)) continue
-      const [ageMs, vm] = known as [unknown, unknown]
+      const [ageMs, vm, stamp] = known as [unknown, unknown, unknown]
       // What this VM has reported itself comes back through the others.
-      if (!isAge(ageMs, MAX_EVIDENCE_AGE_MS) || typeof vm !== 'string' || vm === self) continue
+      if (!isAge(ageMs, MAX_EVIDENCE_AGE_MS) || typeof vm !== 'string' || vm === self || !isStamp(stamp)) continue
       const { others } = stateOf(service)
-      const openedMs = clock.now() - ageMs
-      // Each hop makes a connection look newer than it is.
-      const newerByMs = others.vm === vm ? MAX_REPORT_DELAY_MS : 0
-      if (openedMs > others.openedMs + newerByMs) Object.assign(others, { openedMs, vm })
+      const statement = { atMs: clock.now() - ageMs, stamp }
+      if (isNews(statement, others.get(vm as VmId))) others.set(vm as VmId, statement)
     }
   }
 
   function mergeCutOffs (cutOff: unknown): void {
     for (const [vm, known] of Object.entries(cutOff ?? {}).slice(0, MAX_REPORTED_VMS) as [VmId, unknown][]) {
       if (vm === self || !Array.isArray(known)) continue
-      const [ageMs, lost] = known as [unknown, unknown]
-      if (!isAge(ageMs, MAX_CUT_OFF_AGE_MS) || !Array.isArray(lost)) continue
-      const atMs = clock.now() - ageMs
-      if (atMs > (cutOffVms.get(vm)?.atMs ?? -Infinity)) cutOffVms.set(vm, { atMs, services: new Set(lost.slice(0, MAX_REPORTED_SERVICES) as ServiceId[]) })
+      const [ageMs, lost, stamp] = known as [unknown, unknown, unknown]
+      if (!isAge(ageMs, MAX_CUT_OFF_AGE_MS) || !isStamp(stamp) || !Array.isArray(lost) || !lost.every(service => typeof service === 'string')) continue
+      const statement = { atMs: clock.now() - ageMs, stamp, services: new Set(lost.slice(0, MAX_REPORTED_SERVICES) as ServiceId[]) }
+      if (isNews(statement, cutOffVms.get(vm))) cutOffVms.set(vm, statement)
     }
   }
 
@@ -203,11 +237,14 @@
       if (state.probes.count >= state.probesToReturn && state.probes.backendServers.size >= needed) recordOpen(service, state)
     },
     report () {
-      const reached = [...services].flatMap(([service, { openedMs, others }]) => {
-        const ageMs = Math.round(clock.now() - Math.max(openedMs, others.openedMs))
-        return ageMs <= MAX_EVIDENCE_AGE_MS ? [[service, [ageMs, openedMs >= others.openedMs ? self : others.vm!]] as const] : []
+      const reached = [...services].flatMap(([service, state]) => {
+        const other = latestOther(state)
+        const { vm, atMs, stamp } = other && other.atMs > state.openedMs ? other : { vm: self, atMs: state.openedMs, stamp: stampOf(state.openedMs) }
+        const ageMs = Math.round(clock.now() - atMs)
+        return ageMs <= MAX_EVIDENCE_AGE_MS ? [[service, [ageMs, vm, stamp]] as const] : []
       })
       const cutOffs = currentCutOffs()
+      forgetOld()
       if (reached.length === 0 && cutOffs.length === 0) return undefined
       return { ...reached.length > 0 && { reached: Object.fromEntries(reached) }, ...cutOffs.length > 0 && { cutOff: Object.fromEntries(cutOffs) } }
     },
@@ -220,6 +257,15 @@
   }
 }
 
+/** Whether a statement is newer than the one that is known, or a copy of it that came by a faster way and has its time more exactly. */
+function isNews ({ atMs, stamp }: Statement, known: Statement | undefined): boolean {
+  return !known || stamp > known.stamp || (stamp === known.stamp && atMs < known.atMs)
+}
+
+function isStamp (value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value)
+}
+
 function isAge (value: unknown, maxMs: number): value is number {
   return typeof value === 'number' && value >= 0 && value <= maxMs
 }
