End a run of failures that is 5 s old

The gap of 5 s was only checked at the next failure. A VM without callers kept the failures of an outage, and counted as cut off as soon as another VM connected again. A run whose last failure is more than 5 s old is no evidence; while a VM is cut off, its probes continue the run.

The scenario with an old run failed before and passes now.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -76,6 +76,18 @@
     And 500 ms pass for the VMs
     Then VM 1 is cut off from chat
 
+  # Guards against failures of an outage long ago that cut a VM off as soon as others have callers again.
+  Scenario: an old run of failures is no evidence
+    Given 2 VMs and the service chat with 4 servers
+    When VM 1 fails at chat server 1
+    And VM 1 fails at chat server 2
+    Then the failures of VM 1 at chat are in doubt
+    When 5100 ms pass for the VMs
+    Then the failures of VM 1 at chat are not in doubt
+    When VM 2 serves callers of chat
+    And 500 ms pass for the VMs
+    Then VM 1 is not cut off from chat
+
   # Guards against VMs that hand requests to each other when the service is gone for all, on reports that look newer with each hop.
   Scenario Outline: <vms> VMs are not cut off when the service is gone, with <delay> ms of delay a hop
     Given <vms> VMs and the service chat with 4 servers, with <delay> ms of delay a hop
--- a/src/core/reachability/index.ts
+++ b/src/core/reachability/index.ts
@@ -97,12 +97,18 @@
   }
 
   function isDoubtful (service: ServiceId): boolean {
-    const { failures } = services.get(service) ?? {}
+    const { failures, wasCutOff } = services.get(service) ?? {}
     if (!failures) return false
+    // While the VM is cut off, probes continue the run.
+    if (!wasCutOff && isTooOld(failures)) return false
     if (failures.backendServers.size >= MIN_FAILED_SERVERS) return true
     return serverCount(service) <= 1 && failures.count >= MIN_FAILURES_OF_ONE_SERVER
   }
 
+  function isTooOld ({ lastMs }: { lastMs: number }): boolean {
+    return clock.now() - lastMs > MAX_FAILURE_GAP_MS
+  }
+
   /** The last connection that another VM has opened. */
   function latestOther ({ others }: ServiceState): (Statement & { vm: VmId }) | undefined {
     let latest: Statement & { vm: VmId } | undefined
@@ -149,7 +155,7 @@
 
   function recordFailure (state: ServiceState, backendServer: BackendServerId): void {
     const nowMs = clock.now()
-    if (state.failures && nowMs - state.failures.lastMs > MAX_FAILURE_GAP_MS) state.failures = undefined
+    if (state.failures && !state.wasCutOff && isTooOld(state.failures)) state.failures = undefined
     state.failures ??= { sinceMs: nowMs, lastMs: nowMs, count: 0, backendServers: new Set() }
     state.failures.lastMs = nowMs
     state.failures.count++
