Return although a backend server stays gone

Two probes in a row had to succeed at two backend servers. Where every second one was gone, no two probes in a row succeeded, and the VM stayed cut off for as long as the entry of the server lived. Leaving and misdirected servers were counted but never probed, with the same effect.

A backend server that has discarded the successes of others twice, without one of its own, does not do so again. The number of backend servers counts those that get probes.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -154,6 +154,23 @@
     And VM 1 connects to chat server 2
     Then VM 1 is cut off from chat
 
+  # Guards against a backend server that is gone for good and keeps a VM cut off from the others.
+  Scenario Outline: a VM returns although <dead> of <servers> servers stay dead
+    Given 2 VMs and the service chat with <servers> servers
+    And all VMs serve callers of chat
+    When VM 1 loses chat
+    And 2000 ms pass for the VMs
+    Then VM 1 is cut off from chat
+    When VM 1 reaches chat except every second server
+    And <ms> ms pass for the VMs
+    Then VM 1 has returned
+
+    Examples:
+      | dead | servers | ms    |
+      | 1    | 2       | 5000  |
+      | 2    | 4       | 8000  |
+      | 5    | 10      | 18000 |
+
   # Guards against a link that comes and goes and makes the state flap.
   Scenario: each return within 5 s of the last doubles the probes, up to 8
     Given 2 VMs and the service chat with 4 servers
--- a/src/core/forwarding-vm/partition.ts
+++ b/src/core/forwarding-vm/partition.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../clock/index.ts'
 import type { Fleet } from '../fleet/index.ts'
 import { openConnection } from '../forwarding/exchange.ts'
+import type { ServiceId } from '../ids/index.ts'
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { Pacing } from '../pacing/index.ts'
@@ -26,9 +27,11 @@
 
 export function createPartitionHandling ({ settings, fleet, pool, pacing, refusals, clock, log, metrics, random }: PartitionOptions) {
   const { vm: self, dataCentre } = settings
+  /** Backend servers of a service that get requests, unless they are suspended. */
+  const usableServers = (service: ServiceId) => pool.list(service).filter(({ entry, isMisdirected }) => !entry.leaving && !isMisdirected)
   const reachability = createReachability({
     self,
-    serverCount: service => pool.list(service).length,
+    serverCount: service => usableServers(service).length,
     onReturn (service) {
       for (const { entry } of pool.list(service)) {
         pool.forgetConnectFailures(entry.id)
@@ -41,7 +44,7 @@
   })
   const probes = createProbes({
     reachability,
-    backendServers: service => pool.list(service).filter(({ entry, isMisdirected }) => !entry.leaving && !isMisdirected),
+    backendServers: usableServers,
     async connect ({ entry }, timeoutMs) {
       const connection = await openConnection(entry.address, timeoutMs)
       connection?.destroy()
--- a/src/core/reachability/constants.ts
+++ b/src/core/reachability/constants.ts
@@ -26,6 +26,8 @@
 export const DECISION_TIME_MS = 1500
 /** Successful probes in a row that end the state. */
 export const PROBES_TO_RETURN = 2
+/** Times that failed probes of one backend server may discard the successes at others; one that fails more often is gone itself. */
+export const MAX_DISCARDS_OF_ONE_SERVER = 2
 /** Time after a return within which a new loss doubles the number of probes for the next return. */
 export const UNSTABLE_AFTER_RETURN_MS = 5000
 /** Largest number of probes for a return, so that a link that has become stable is used after a few seconds. */
--- a/src/core/reachability/index.ts
+++ b/src/core/reachability/index.ts
@@ -9,7 +9,7 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import {
-  DECISION_TIME_MS, MAX_CUT_OFF_AGE_MS, MAX_EVIDENCE_AGE_MS, MAX_FAILURE_GAP_MS, MAX_PROBES_TO_RETURN, MAX_REPORT_DELAY_MS, MAX_REPORTED_SERVICES, MAX_REPORTED_VMS, MIN_FAILED_SERVERS,
+  DECISION_TIME_MS, MAX_CUT_OFF_AGE_MS, MAX_DISCARDS_OF_ONE_SERVER, MAX_EVIDENCE_AGE_MS, MAX_FAILURE_GAP_MS, MAX_PROBES_TO_RETURN, MAX_REPORT_DELAY_MS, MAX_REPORTED_SERVICES, MAX_REPORTED_VMS, MIN_FAILED_SERVERS,
   MIN_FAILURES_OF_ONE_SERVER, PROBES_TO_RETURN, STATEMENT_MEMORY_MS, UNSTABLE_AFTER_RETURN_MS
 } from './constants.ts'
 
@@ -68,12 +68,22 @@
   failures: { sinceMs: number, lastMs: number, count: number, backendServers: Set<BackendServerId> } | undefined
   /** Whether this VM was cut off at the last check. */
   wasCutOff: boolean
-  /** Backend servers of successful probes since the last failed one, and their number. */
-  probes: { count: number, backendServers: Set<BackendServerId> }
+  probes: ProbeResults
   probesToReturn: number
   returnedMs: number
 }
 
+/** Results of probes since the VM is cut off. */
+interface ProbeResults {
+  /** Successful ones since the last that failed, and their backend servers. */
+  count: number
+  backendServers: Set<BackendServerId>
+  /** How often a failure at a backend server has discarded successes at others since it succeeded itself. */
+  discards: Map<BackendServerId, number>
+}
+
+const createProbeResults = (): ProbeResults => ({ count: 0, backendServers: new Set(), discards: new Map() })
+
 export function createReachability ({ self, serverCount, onReturn = () => {}, clock, log, metrics }: ReachabilityOptions): Reachability {
   const services = new Map<ServiceId, ServiceState>()
   /** What other VMs have said that they are cut off from, and when. */
@@ -86,7 +96,7 @@
     const known = services.get(service)
     if (known) return known
     const created: ServiceState = {
-      openedMs: -Infinity, others: new Map(), failures: undefined, wasCutOff: false, probes: { count: 0, backendServers: new Set() }, probesToReturn: PROBES_TO_RETURN, returnedMs: -Infinity
+      openedMs: -Infinity, others: new Map(), failures: undefined, wasCutOff: false, probes: createProbeResults(), probesToReturn: PROBES_TO_RETURN, returnedMs: -Infinity
     }
     services.set(service, created)
     return created
@@ -133,7 +143,7 @@
 
   function recordChange (service: ServiceId, state: ServiceState, isLost: boolean): void {
     state.wasCutOff = isLost
-    state.probes = { count: 0, backendServers: new Set() }
+    state.probes = createProbeResults()
     metrics.count('reachability', isLost ? 'cut_off' : 'connected')
     if (!isLost) return log.info('VM is no longer cut off from a service', { service, reason: state.failures ? 'no other VM reaches it' : 'connected' })
     const isUnstable = clock.now() - state.returnedMs < UNSTABLE_AFTER_RETURN_MS
@@ -162,6 +172,20 @@
     state.failures.backendServers.add(backendServer)
   }
 
+  /** A failed probe discards the successes before it, unless its backend server fails again and again while others succeed. */
+  function recordFailedProbe ({ probes }: ServiceState, backendServer: BackendServerId): void {
+    const discards = probes.discards.get(backendServer) ?? 0
+    if (discards >= MAX_DISCARDS_OF_ONE_SERVER) return
+    if (probes.count > 0) probes.discards.set(backendServer, discards + 1)
+    probes.count = 0
+    probes.backendServers.clear()
+  }
+
+  function isEnough ({ probes, probesToReturn }: ServiceState, service: ServiceId): boolean {
+    const goneServers = [...probes.discards.values()].filter(discards => discards >= MAX_DISCARDS_OF_ONE_SERVER).length
+    return probes.count >= probesToReturn && probes.backendServers.size >= Math.min(2, serverCount(service) - goneServers)
+  }
+
   /** VMs that are cut off, this one included, the most recent statements first. */
   function currentCutOffs (): [VmId, [number, readonly ServiceId[], number]][] {
     const own = lostServices()
@@ -234,13 +258,14 @@
     recordProbe (service, backendServer, isOpen) {
       const state = stateOf(service)
       if (!isOpen) {
-        state.probes = { count: 0, backendServers: new Set() }
+        recordFailedProbe(state, backendServer)
         return recordFailure(state, backendServer)
       }
-      state.probes.count++
-      state.probes.backendServers.add(backendServer)
-      const needed = Math.min(2, serverCount(service))
-      if (state.probes.count >= state.probesToReturn && state.probes.backendServers.size >= needed) recordOpen(service, state)
+      const { probes } = state
+      probes.count++
+      probes.backendServers.add(backendServer)
+      probes.discards.delete(backendServer)
+      if (isEnough(state, service)) recordOpen(service, state)
     },
     report () {
       const reached = [...services].flatMap(([service, state]) => {
