Refuse a statement with more parts than its text and its HMAC

What followed a second dot was ignored, so that a header other than the one that a VM made was read as its statement. The scenario failed before.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -312,6 +312,7 @@
       | without keys at the receiver        |
       | with an HMAC that is cut short      |
       | without an HMAC                     |
+      | with a further part                 |
       | of another format                   |
       | with negative time left             |
       | that is no JSON                     |
--- a/src/core/peer-forwarding/message.ts
+++ b/src/core/peer-forwarding/message.ts
@@ -55,7 +55,8 @@
 
 /** Returns `undefined` for a value that no VM with one of the keys has made for this request. */
 export function decodeOrigin (value: string, target: ForwardedTarget, keys: readonly string[]): Origin | undefined {
-  const [text = '', mac = ''] = value.length <= MAX_HEADER_LENGTH ? value.split('.') : []
+  const [text = '', mac = '', ...more] = value.length <= MAX_HEADER_LENGTH ? value.split('.') : []
+  if (more.length > 0) return undefined
   const given = Buffer.from(mac, 'base64url')
   const isValid = keys.some(key => {
     const expected = computeMac(key, text, target)
