Record a crash only if another server of the service is reached

A refused connection was taken for the crash of a backend server. A VM behind a partition that refuses connections would so have recorded a crash for each stream that the partition reset, and put the prompts of all its streams into quarantine at all VMs.

After the refusal, a control connection to another backend server must be opened, and the first one must refuse again. All checks of a service that run at once share the control connection. Where there is no server that could tell, the refusal counts as before. Whether a stream without a length is complete still depends on the refusal alone: taking it for incomplete is the safe side.

If all servers of a service crash within 100 ms, no crash is recorded.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -319,3 +319,36 @@
       | that is empty                       |
       | that is garbage                     |
       | that is too long                    |
+
+  # Guards against a partition that refuses connections and puts the prompts of all streams of a VM into quarantine.
+  Scenario Outline: streams that are reset <when> put <what> into quarantine
+    Given a VM with streams of one prompt part at each of <servers> servers
+    When all streams are reset and <when>
+    Then <what> is in quarantine
+
+    Examples:
+      | servers | when                                            | what     |
+      | 4       | no connection is refused                        | no part  |
+      | 4       | all connections are refused                     | no part  |
+      | 4       | all connections are refused until the control   | no part  |
+      | 4       | all connections are refused again and again     | no part  |
+      | 4       | those to 3 servers are refused one by one       | the part |
+      | 2       | those to 2 servers are refused one by one       | the part |
+      | 1       | all connections are refused again and again     | the part |
+
+  # Guards against a connection for each stream that a partition breaks.
+  Scenario: checks that run at once share a control connection
+    Given a VM with streams of one prompt part at each of 4 servers
+    When 50 streams of the first server are reset and it alone refuses connections
+    Then there is 1 control connection
+
+  # Guards against a crash that is not recorded because the first server that is asked has crashed, too, and against a search at all servers.
+  Scenario Outline: <down> of <servers> servers that refuse connections at once are <verdict>
+    Given a VM with streams of one prompt part at each of <servers> servers
+    When the streams of <down> servers are reset and these refuse connections
+    Then <verdict> is recorded, with at most 3 control connections, one at a time
+
+    Examples:
+      | down | servers | verdict    |
+      | 3    | 4       | each crash |
+      | 12   | 12      | no crash   |
--- a/features/support/crash-world.ts
+++ b/features/support/crash-world.ts
@@ -9,6 +9,7 @@
 import type { CallerRequest, PromptPart } from '../../src/core/forwarding/types.ts'
 import { brandId, type BackendServerId, type RequestId, type VmId } from '../../src/core/ids/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
+import { createControl } from '../../src/core/reachability/control.ts'
 import { createRandom } from '../../src/standin/random.ts'
 import { startEvidenceVms } from './evidence-vms.ts'
 
@@ -54,7 +55,7 @@
   const hasDeadlyRequests = trouble !== 'other crashes' && trouble !== 'resets'
   const hasOtherCrashes = trouble === 'other crashes' || trouble === 'a deadly part beside other crashes'
   const names = Array.from({ length: vmCount }, (_, index) => brandId<VmId>(`vm-${index}`))
-  const vms = startEvidenceVms(names, clock)
+  const vms = startEvidenceVms(names, clock).map(vm => ({ ...vm, control: createControl({ backendServers: () => servers.map(({ backend }) => backend), connect: async backend => !await hasEnded(backend), clock, random: createRandom(seed + 1) }) }))
   const servers = Array.from({ length: Math.round(between(4, 12)) }, (_, index) => createServer(index))
   const requests: SentRequest[] = []
   const deadlyArrivalsMs: number[] = []
@@ -64,6 +65,10 @@
   const lastCauseMs = endMs - 8000
   let isDeadlyNow = trouble !== 'a sound part that turns deadly'
 
+  async function hasEnded (backend: Backend): Promise<boolean> {
+    return !servers.find(server => server.backend === backend)!.isUp
+  }
+
   function createServer (index: number): Server {
     const entry = { id: brandId<BackendServerId>(`backend-${index}`), startedWallMs: clock.wallMs() }
     return { backend: { entry } as Backend, isUp: true, breakStreams: new Set() }
@@ -89,8 +94,7 @@
     requests.push(sent)
     const ids = [FIRST_PART, `topic-${Math.floor(random() * topics)}`, ...isDeadly ? ['deadly'] : [], `own-${index}`]
     const request = callerRequest(`request-${index}`, ids.map(id => ({ id, tokens: 100 })))
-    const hasEnded = async (backend: Backend) => !servers.find(server => server.backend === backend)!.isUp
-    const evidence = createCrashEvidence({ request, team: undefined, body: undefined }, { quarantine: vm.quarantine, hasEnded, log: { ...silentLog, request () {} } })
+    const evidence = createCrashEvidence({ request, team: undefined, body: undefined }, { quarantine: vm.quarantine, hasEnded, reachesService: vm.control.reachesService, log: { ...silentLog, request () {} } })
     const tried = new Set<Server>()
     for (let attempt = 1; attempt <= MAX_ATTEMPTS && !evidence.isRefused(); attempt++) {
       const choices = servers.filter(server => server.isUp && !tried.has(server))
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -168,7 +168,7 @@
     metrics
   })
   const refusals = createFleetRefusals({ self: settings.vm, isSelfRefusing: resources.isRefusing, clock })
-  const { reachability, probes, peers } = createPartitionHandling({ settings, fleet, pool, pacing, refusals, clock, log, metrics, random })
+  const { reachability, probes, peers, reachesService } = createPartitionHandling({ settings, fleet, pool, pacing, refusals, clock, log, metrics, random })
   const trials = createVersionTrials({
     vm: settings.vm,
     boot: fleet.boot,
@@ -292,6 +292,7 @@
     },
     peers,
     doubtMs: reachability.doubtMs,
+    reachesService,
     configVersion: () => table?.version,
     recordAvailability (backend, { leaving, requestedPauseMs }) {
       if (leaving) pool.recordLeaving(backend)
--- a/src/core/forwarding-vm/partition.ts
+++ b/src/core/forwarding-vm/partition.ts
@@ -1,5 +1,5 @@
 /** What a VM does about a partition between itself and the backend servers: it decides, probes, and hands requests to other VMs. */
-import type { BackendPool } from '../backend-pool/index.ts'
+import type { Backend, BackendPool } from '../backend-pool/index.ts'
 import type { Clock } from '../clock/index.ts'
 import type { Fleet } from '../fleet/index.ts'
 import { openConnection } from '../forwarding/exchange.ts'
@@ -8,6 +8,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import type { Pacing } from '../pacing/index.ts'
 import { createPeerForwarding } from '../peer-forwarding/index.ts'
+import { createControl } from '../reachability/control.ts'
 import { createReachability } from '../reachability/index.ts'
 import { createProbes } from '../reachability/probes.ts'
 import type { FleetRefusals } from '../resource-limits/index.ts'
@@ -42,17 +43,13 @@
     log,
     metrics
   })
-  const probes = createProbes({
-    reachability,
-    backendServers: usableServers,
-    async connect ({ entry }, timeoutMs) {
-      const connection = await openConnection(entry.address, timeoutMs)
-      connection?.destroy()
-      return connection !== undefined
-    },
-    clock,
-    random
-  })
+  async function connect ({ entry }: Backend, timeoutMs: number): Promise<boolean> {
+    const connection = await openConnection(entry.address, timeoutMs)
+    connection?.destroy()
+    return connection !== undefined
+  }
+  const probes = createProbes({ reachability, backendServers: usableServers, connect, clock, random })
+  const control = createControl({ backendServers: usableServers, connect, clock, random })
   const peers = createPeerForwarding({
     self: { vm: self, dataCentre },
     vms: fleet.available,
@@ -64,5 +61,5 @@
     metrics,
     random
   })
-  return { reachability, probes, peers }
+  return { reachability, probes, peers, reachesService: control.reachesService }
 }
--- a/src/core/forwarding/crash-evidence.ts
+++ b/src/core/forwarding/crash-evidence.ts
@@ -44,15 +44,25 @@
   quarantine: PartQuarantine
   /** Whether the process of a backend server has ended. Default: whether its address refuses connections. */
   hasEnded?: (backend: Backend) => Promise<boolean>
+  /** Whether this VM reaches the service of a backend server that has refused a connection, or cannot tell. Default: always. */
+  reachesService?: ((backend: Backend) => Promise<boolean>) | undefined
   log: DecisionLog
 }
 
-export function createCrashEvidence ({ request, team, body }: IdentifiedRequest, { quarantine, hasEnded = refusesConnections, log }: CrashEvidenceOptions): CrashEvidence {
+export function createCrashEvidence ({ request, team, body }: IdentifiedRequest, { quarantine, hasEnded = refusesConnections, reachesService, log }: CrashEvidenceOptions): CrashEvidence {
   const parts = [...sharedParts(request), fingerprint(request, team, body)]
   let isTrial = false
   /** Whether the request is a trial while others with its parts are refused. */
   let isExempt = false
 
+  /** Whether a backend server has crashed, rather than become unreachable for this VM alone. */
+  async function hasCrashed (backend: Backend): Promise<boolean> {
+    if (!await hasEnded(backend)) return false
+    if (!reachesService) return true
+    // A partition may end between the refusal and the control connection.
+    return await reachesService(backend) && await hasEnded(backend)
+  }
+
   return {
     remainingMs: () => quarantine.remainingMs(parts),
     isRefused () {
@@ -67,7 +77,7 @@
     hasEnded,
     async recordLostResponse (backend, { hadHead: wasRunning = false } = {}) {
       // A backend server that is still there has reset a single connection.
-      if (!await hasEnded(backend)) return
+      if (!await hasCrashed(backend)) return
       isTrial = false
       isExempt = false
       log.request('open_at_crash', { id: request.id, backendServer: backend.entry.id, parts, wasRunning })
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -15,7 +15,7 @@
 import { errorWithoutAttempt, firstResponseTimeoutMs, outOfTime, retryOrFail, type AttemptOutcome } from './attempt-outcome.ts'
 import { readPendingInput } from './pending-input.ts'
 import { pollAfter } from './poll-after.ts'
-import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome } from './crash-evidence.ts'
+import { createCrashEvidence, QUARANTINE_REASON, quarantineOutcome, type CrashEvidenceOptions } from './crash-evidence.ts'
 import { startExchange, type Codec } from './exchange.ts'
 import { createEscalations } from './escalation.ts'
 import { createPeerAttempts } from './peer-attempt.ts'
@@ -65,6 +65,8 @@
   doubtMs?(service: ServiceId): number
   /** Version of the configuration in force. Default: none. */
   configVersion?: () => number | undefined
+  /** Whether this VM reaches the service of a backend server that refuses connections, so that it has crashed. Default: always. */
+  reachesService?: CrashEvidenceOptions['reachesService']
   /** Starts to observe an attempt; `isFirst` for the first one of the request. */
   observe(backend: Backend, forwarded: ForwardedRequest, attempt: { isFirst: boolean, model: ModelId | undefined }): AttemptObservation
   /** Typical times of the answer to an attempt. Default: unknown. */
@@ -105,7 +107,7 @@
   async function forward (forwarded: ForwardedRequest): Promise<void> {
     const { request, route, service, caller, receivedMs } = forwarded
     const deadlineMs = receivedMs + Math.min(request.timeoutMs ?? DEFAULT_TIMEOUT_MS, route.timeoutMs)
-    const progress = createRequestProgress(forwarded, createCrashEvidence(forwarded, { quarantine: partQuarantine, log }))
+    const progress = createRequestProgress(forwarded, createCrashEvidence(forwarded, { quarantine: partQuarantine, reachesService: options.reachesService, log }))
     const cancelDeadline = clock.after(Math.max(0, deadlineMs - clock.now()), () => void endAtDeadline())
     caller.onDisconnect(() => {
       if (progress.isFinished) return
--- a/src/core/reachability/constants.ts
+++ b/src/core/reachability/constants.ts
@@ -22,6 +22,12 @@
 export const PROBE_PERIOD_MS = 500
 /** Timeout of a probe; that of a connection for a request. */
 export const PROBE_TIMEOUT_MS = 400
+/** Timeout of a control connection; a retry waits for it, as for the check whether a backend server has crashed. */
+export const CONTROL_TIMEOUT_MS = 100
+/** Backend servers that are asked in turn; several may have crashed together. */
+export const MAX_CONTROL_SERVERS = 3
+/** Time for which a crashed backend server is not asked. It is back after some seconds; in a small service all others may have crashed one by one. */
+export const MISSING_MEMORY_MS = 5000
 /** Time after the start of a run of failures within which the reports of the others show whether this VM is cut off. */
 export const DECISION_TIME_MS = 1500
 /** Successful probes in a row that end the state. */
