Count no attempt that fails while the way of the VM is in doubt

A VM behind a partition sees its running attempts reset or late. They counted as failures of the version under trial and of the backend servers, so that a partition of some VMs could stop a roll-out and take load from sound servers.

While connections to several backend servers of the service fail, an attempt that fails, meets its deadline or is abandoned counts for nothing: no failure, no result for the failure rate, and no time as a lower bound, because the partition has made it longer. What completes counts as before.

Attempts that end before two backend servers have refused a connection still count.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -352,3 +352,28 @@
       | down | servers | verdict    |
       | 3    | 4       | each crash |
       | 12   | 12      | no crash   |
+
+  # Guards against a partition of a VM that stops a roll-out, or that takes load from backend servers that are sound.
+  Scenario Outline: streams <events> that end as <end> <pause> ms after <failures> failed connections count against <whom>
+    Given 2 VMs and the service chat with 4 servers
+    And a version of chat under trial that usually answers in 100 ms
+    When <failures> connections of VM 1 fail, and <pause> ms pass
+    And 5 streams <events> end as <end> after 2 s
+    Then they count against <whom>
+
+    Examples:
+      | failures | pause | events           | end       | whom                               |
+      | 2        | 1000  | without an event | failed    | nobody                             |
+      | 2        | 1000  | with events      | failed    | nobody                             |
+      | 2        | 1000  | without an event | deadline  | nobody                             |
+      | 2        | 1000  | without an event | abandoned | nobody                             |
+      | 1        | 1000  | without an event | failed    | the version and the backend server |
+      | 2        | 3100  | without an event | failed    | the version and the backend server |
+
+  # Guards against a VM that counts nothing any more.
+  Scenario: a stream that completes while others fail counts
+    Given 2 VMs and the service chat with 4 servers
+    And a version of chat under trial that usually answers in 100 ms
+    When 2 connections of VM 1 fail, and 1000 ms pass
+    And 5 streams with events end as completed after 2 s
+    Then 5 streams count as served
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -263,7 +263,7 @@
   })
   const capacity = createCapacity({ pool, assignments, loans, queue: capacityQueue, clock, random, fairCapacity })
 
-  const observer = createAttemptObserver({ pool, pacing, trials, onServed: () => startup.record('served') })
+  const observer = createAttemptObserver({ pool, pacing, trials, isDoubtful: reachability.isDoubtful, onServed: () => startup.record('served') })
   const forwarder = createForwarder({
     codec: refuseUnsendableHeads(adapter, () => metrics.count('bad_input', 'response_head')),
     reserveCapacity: capacity.reserve,
