Test the rest of the decision about a cut-off VM

Mutants of the decision showed five rules without a scenario that fails without them: the time of a copy that comes by a faster way, the state of a VM without probes, the two discards of one backend server and that a success clears them, and a stop during a probe. 60 mutants of the decision, the choice and the statement now fail at least one scenario each.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -112,6 +112,33 @@
     And VM 1 fails at chat server 2
     Then no VM is cut off from chat in the next 20000 ms
 
+  # Guards against the delay of a slow way in the time of a connection, when the same report comes by a faster one.
+  Scenario: a copy by a faster way corrects the time of a connection, one by a slower way does not
+    Given 2 VMs and the service chat with 4 servers
+    When VM 1 gets the report {"reached":{"chat":[0,"vm-9",5]}}
+    And 100 ms pass for the VMs
+    And VM 1 gets the report {"reached":{"chat":[600,"vm-9",5]}}
+    And VM 1 gets the report {"reached":{"chat":[50,"vm-9",5]}}
+    Then VM 1 reports that chat was reached 600 ms ago
+    When VM 1 gets the report {"reached":{"chat":[50,"vm-9",6]}}
+    Then VM 1 reports that chat was reached 50 ms ago
+
+  # Guards against a VM that returns without a probe, because it finds no backend server to probe.
+  Scenario: a VM without probes stays cut off while others reach the service
+    Given 2 VMs and the service chat with 4 servers
+    And VM 1 is cut off from chat by callers of VM 2
+    When 6000 ms pass for the VMs
+    Then VM 1 is cut off from chat
+
+  # Guards against probes of a VM that has stopped.
+  Scenario: a VM that stops during a probe makes no further one
+    Given 2 VMs and the service chat with 4 servers
+    And all VMs serve callers of chat
+    When VM 1 loses chat
+    And VM 1 stops during its second probe
+    And 3000 ms pass for the VMs
+    Then VM 1 has probed 4 servers evenly, 2 to 2 times
+
   # Guards against a state that outlasts the service, in which requests would be handed to VMs that do not reach it either.
   Scenario: the state ends after 3 s without evidence and begins again with it
     Given 2 VMs and the service chat with 4 servers
@@ -136,15 +163,18 @@
     Then VM 1 is <state> chat
 
     Examples:
-      | servers | results           | state            |
-      | 4       | 1+                | cut off from     |
-      | 4       | 1+ 1+             | cut off from     |
-      | 4       | 1+ 2+             | not cut off from |
-      | 4       | 1+ 2- 3+          | cut off from     |
-      | 4       | 1+ 2- 3+ 4+       | not cut off from |
-      | 4       | 1+ 2- 1+ 2-       | cut off from     |
-      | 1       | 1+                | cut off from     |
-      | 1       | 1+ 1+             | not cut off from |
+      | servers | results              | state            |
+      | 4       | 1+                   | cut off from     |
+      | 4       | 1+ 1+                | cut off from     |
+      | 4       | 1+ 2+                | not cut off from |
+      | 4       | 1+ 2- 3+             | cut off from     |
+      | 4       | 1+ 2- 3+ 4+          | not cut off from |
+      | 4       | 1+ 2- 1+ 2-          | cut off from     |
+      | 4       | 1+ 2- 3+ 2- 4+       | cut off from     |
+      | 4       | 1+ 2- 3+ 2- 2+ 2- 4+ | cut off from     |
+      | 4       | 1+ 2- 3+ 2- 4+ 2- 1+ | not cut off from |
+      | 1       | 1+                   | cut off from     |
+      | 1       | 1+ 1+                | not cut off from |
 
   # Guards against requests that are risked to find out whether the way is back, and against a connection that ends the state.
   Scenario: a connection for a request does not end the state
--- a/features/steps/reachability.ts
+++ b/features/steps/reachability.ts
@@ -137,6 +137,16 @@
   assert.ok(Math.max(...counts) - Math.min(...counts) <= 1, counts.join(' '))
 })
 
+When(/^VM (\d+) stops during its second probe$/, async function (this: ReachabilityWorld, number: string) {
+  const { probes, probed } = vm(this, number)
+  while (probed.length < 2) await this.fleet.clock.advance(CHECK_PERIOD_MS)
+  probes.stop()
+})
+
+Then(/^VM (\d+) reports that (\w+) was reached (\d+) ms ago$/, function (this: ReachabilityWorld, number: string, name: string, ms: string) {
+  assert.equal(vm(this, number).reachability.report()?.reached?.[service(name)]?.[0], Number(ms))
+})
+
 When(/^VM (\d+) learns of (\d+) cut-off VMs, (\d+) ms apart$/, async function (this: ReachabilityWorld, number: string, count: string, gap: string) {
   for (let index = 0; index < Number(count); index++) {
     vm(this, number).reachability.merge({ cutOff: { [`far-${index}`]: [0, ['chat'], 1] } })
--- a/features/support/reaching-vms.ts
+++ b/features/support/reaching-vms.ts
@@ -10,6 +10,7 @@
 
 const REPORT_PERIOD_MS = 250
 const REQUEST_PERIOD_MS = 50
+const PROBE_MS = 20
 
 export interface ReachingVm {
   id: VmId
@@ -49,6 +50,7 @@
       async connect ({ entry }) {
         const server = Number(entry.id.split('-').at(-1))
         vm.probed.push(server)
+        await clock.sleep(PROBE_MS)
         return vm.isLinked(entry.service, server)
       },
       clock,
