Read the statement of a VM behind a caller's header of the same name

The receiver read the first header of that name, which may be the caller's. The statement of the VM was then lost: the attempts already made, the time left, and the event behind which a stream continues, and the request could be handed on again. The sender adds its header last; the receiver reads and removes the last one, and the caller's own stays in the request.

Of several Connection headers only the first one was read, so that headers which the others name were passed on.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -407,3 +407,15 @@
     When 2 connections of VM 1 fail, and 1000 ms pass
     And 5 streams with events end as completed after 2 s
     Then 5 streams count as served
+
+  # Guards against a caller whose header hides that of the VM, so that the attempts made and the events sent before are forgotten.
+  Scenario Outline: a request with <headers> of the caller is handed on with the statement of the VM
+    When a VM hands on a request with <headers> of the caller
+    Then the receiver reads the statement, and sees <left> of the caller
+
+    Examples:
+      | headers                                                | left                                        |
+      | X-Order: 1                                             | X-Order: 1                                  |
+      | Lacewingstage-Forwarded: forged; X-Order: 1            | Lacewingstage-Forwarded: forged; X-Order: 1 |
+      | Connection: X-A; X-A: 1; X-Order: 1                    | X-Order: 1                                  |
+      | Connection: close; Connection: X-A; X-A: 1; X-Order: 1 | X-Order: 1                                  |
--- a/features/steps/reachability.ts
+++ b/features/steps/reachability.ts
@@ -3,6 +3,9 @@
 import { createHmac } from 'node:crypto'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { brandId, type DataCentreId, type ModelId, type RequestId, type ServiceId, type VmId } from '../../src/core/ids/index.ts'
+import { createMetrics } from '../../src/core/metrics/index.ts'
+import type { CallerRequest } from '../../src/core/forwarding/types.ts'
+import { createPeerForwarding } from '../../src/core/peer-forwarding/index.ts'
 import { choosePeer, type Candidate } from '../../src/core/peer-forwarding/choice.ts'
 import { decodeOrigin, encodeOrigin, type ForwardedTarget, type Origin } from '../../src/core/peer-forwarding/message.ts'
 import { createRandom } from '../../src/standin/random.ts'
@@ -12,6 +15,7 @@
   fleet: ReachingVms
   vms: { candidates: Candidate[], usable: Set<VmId> }
   chosen: Map<VmId, number>
+  received: CallerRequest
 }
 
 const service = (name: string) => brandId<ServiceId>(name)
@@ -265,3 +269,26 @@
   assert.deepEqual(decodeOrigin(sign(JSON.stringify(STATED)), TARGET, [KEY]), ORIGIN)
   assert.equal(FAULTY[fault]!(), undefined)
 })
+
+function createPeers (self: VmId) {
+  return createPeerForwarding({
+    self: { vm: self, dataCentre: brandId<DataCentreId>('here') }, vms: () => [], isCutOff: () => false, mayServe: () => true, addressOf: () => undefined, keys: () => [KEY], connect: async () => undefined, metrics: createMetrics(), random: () => 0
+  })
+}
+
+/** Names and values in turn. */
+const parseHeaders = (text: string) => text.split('; ').flatMap(line => line.split(': '))
+
+When(/^a VM hands on a request with (.+) of the caller$/, function (this: ReachabilityWorld, headers: string) {
+  const { vm: sender, ...stated } = ORIGIN
+  const { id, method, target, receiver } = TARGET
+  const request = { id, method, target, rawHeaders: parseHeaders(headers), headers: [] } as unknown as CallerRequest
+  const sent = createPeers(sender).encodeHeaders(request, receiver, stated, 0)
+  this.received = createPeers(receiver).receive({ ...request, headers: sent }, sent)
+})
+
+Then(/^the receiver reads the statement, and sees (.+) of the caller$/, function (this: ReachabilityWorld, headers: string) {
+  assert.deepEqual(this.received.origin, ORIGIN)
+  assert.deepEqual(this.received.headers.slice(0, -2), parseHeaders(headers))
+  assert.deepEqual(this.received.headers.slice(-2), ['Content-Length', '0'])
+})
--- a/src/core/peer-forwarding/index.ts
+++ b/src/core/peer-forwarding/index.ts
@@ -82,14 +82,15 @@
 
     /** Adds to a decoded request what the VM that handed it on states about it, if one did. */
     receive (request: CallerRequest, rawHeaders: readonly string[]): CallerRequest {
-      const value = findHeader(rawHeaders, FORWARDED_HEADER)
+      // The sender adds its header behind those of the caller, who may send one of that name, too.
+      const value = findHeaders(rawHeaders, FORWARDED_HEADER).at(-1)
       const origin = value === undefined || keys().length === 0 ? undefined : decodeOrigin(value, { receiver: self.vm, id: request.id, method: request.method, target: request.target }, keys())
       if (!origin) return { ...request, rawHeaders }
       return {
         ...request,
         origin,
         rawHeaders,
-        headers: withoutHeader(request.headers, FORWARDED_HEADER),
+        headers: withoutLastHeader(request.headers, FORWARDED_HEADER),
         timeoutMs: Math.min(request.timeoutMs ?? Infinity, origin.remainingMs),
         lastEventId: origin.lastEventId ?? request.lastEventId,
         // The events that the caller has must be followed by those of the same model.
@@ -103,7 +104,7 @@
 const CONNECTION_HEADERS = new Set(['connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', 'content-length'])
 
 function endToEndHeaders (raw: readonly string[]): string[] {
-  const listed = (findHeader(raw, 'Connection') ?? '').toLowerCase().split(',').map(name => name.trim())
+  const listed = findHeaders(raw, 'Connection').join().toLowerCase().split(',').map(name => name.trim())
   return filterHeaders(raw, name => !CONNECTION_HEADERS.has(name) && !listed.includes(name))
 }
 
@@ -118,7 +119,11 @@
   return kept
 }
 
-function findHeader (raw: readonly string[], name: string): string | undefined {
-  for (let i = 0; i < raw.length; i += 2) if (raw[i]!.toLowerCase() === name.toLowerCase()) return raw[i + 1]
-  return undefined
+function withoutLastHeader (raw: readonly string[], excluded: string): string[] {
+  const last = raw.findLastIndex((name, index) => index % 2 === 0 && name.toLowerCase() === excluded.toLowerCase())
+  return last < 0 ? [...raw] : [...raw.slice(0, last), ...raw.slice(last + 2)]
+}
+
+function findHeaders (raw: readonly string[], name: string): string[] {
+  return raw.filter((_, index) => index % 2 === 1 && raw[index - 1]!.toLowerCase() === name.toLowerCase())
 }
