--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -168,7 +168,7 @@
     metrics
   })
   const refusals = createFleetRefusals({ self: settings.vm, isSelfRefusing: resources.isRefusing, clock })
-  const { reachability, probes, peers } = createPartitionHandling({ settings, fleet, pool, pacing, refusals, clock, log, metrics, random })
+  const { reachability, probes, peers, reachesService } = createPartitionHandling({ settings, fleet, pool, pacing, refusals, clock, log, metrics, random })
   const trials = createVersionTrials({
     vm: settings.vm,
     boot: fleet.boot,
@@ -263,7 +263,7 @@
   })
   const capacity = createCapacity({ pool, assignments, loans, queue: capacityQueue, clock, random, fairCapacity })
 
-  const observer = createAttemptObserver({ pool, pacing, trials, onServed: () => startup.record('served') })
+  const observer = createAttemptObserver({ pool, pacing, trials, isDoubtful: reachability.isDoubtful, onServed: () => startup.record('served') })
   const forwarder = createForwarder({
     codec: refuseUnsendableHeads(adapter, () => metrics.count('bad_input', 'response_head')),
     reserveCapacity: capacity.reserve,
@@ -292,6 +292,7 @@
     },
     peers,
     doubtMs: reachability.doubtMs,
+    reachesService,
     configVersion: () => table?.version,
     recordAvailability (backend, { leaving, requestedPauseMs }) {
       if (leaving) pool.recordLeaving(backend)
--- a/src/core/forwarding-vm/partition.ts
+++ b/src/core/forwarding-vm/partition.ts
@@ -1,12 +1,14 @@
 /** What a VM does about a partition between itself and the backend servers: it decides, probes, and hands requests to other VMs. */
-import type { BackendPool } from '../backend-pool/index.ts'
+import type { Backend, BackendPool } from '../backend-pool/index.ts'
 import type { Clock } from '../clock/index.ts'
 import type { Fleet } from '../fleet/index.ts'
 import { openConnection } from '../forwarding/exchange.ts'
+import type { ServiceId } from '../ids/index.ts'
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import type { Pacing } from '../pacing/index.ts'
 import { createPeerForwarding } from '../peer-forwarding/index.ts'
+import { createControl } from '../reachability/control.ts'
 import { createReachability } from '../reachability/index.ts'
 import { createProbes } from '../reachability/probes.ts'
 import type { FleetRefusals } from '../resource-limits/index.ts'
@@ -26,9 +28,11 @@
 
 export function createPartitionHandling ({ settings, fleet, pool, pacing, refusals, clock, log, metrics, random }: PartitionOptions) {
   const { vm: self, dataCentre } = settings
+  /** Backend servers of a service that get requests, unless they are suspended. */
+  const usableServers = (service: ServiceId) => pool.list(service).filter(({ entry, isMisdirected }) => !entry.leaving && !isMisdirected)
   const reachability = createReachability({
     self,
-    serverCount: service => pool.list(service).length,
+    serverCount: service => usableServers(service).length,
     onReturn (service) {
       for (const { entry } of pool.list(service)) {
         pool.forgetConnectFailures(entry.id)
@@ -39,17 +43,13 @@
     log,
     metrics
   })
-  const probes = createProbes({
-    reachability,
-    backendServers: service => pool.list(service).filter(({ entry, isMisdirected }) => !entry.leaving && !isMisdirected),
-    async connect ({ entry }, timeoutMs) {
-      const connection = await openConnection(entry.address, timeoutMs)
-      connection?.destroy()
-      return connection !== undefined
-    },
-    clock,
-    random
-  })
+  async function connect ({ entry }: Backend, timeoutMs: number): Promise<boolean> {
+    const connection = await openConnection(entry.address, timeoutMs)
+    connection?.destroy()
+    return connection !== undefined
+  }
+  const probes = createProbes({ reachability, backendServers: usableServers, connect, clock, random })
+  const control = createControl({ backendServers: usableServers, connect, clock, random })
   const peers = createPeerForwarding({
     self: { vm: self, dataCentre },
     vms: fleet.available,
@@ -61,5 +61,5 @@
     metrics,
     random
   })
-  return { reachability, probes, peers }
+  return { reachability, probes, peers, reachesService: control.reachesService }
 }
