Check more backend servers before a VM counts as cut off

Two failed connections in a row were enough. When half of the backend servers of a service crash, that happens at most VMs at the same time: each counts as cut off, finds no VM to hand requests to, and refuses them for up to 3 s.

When two backend servers have failed, the VM now opens connections to others at once, and counts as cut off only when eight, or all of a smaller service, have failed. The new scenario (a crash of half of the servers) fails without this.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -38,6 +38,14 @@
     And 500 ms pass for the VMs
     Then VM 1 is not cut off from chat
 
+  # Guards against VMs that take the crash of half of the backend servers for their own partition, and then find no VM to hand requests to.
+  Scenario: a crash of half of the servers cuts no VM off
+    Given 9 VMs and the service chat with 4 servers
+    And all VMs serve callers of chat
+    When 3000 ms pass for the VMs
+    And all VMs reach chat except every second server
+    Then no VM is cut off from chat in the next 5000 ms
+
   # Guards against a VM that stays connected for lack of a second backend server.
   Scenario: two failures at the only server of a service cut a VM off
     Given 2 VMs and the service chat with 1 server
@@ -79,6 +87,7 @@
   # Guards against failures of an outage long ago that cut a VM off as soon as others have callers again.
   Scenario: an old run of failures is no evidence
     Given 2 VMs and the service chat with 4 servers
+    And VM 1 loses chat
     When VM 1 fails at chat server 1
     And VM 1 fails at chat server 2
     Then the failures of VM 1 at chat are in doubt
@@ -290,6 +299,7 @@
   # Guards against requests that wait although the decision is clear, or for longer than the decision takes.
   Scenario: the doubt ends after 1.5 s, with a success, or with the decision
     Given 2 VMs and the service chat with 4 servers
+    And VM 1 loses chat
     Then the doubt of VM 1 about chat is 0 ms
     When VM 1 fails at chat server 1
     Then the doubt of VM 1 about chat is 1500 ms
@@ -387,6 +397,7 @@
   Scenario Outline: streams <events> that end as <end> <pause> ms after <failures> failed connections count against <whom>
     Given 2 VMs and the service chat with 4 servers
     And a version of chat under trial that usually answers in 100 ms
+    And VM 1 loses chat
     When <failures> connections of VM 1 fail, and <pause> ms pass
     And 5 streams <events> end as <end> after 2 s
     Then they count against <whom>
@@ -404,6 +415,7 @@
   Scenario: a stream that completes while others fail counts
     Given 2 VMs and the service chat with 4 servers
     And a version of chat under trial that usually answers in 100 ms
+    And VM 1 loses chat
     When 2 connections of VM 1 fail, and 1000 ms pass
     And 5 streams with events end as completed after 2 s
     Then 5 streams count as served
--- a/features/support/reaching-vms.ts
+++ b/features/support/reaching-vms.ts
@@ -24,7 +24,8 @@
   /** Whether the reports of the VM arrive. */
   isReporting: boolean
   returns: number
-  probed: number[]
+  /** Connections without a request, and whether the VM was cut off then. */
+  probed: { server: number, isCutOff: boolean }[]
 }
 
 export type ReachingVms = ReturnType<typeof createReachingVms>
@@ -42,14 +43,14 @@
   function createVm (id: VmId): ReachingVm {
     const metrics = createMetrics()
     const reachability = createReachability({
-      self: id, serverCount: service => services.get(service) ?? 0, onReturn () { vm.returns++ }, clock, log: silentLog, metrics
+      self: id, serverCount: service => services.get(service) ?? 0, onReturn () { vm.returns++ }, onDoubt: (service, failed) => vm.probes.check(service, failed), clock, log: silentLog, metrics
     })
     const probes = createProbes({
       reachability,
       backendServers: service => serversOf(service).map(server => ({ entry: { id: serverId(service, server), service } }) as Backend),
       async connect ({ entry }) {
         const server = Number(entry.id.split('-').at(-1))
-        vm.probed.push(server)
+        vm.probed.push({ server, isCutOff: reachability.isCutOff(entry.service) })
         await clock.sleep(PROBE_MS)
         return vm.isLinked(entry.service, server)
       },
--- a/src/core/forwarding-vm/partition.ts
+++ b/src/core/forwarding-vm/partition.ts
@@ -33,6 +33,7 @@
   const reachability = createReachability({
     self,
     serverCount: service => usableServers(service).length,
+    onDoubt: (service, failed) => probes.check(service, failed),
     onReturn (service) {
       for (const { entry } of pool.list(service)) {
         pool.forgetConnectFailures(entry.id)
--- a/src/core/peer-forwarding/index.ts
+++ b/src/core/peer-forwarding/index.ts
@@ -74,8 +74,7 @@
 
     /** Headers of a request for another VM: those of the caller and the statement of this VM. */
     encodeHeaders ({ id, method, target, rawHeaders = [] }: CallerRequest, receiver: VmId, origin: Omit<Origin, 'vm'>, bodyBytes: number): string[] {
-      // The receiver reads the first header of this name; one of the caller must not hide that of this VM.
-      const headers = withoutHeader(endToEndHeaders(rawHeaders), FORWARDED_HEADER)
+      const headers = endToEndHeaders(rawHeaders)
       headers.push(FORWARDED_HEADER, encodeOrigin({ vm: self.vm, ...origin }, { receiver, id, method, target }, keys()[0] ?? ''))
       if (bodyBytes > 0 || !['GET', 'HEAD', 'DELETE'].includes(method)) headers.push('Content-Length', String(bodyBytes))
       return headers
--- a/src/core/reachability/constants.ts
+++ b/src/core/reachability/constants.ts
@@ -1,7 +1,11 @@
 /** Times and counts of the decision that a VM has lost its way to a service. */
 
-/** Backend servers that must have failed in a run of failures; one alone may have crashed. */
+/** Backend servers that must have failed in a run of failures for it to be in doubt whether they or this VM is at fault; one alone may have crashed. */
 export const MIN_FAILED_SERVERS = 2
+/** Backend servers that must have failed for the decision, or all of a service with fewer: many of them may have crashed at once. */
+export const MIN_CHECKED_SERVERS = 8
+/** Least pause between two checks of the backend servers that have not failed yet. */
+export const CHECK_PERIOD_MS = 1000
 /** Failed connections that are needed where a service has a single backend server. */
 export const MIN_FAILURES_OF_ONE_SERVER = 2
 /** Time without a failure after which the next one begins a new run: failures that far apart need no common cause. */
--- a/src/core/reachability/index.ts
+++ b/src/core/reachability/index.ts
@@ -9,7 +9,7 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import {
-  DECISION_TIME_MS, MAX_CUT_OFF_AGE_MS, MAX_DISCARDS_OF_ONE_SERVER, MAX_EVIDENCE_AGE_MS, MAX_FAILURE_GAP_MS, MAX_PROBES_TO_RETURN, MAX_REPORT_DELAY_MS, MAX_REPORTED_SERVICES, MAX_REPORTED_VMS, MIN_FAILED_SERVERS,
+  CHECK_PERIOD_MS, DECISION_TIME_MS, MAX_CUT_OFF_AGE_MS, MAX_DISCARDS_OF_ONE_SERVER, MAX_EVIDENCE_AGE_MS, MAX_FAILURE_GAP_MS, MAX_PROBES_TO_RETURN, MAX_REPORT_DELAY_MS, MAX_REPORTED_SERVICES, MAX_REPORTED_VMS, MIN_CHECKED_SERVERS, MIN_FAILED_SERVERS,
   MIN_FAILURES_OF_ONE_SERVER, PROBES_TO_RETURN, STATEMENT_MEMORY_MS, UNSTABLE_AFTER_RETURN_MS
 } from './constants.ts'
 
@@ -54,6 +54,8 @@
   serverCount: (service: ServiceId) => number
   /** Called when this VM reaches a service again. Default: ignored. */
   onReturn?: (service: ServiceId) => void
+  /** Called when several backend servers have failed and connections to some more would decide; `failed` have failed already. Default: ignored. */
+  onDoubt?: (service: ServiceId, failed: ReadonlySet<BackendServerId>) => void
   clock: Pick<Clock, 'now' | 'wallMs'>
   log: Log
   metrics: Metrics
@@ -71,6 +73,8 @@
   probes: ProbeResults
   probesToReturn: number
   returnedMs: number
+  /** Monotonic time of the last check of the backend servers that had not failed. */
+  checkedMs: number
 }
 
 /** Results of probes since the VM is cut off. */
@@ -84,7 +88,7 @@
 
 const createProbeResults = (): ProbeResults => ({ count: 0, backendServers: new Set(), discards: new Map() })
 
-export function createReachability ({ self, serverCount, onReturn = () => {}, clock, log, metrics }: ReachabilityOptions): Reachability {
+export function createReachability ({ self, serverCount, onReturn = () => {}, onDoubt = () => {}, clock, log, metrics }: ReachabilityOptions): Reachability {
   const services = new Map<ServiceId, ServiceState>()
   /** What other VMs have said that they are cut off from, and when. */
   const cutOffVms = new Map<VmId, Statement & { services: ReadonlySet<ServiceId> }>()
@@ -96,7 +100,7 @@
     const known = services.get(service)
     if (known) return known
     const created: ServiceState = {
-      openedMs: -Infinity, others: new Map(), failures: undefined, wasCutOff: false, probes: createProbeResults(), probesToReturn: PROBES_TO_RETURN, returnedMs: -Infinity
+      openedMs: -Infinity, others: new Map(), failures: undefined, wasCutOff: false, probes: createProbeResults(), probesToReturn: PROBES_TO_RETURN, returnedMs: -Infinity, checkedMs: -Infinity
     }
     services.set(service, created)
     return created
@@ -130,11 +134,22 @@
   function isCutOff (service: ServiceId): boolean {
     const state = services.get(service)
     if (!state) return false
-    const isLost = isDoubtful(service) && hasEvidence(state, state.failures!)
+    const isLost = isDoubtful(service) && (state.wasCutOff || hasCheckedEnough(service, state.failures!)) && hasEvidence(state, state.failures!)
     if (isLost !== state.wasCutOff) recordChange(service, state, isLost)
     return isLost
   }
 
+  /** Whether so many backend servers have failed that it cannot be they. */
+  function hasCheckedEnough (service: ServiceId, { backendServers }: { backendServers: ReadonlySet<BackendServerId> }): boolean {
+    return backendServers.size >= Math.min(MIN_CHECKED_SERVERS, serverCount(service))
+  }
+
+  function checkIfDue (service: ServiceId, state: ServiceState): void {
+    if (state.wasCutOff || !isDoubtful(service) || hasCheckedEnough(service, state.failures!) || clock.now() - state.checkedMs < CHECK_PERIOD_MS) return
+    state.checkedMs = clock.now()
+    onDoubt(service, state.failures!.backendServers)
+  }
+
   /** Whether another VM has opened a connection since the failures began, and lately. */
   function hasEvidence (state: ServiceState, { sinceMs }: { sinceMs: number }): boolean {
     const openedMs = latestOther(state)?.atMs ?? -Infinity
@@ -238,7 +253,10 @@
   return {
     recordConnection (service, backendServer, isOpen) {
       const state = stateOf(service)
-      if (!isOpen) return recordFailure(state, backendServer)
+      if (!isOpen) {
+        recordFailure(state, backendServer)
+        return checkIfDue(service, state)
+      }
       // While cut off, only probes decide, so that one connection through a bad link does not end the state.
       if (!isCutOff(service)) recordOpen(service, state)
     },
--- a/src/core/reachability/probes.ts
+++ b/src/core/reachability/probes.ts
@@ -1,15 +1,15 @@
 /**
- * Probes of the services that this VM is cut off from: it opens a connection to one backend server after the other, so that
- * no request is risked to find out whether the way is back.
+ * Connections that are opened without a request: to one backend server after the other of a service that this VM is cut off
+ * from, to find out whether the way is back, and to several at once when it is in doubt whether it is lost.
  */
 import type { Backend } from '../backend-pool/types.ts'
 import type { Clock, TimerCancel } from '../clock/index.ts'
-import type { ServiceId } from '../ids/index.ts'
-import { PROBE_PERIOD_MS, PROBE_TIMEOUT_MS } from './constants.ts'
+import type { BackendServerId, ServiceId } from '../ids/index.ts'
+import { MIN_CHECKED_SERVERS, PROBE_PERIOD_MS, PROBE_TIMEOUT_MS } from './constants.ts'
 import type { Reachability } from './index.ts'
 
 export interface ProbesOptions {
-  reachability: Pick<Reachability, 'lostServices' | 'recordProbe'>
+  reachability: Pick<Reachability, 'lostServices' | 'recordProbe' | 'recordConnection'>
   /** Backend servers of a service that may get requests, unless they are suspended. */
   backendServers: (service: ServiceId) => readonly Backend[]
   /** Opens a connection and closes it; resolves with whether it was opened in time. */
@@ -19,6 +19,8 @@
 }
 
 export interface Probes {
+  /** Opens connections to so many other backend servers that those which have failed make up enough for the decision. */
+  check(service: ServiceId, failed: ReadonlySet<BackendServerId>): void
   start(): void
   stop(): void
 }
@@ -46,7 +48,17 @@
     })
   }
 
+  async function checkServer (service: ServiceId, backend: Backend): Promise<void> {
+    reachability.recordConnection(service, backend.entry.id, await connect(backend, PROBE_TIMEOUT_MS))
+  }
+
   return {
+    check (service, failed) {
+      const others = backendServers(service).filter(({ entry }) => !failed.has(entry.id))
+      const start = Math.floor(random() * others.length)
+      const checked = [...others.slice(start), ...others.slice(0, start)].slice(0, MIN_CHECKED_SERVERS - failed.size)
+      for (const backend of checked) void checkServer(service, backend)
+    },
     start: schedule,
     stop () {
       cancel?.()
