Send brittle backend servers no more than they have slots for

Cause: backend servers may say that they fail if they must reject more than N requests a second, counted over all VMs. The VMs knew nothing of it; each of them sends on the load reports, which are up to a second old, and so many of them send what only one has room for.

A rejection starts a pause of holders / N seconds, which the load reports pass on; then one request tests whether there is room. Nothing changes for other services.

--- a/features/steps/capacity-loan.ts
+++ b/features/steps/capacity-loan.ts
@@ -197,7 +197,7 @@
         if (event === 'the backend server leaves') isPermitted = false
         if (event === 'the loan expires') isValid = false
         if (event === 'the request ends') progress.isFinished = true
-        return { isValid: () => isValid }
+        return { isValid: () => isValid, end () {} }
       }
     },
     queue: createCapacityQueue(clock),
--- a/features/support/forwarding-vm-harness.ts
+++ b/features/support/forwarding-vm-harness.ts
@@ -66,6 +66,7 @@
   decodeBackendHead (request, status, headers: HeaderMap, raw): BackendResponseHead {
     const confidence = firstValue(headers['x-test-confidence'])
     const limit = firstValue(headers['x-test-limit'])
+    const tolerated = firstValue(headers['x-test-tolerated-rejections'])
     return {
       status,
       notRun: headers['x-test-not-run'] !== undefined || status === 421,
@@ -74,6 +75,7 @@
       leaving: headers['x-test-leaving'] !== undefined,
       requestedPauseMs: status === 503 && headers['x-test-pause-ms'] !== undefined ? Number(firstValue(headers['x-test-pause-ms'])) : undefined,
       namedLimit: limit === undefined ? undefined : Number(limit),
+      toleratedRejections: tolerated === undefined ? undefined : Number.isFinite(Number(tolerated)) ? Number(tolerated) : 'unreadable',
       confidence: confidence === undefined ? undefined : Number(confidence),
       headers: forwardedHeaders(raw)
     }
--- a/features/support/load-exchange.ts
+++ b/features/support/load-exchange.ts
@@ -13,13 +13,15 @@
   exchangeOf(vm: VmId): LoadExchange
   recentEvidence(): FleetEvidence | undefined
   onEvidence(evidence: FleetEvidence): void
+  /** Default: no load. */
+  ownLoad?: LoadExchangeOptions['ownLoad']
   ownUsage?: LoadExchangeOptions['ownUsage']
   /** Whether no report reaches or leaves a VM. Default: none. */
   isCut?(vm: VmId): boolean
   clock: Clock
 }
 
-export function startConnectedExchange ({ self, names, exchangeOf, recentEvidence, onEvidence, ownUsage = () => undefined, isCut = () => false, clock }: ConnectedExchangeOptions): LoadExchange {
+export function startConnectedExchange ({ self, names, exchangeOf, recentEvidence, onEvidence, ownLoad = () => ({}), ownUsage = () => undefined, isCut = () => false, clock }: ConnectedExchangeOptions): LoadExchange {
   const deliver = (to: VmId, report: VmReport) => {
     if (isCut(self) || isCut(to)) throw new Error('unreachable')
     return exchangeOf(to).accept(self, structuredClone(report))
@@ -27,7 +29,7 @@
   const exchange = createLoadExchange({
     vms: () => names,
     self,
-    ownLoad: () => ({}),
+    ownLoad,
     ownUsage,
     recentEvidence,
     onEvidence,
--- a/src/core/backend-pool/constants.ts
+++ b/src/core/backend-pool/constants.ts
@@ -37,3 +37,19 @@
 export const SHARE_HANDOVER_MS = 2100
 /** Orders of the VMs that are kept; more than the backend servers of a large site, and bounded because these come and go. */
 export const MAX_CACHED_ORDERS = 1000
+/** Time for which a VM remembers that a backend server that has left was brittle, for its successors; it is back after some seconds. */
+export const BRITTLE_MEMORY_MS = 60_000
+/**
+ * Time from the start of a brittle time for which the reported load counts as well: requests that were sent before have
+ * no slot. Later on it does not, because the reports are up to a second old and would leave slots unused.
+ */
+export const BRITTLE_TRANSITION_MS = 10_000
+/** Time from the start of a brittle time in which rejections are those of requests that were sent before all VMs knew of it. */
+export const BRITTLE_NOTICE_MS = 1500
+/** Shortest and longest pause of a VM after a brittle backend server has rejected a request; the tolerated rejections are counted over a second. */
+export const MIN_REJECTION_PAUSE_MS = 1000
+export const MAX_REJECTION_PAUSE_MS = 5000
+/** Tolerated rejections per second from which a pause is calculated if none are tolerated. */
+export const MIN_TOLERATED_RATE = 0.2
+/** Time after which a VM looks again for a slot at a brittle backend server; an answer may end at any time. */
+export const SLOT_RETRY_MS = 60
--- a/src/core/backend-pool/index.ts
+++ b/src/core/backend-pool/index.ts
@@ -4,11 +4,13 @@
  * expire during the outage and are written again with the next heartbeat of the backend server.
  */
 import type { Clock, TimerCancel } from '../clock/index.ts'
+import type { BackendResponseHead } from '../forwarding/types.ts'
 import type { BackendServerId, DataCentreId, ServiceId, VmId } from '../ids/index.ts'
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { createAnnouncedDepartures, processIdentity, type ReportedDepartures } from './announced-departures.ts'
-import { COLD_SAFETY_FACTOR, COLD_WINDOW_MS, FAILURE_RATE_AGE_MS, FAILURE_RATE_WEIGHT, FIRST_SUSPENSION_MS, MAX_REQUESTED_PAUSE_MS, MAX_SUSPENSION_MS, NAMED_LIMIT_WINDOW_MS, STORE_RECOVERY_GRACE_MS } from './constants.ts'
+import { createBrittleLimits, type BrittleLimits } from './brittle-limits.ts'
+import { COLD_SAFETY_FACTOR, COLD_WINDOW_MS, FAILURE_RATE_AGE_MS, FAILURE_RATE_WEIGHT, FIRST_SUSPENSION_MS, MAX_REQUESTED_PAUSE_MS, MAX_SUSPENSION_MS, NAMED_LIMIT_WINDOW_MS, SLOT_RETRY_MS, STORE_RECOVERY_GRACE_MS } from './constants.ts'
 import { createLimitShares } from './limit-shares.ts'
 import { createNamedLimits, type NamedLimits } from './named-limits.ts'
 import type { Backend, BackendEntry, RequestLoad, Reservation } from './types.ts'
@@ -40,8 +42,19 @@
 export interface ReserveOptions {
   /** Whether another VM has lent the request, so that it does not count against the shares of this one. Default: false. */
   isLent?: boolean
+  /** Called once when the request has ended. Default: ignored. */
+  onEnd?: (() => void) | undefined
 }
 
+/** Loan of a slot of a brittle backend server. */
+export interface SlotLoan { loan: string, forMs: number }
+
+/** What became of the borrower's request. */
+export type SlotLoanResult = 'accepted' | 'rejected' | 'unused'
+
+/** Parts of the head of an answer that concern the room at its backend server. */
+export type RoomStatement = Pick<BackendResponseHead, 'toleratedRejections' | 'authentic' | 'notRun' | 'namedLimit'>
+
 export interface BackendPool {
   /** Replaces all entries. */
   applySnapshot(entries: readonly BackendEntry[]): void
@@ -59,29 +72,39 @@
   list(service: ServiceId): Backend[]
   /** Limits that backend servers have named in their answers. */
   namedLimits: NamedLimits
+  /** Backend servers that fail if they must reject more than a few requests. */
+  brittle: BrittleLimits
   /**
    * Time until this VM's shares of the limit for a cold backend server and of the limit that it has named permit one more
    * request, in milliseconds; 0 if they do now, Infinity if a share is nothing. `nowMs` is the monotonic time, which a
-   * caller that asks for many backend servers reads once.
+   * caller that asks for many backend servers reads once. While this VM has no free slot of a brittle one, it is the time
+   * after which to look again.
    */
   rateWaitMs(backend: Backend, nowMs?: number): number
   /** Whether other VMs hold a limit of a backend server and lend requests. */
   isLent(backend: Backend): boolean
   /** The VMs that lend requests to a backend server within all of its limits. */
   lendersOf(backend: Backend): readonly VmId[]
-  /** Takes one request from this VM's shares for another VM, which may send it within `forMs`; returns whether one was left. */
-  lend(backendServer: BackendServerId, forMs: number): boolean
+  /**
+   * Takes one request from this VM's shares for another VM, which may send it within `forMs`; returns whether one was left.
+   * The loan of a slot of a brittle backend server ends with `endSlotLoan`, or after its own `forMs`.
+   */
+  lend(backendServer: BackendServerId, forMs: number, slotLoan?: SlotLoan): boolean
   /**
    * Takes capacity for one request. Must be called in the same synchronous step as the checks of the limits, so that the
    * next request that is checked finds the capacity taken.
    */
   reserve(backend: Backend, load: RequestLoad, options?: ReserveOptions): Reservation
   recordConnectFailure(backend: Backend): void
+  /** Records what an answer says about the room for further requests at a backend server that may be brittle. */
+  recordRoom(backend: Backend, statement: RoomStatement): void
   /**
    * Records that another backend server answered at the address: the entry's process has ended, and the backend server gets
    * no more requests until its entry names another process.
    */
   recordMisdirected(backend: Backend): void
+  /** Takes back a lent slot of a brittle backend server. */
+  endSlotLoan(backendServer: BackendServerId, loan: string, result: SlotLoanResult): void
   /** Records that an answer of the backend server says that it leaves; it gets no more requests until it starts anew. */
   recordLeaving(backend: Backend): void
   /** Records that a backend server has turned a request away and wants none from this VM for that time. */
@@ -106,6 +129,7 @@
 export function createBackendPool ({ cold, onReturn = () => {}, clock, log, metrics }: BackendPoolOptions): BackendPool {
   const backends = new Map<BackendServerId, Backend>()
   const namedLimits = createNamedLimits({ isKnown: id => backends.has(id), clock, log })
+  const brittle = createBrittleLimits({ self: cold.self, serviceOf: id => backends.get(id)?.entry.service, clock, log, metrics })
   const departures = createAnnouncedDepartures({ clock })
   const shares = createLimitShares({ vms: cold.vms, self: cold.self, clock })
   /** Recent sends to backend servers that were removed; the entry of such a one may be written again. */
@@ -193,10 +217,11 @@
   }
 
   /** Smallest number of requests that the limits of a backend server permit in their windows; Infinity without limits. */
-  function smallestLimit ({ entry: { id, service } }: Backend): number {
+  function smallestLimit ({ entry }: Backend): number {
+    const { id, service } = entry
     const coldLimit = cold.limit(service)
     const named = namedLimits.get(id)
-    return Math.min(coldLimit === 0 ? Infinity : coldRequests(coldLimit), named ? namedRequests(named.rate) : Infinity)
+    return Math.min(coldLimit === 0 ? Infinity : coldRequests(coldLimit), named ? namedRequests(named.rate) : Infinity, brittle.tolerated(entry) === undefined ? Infinity : entry.slots)
   }
 
   /** Time until one more request may follow the earlier ones, of which a window may contain `share`; 0 if it may now. */
@@ -218,8 +243,15 @@
     return waitMs(recentSends.filter(sentMs => sentMs >= limit.sinceMs), shares.shareOf(id, namedRequests(limit.rate)), NAMED_LIMIT_WINDOW_MS, nowMs)
   }
 
-  function reserve (backend: Backend, { running, prompt }: RequestLoad, { isLent = false }: ReserveOptions = {}): Reservation {
+  function slotWaitMs (backend: Backend): number {
+    if (brittle.tolerated(backend.entry) === undefined) return 0
+    return brittle.usedSlots(backend) < shares.shareOf(backend.entry.id, backend.entry.slots) ? 0 : SLOT_RETRY_MS
+  }
+
+  function reserve (backend: Backend, { running, prompt }: RequestLoad, { isLent = false, onEnd = () => {} }: ReserveOptions = {}): Reservation {
     const reservedMs = clock.now()
+    const endTest = brittle.startTest(backend.entry.id)
+    const returnSlot = isLent ? brittle.borrowSlot(backend) : undefined
     let promptLoad = prompt
     if (!isLent) recordSend(backend, reservedMs)
     backend.inFlight++
@@ -234,6 +266,9 @@
       endPrompt()
       backend.load -= running
       backend.inFlight--
+      endTest()
+      returnSlot?.()
+      onEnd()
     }
 
     return {
@@ -263,6 +298,12 @@
     log.info('backend server is leaving', { backendServer: backend.entry.id, service: backend.entry.service, source: 'answer' })
   }
 
+  function recordRejection (backend: Backend): void {
+    if (brittle.tolerated(backend.entry) === undefined) return
+    metrics.count('brittle_services', 'rejections')
+    brittle.recordRejection(backend.entry, shares.lendersOf(backend.entry.id, smallestLimit(backend)).length)
+  }
+
   function recordSend ({ recentSends }: Backend, sentMs: number): void {
     recentSends.push(sentMs)
     // A lent request may be sent a little later than the next one of this VM.
@@ -272,7 +313,7 @@
   function rateWaitMs (backend: Backend, nowMs = clock.now()): number {
     const oldestMs = nowMs - NAMED_LIMIT_WINDOW_MS
     if (backend.recentSends.length > 0 && backend.recentSends[0]! < oldestMs) backend.recentSends = backend.recentSends.filter(sentMs => sentMs >= oldestMs)
-    return Math.max(coldWaitMs(backend, nowMs), namedWaitMs(backend, nowMs))
+    return Math.max(coldWaitMs(backend, nowMs), namedWaitMs(backend, nowMs), slotWaitMs(backend))
   }
 
   return {
@@ -305,13 +346,15 @@
     },
     list: ofService,
     namedLimits,
+    brittle,
     rateWaitMs,
     isLent: backend => shares.isLent(smallestLimit(backend)),
     lendersOf: backend => shares.lendersOf(backend.entry.id, smallestLimit(backend)),
-    lend (id, forMs) {
+    lend (id, forMs, slotLoan) {
       const backend = backends.get(id)
-      if (!backend || rateWaitMs(backend) > 0) return false
+      if (!backend || rateWaitMs(backend) > 0 || brittle.isHeldBack(backend, 0)) return false
       recordSend(backend, clock.now() + forMs)
+      if (slotLoan && brittle.tolerated(backend.entry) !== undefined) brittle.lendSlot(id, slotLoan.loan, slotLoan.forMs)
       return true
     },
     reserve,
@@ -321,6 +364,19 @@
       metrics.count('backend_failures', 'connect')
       log.warn('backend server cannot be reached', { backendServer: backend.entry.id, suspendedMs })
     },
+    recordRoom (backend, { toleratedRejections: tolerated, authentic, notRun, namedLimit }) {
+      const { entry } = backend
+      if (tolerated === 'unreadable') metrics.count('bad_input', 'tolerated_rejections')
+      else if (tolerated !== undefined || (authentic && !notRun)) brittle.record(entry, tolerated)
+      if (authentic && !notRun) brittle.recordAccepted(entry.id)
+      else if (notRun && namedLimit === undefined) recordRejection(backend)
+    },
+    endSlotLoan (id, loan, result) {
+      const backend = backends.get(id)
+      if (backend && result === 'rejected') recordRejection(backend)
+      if (result === 'accepted') brittle.recordAccepted(id)
+      brittle.endLoan(id, loan)
+    },
     recordMisdirected (backend) {
       metrics.count('backend_failures', 'misdirected')
       if (!backend.isMisdirected) log.warn('another backend server answers at the address of this one', { backendServer: backend.entry.id, address: backend.entry.address })
--- a/src/core/forwarding-vm/assignment.ts
+++ b/src/core/forwarding-vm/assignment.ts
@@ -94,8 +94,10 @@
     return (table()?.service(service)?.maxConnections ?? Infinity) / vmCount()
   }
 
-  /** Whether the backend server has capacity within its slots and this VM's part of its connections; two requests are always allowed. */
-  function hasCapacity ({ entry, inFlight }: Backend, connections: number): boolean {
+  /** Whether the backend server has capacity within its slots and this VM's part of its connections; two requests are always allowed, unless it is brittle. */
+  function hasCapacity (backend: Backend, connections: number): boolean {
+    const { entry, inFlight } = backend
+    if (pool.brittle.tolerated(entry) !== undefined) return inFlight < Math.max(1, Math.min(connections, entry.slots)) && !pool.brittle.isHeldBack(backend, loads.othersLoad(entry.id))
     return inFlight < Math.max(2, Math.min(connections, entry.slots))
   }
 
--- a/src/core/forwarding-vm/capacity.ts
+++ b/src/core/forwarding-vm/capacity.ts
@@ -44,7 +44,7 @@
    * Borrows a request where this VM has none of its own. Goes on to the next backend server if no request is left for one,
    * and starts again after a short pause until `untilMs`.
    */
-  async function borrow (assignment: Assignment, load: RequestLoad, progress: RequestProgress, { untilMs, excluded = [] }: { untilMs: number, excluded?: Iterable<Backend> }): Promise<Reservation | undefined> {
+  async function borrow (assignment: Assignment, load: RequestLoad, progress: RequestProgress, { untilMs, slotMs, excluded = [] }: { untilMs: number, slotMs?: number | undefined, excluded?: Iterable<Backend> }): Promise<Reservation | undefined> {
     for (;;) {
       const refused = new Set<Backend>(excluded)
       const maxRefused = refused.size + MAX_LOANS_REFUSED
@@ -53,10 +53,14 @@
         const backend = assignment.choose(candidate => !refused.has(candidate) && (pool.isLent(candidate) || hasShare(candidate)))
         if (!backend) break
         if (hasShare(backend)) return pool.reserve(backend, load)
-        const loan = await loans.borrow(backend)
-        if (progress.isFinished) return undefined
+        const loan = await loans.borrow(backend, slotMs)
+        if (progress.isFinished) {
+          loan?.end('unused')
+          return undefined
+        }
         // The backend server may have left or filled up meanwhile, and this process may have been paused.
-        if (loan?.isValid() && assignment.permits(backend)) return pool.reserve(backend, load, { isLent: true })
+        if (loan?.isValid() && assignment.permits(backend)) return pool.reserve(backend, load, { isLent: true, onEnd: () => loan.end('used') })
+        loan?.end('unused')
         refused.add(backend)
       }
       if (clock.now() >= untilMs) return undefined
@@ -78,7 +82,7 @@
         return await fairCapacity.reserve(forwarded, progress, remainingMs, {
           isLent: () => pool.eligible(service).some(pool.isLent),
           tryReserve,
-          borrow: () => borrow(assignment, load, progress, { untilMs: clock.now() }),
+          borrow: () => borrow(assignment, load, progress, { untilMs: clock.now(), slotMs: remainingMs }),
           rateWaitMs () {
             const nowMs = clock.now()
             return Math.min(...pool.eligible(service).map(backend => pool.rateWaitMs(backend, nowMs)))
@@ -86,7 +90,7 @@
         })
       }
       const timeoutMs = Math.min(MAX_CAPACITY_WAIT_MS, remainingMs * CAPACITY_WAIT_SHARE)
-      if (pool.eligible(service).some(pool.isLent)) return await borrow(assignment, load, progress, { untilMs: clock.now() + timeoutMs })
+      if (pool.eligible(service).some(pool.isLent)) return await borrow(assignment, load, progress, { untilMs: clock.now() + timeoutMs, slotMs: remainingMs })
       const reserved = queue.size(service) === 0 ? tryReserve() : undefined
       // Waiting can succeed if the rate limits permit a request in that time, even if all backend servers are full now.
       const mayGainCapacity = () => pool.eligible(service).some(backend => pool.rateWaitMs(backend) <= timeoutMs)
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -246,11 +246,13 @@
     self: settings.vm,
     isLive: fleet.isLive,
     request: (to, body, timeoutMs) => fleet.peers.request(to, 'capacity.borrow', body, { timeoutMs }),
+    notify: (to, body) => fleet.peers.notify(to, 'capacity.return', body),
     clock,
     metrics,
     random
   })
   fleet.peers.handle('capacity.borrow', loans.accept)
+  fleet.peers.handle('capacity.return', loans.acceptReturn)
 
   if (shares) {
     metrics.gaugeBy('wait_estimate_error_ms', 'Mean difference between wait and estimate', 'service', () => [...waits.quality()].map(([service, { errorMs }]) => [service, errorMs]))
@@ -284,7 +286,9 @@
       pool.recordConnectFailure(backend)
       pacing.recordConnectFailure(backend.entry.id)
     },
-    recordAvailability (backend, { leaving, requestedPauseMs }) {
+    recordAvailability (backend, head) {
+      const { leaving, requestedPauseMs } = head
+      pool.recordRoom(backend, head)
       if (leaving) pool.recordLeaving(backend)
       if (requestedPauseMs) pool.recordRequestedPause(backend, requestedPauseMs)
     },
--- a/src/core/forwarding-vm/load-reports.ts
+++ b/src/core/forwarding-vm/load-reports.ts
@@ -56,12 +56,13 @@
       const departures = pool.recentDepartures()
       const paces = pacing.report(audience)
       return withoutMissing({
-        promptParts, limits: hasLimits ? limits : undefined, departures, paces, trialSessions: trials.sessionsReport(audience), refusals: refusals.report()
+        promptParts, limits: hasLimits ? limits : undefined, brittle: pool.brittle.report(), departures, paces, trialSessions: trials.sessionsReport(audience), refusals: refusals.report()
       })
     },
-    onEvidence ({ promptParts, limits, departures, paces, trialSessions, refusals: refusing }, from) {
+    onEvidence ({ promptParts, limits, brittle, departures, paces, trialSessions, refusals: refusing }, from) {
       if (promptParts) partQuarantine.merge(promptParts)
       if (limits) pool.namedLimits.merge(limits)
+      if (brittle) pool.brittle.merge(brittle)
       if (departures) pool.mergeDepartures(departures)
       if (paces) pacing.merge(paces, { isRelay: isRelayedFrom(from) })
       if (trialSessions) trials.mergeSessions(trialSessions)
--- a/src/core/forwarding/types.ts
+++ b/src/core/forwarding/types.ts
@@ -123,6 +123,8 @@
   requestedPauseMs: number | undefined
   /** Requests per second that the backend server takes from all VMs together, if it names such a limit. */
   namedLimit: number | undefined
+  /** Requests per second that the backend server can reject for want of room without failing, if it says so. */
+  toleratedRejections: number | 'unreadable' | undefined
   /** The model's confidence in its response, from 0 to 100. */
   confidence: number | undefined
   /** Headers for the caller, with alternating names and values and without hop-by-hop headers. */
--- a/src/core/load-exchange/index.ts
+++ b/src/core/load-exchange/index.ts
@@ -7,6 +7,7 @@
  * backend servers that only some VMs have seen.
  */
 import type { ReportedDepartures } from '../backend-pool/announced-departures.ts'
+import type { ReportedBrittle } from '../backend-pool/brittle-limits.ts'
 import type { ReportedLimits } from '../backend-pool/named-limits.ts'
 import type { Clock, TimerCancel } from '../clock/index.ts'
 import type { UsageReport } from '../fair-share/team-usage.ts'
@@ -26,7 +27,7 @@
 export interface VmReport { loads: LoadReport, evidence?: FleetEvidence, configVersion?: number, usage?: UsageReport }
 
 /** Evidence that one VM has and all must know; receivers pass on what is new to them. */
-export interface FleetEvidence { promptParts?: PartEvidence, limits?: ReportedLimits, departures?: ReportedDepartures, paces?: PaceReport, trialSessions?: TrialSessionsReport, refusals?: RefusalReport }
+export interface FleetEvidence { promptParts?: PartEvidence, limits?: ReportedLimits, brittle?: ReportedBrittle, departures?: ReportedDepartures, paces?: PaceReport, trialSessions?: TrialSessionsReport, refusals?: RefusalReport }
 
 /** The VMs that sum the reports of a large fleet. */
 export interface Collectors {
--- a/src/core/metrics/index.ts
+++ b/src/core/metrics/index.ts
@@ -10,7 +10,7 @@
   'requests', 'refusals', 'retries', 'resumes', 'escalations', 'permits_granted', 'permits_refused', 'backend_crashes',
   'cold_starts', 'lease_changes', 'config_applied', 'config_conflicts', 'object_api_calls', 'object_api_failures',
   'peer_failures', 'claims', 'billing_records', 'billing_flushes', 'budget_reservations', 'session_pins',
-  'quarantined', 'ratings', 'rollout_steps', 'local_admission', 'membership_changes', 'streams', 'bad_input', 'backend_failures',
+  'quarantined', 'ratings', 'rollout_steps', 'local_admission', 'membership_changes', 'streams', 'bad_input', 'backend_failures', 'brittle_services',
   'feed_source', 'feed_relay_failures', 'capacity_loans', 'resource_limits', 'model_choices', 'start_waits', 'fair_shares', 'backend_speeds', 'backend_returns'
 ] as const
 export type CounterName = typeof COUNTER_NAMES[number]
