Report only a few brittle servers of a service to the other VMs

Cause: each load report carried all brittle backend servers of a service, about 40 bytes each, 30 KB a report with 800 servers. One is enough to make the service brittle at the receiver.

Change: a report has four of a service, those in a pause and the ends.

--- a/src/core/backend-pool/brittle-limits.ts
+++ b/src/core/backend-pool/brittle-limits.ts
@@ -9,7 +9,7 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { hashFraction } from '../placement/rendezvous.ts'
-import { BRITTLE_MEMORY_MS, BRITTLE_NOTICE_MS, BRITTLE_TRANSITION_MS, ENDED_LIMIT_REPORT_MS, MAX_REJECTION_PAUSE_MS, MIN_REJECTION_PAUSE_MS, MIN_TOLERATED_RATE } from './constants.ts'
+import { BRITTLE_MEMORY_MS, BRITTLE_NOTICE_MS, BRITTLE_TRANSITION_MS, ENDED_LIMIT_REPORT_MS, MAX_REJECTION_PAUSE_MS, MAX_REPORTED_BRITTLE, MIN_REJECTION_PAUSE_MS, MIN_TOLERATED_RATE } from './constants.ts'
 import type { Backend, BackendEntry } from './types.ts'
 
 /** Tolerated rejections per second, null if the latest answer named none; age of the answer and rest of a pause in milliseconds. */
@@ -37,7 +37,7 @@
   recordRejection(entry: BackendEntry, holders: number): void
   /** Records that a backend server has accepted a request. */
   recordAccepted(backend: BackendServerId): void
-  /** Statements and pauses for the other VMs; `undefined` if there are none. */
+  /** Pauses, ended statements and a few others of each service, for the other VMs; `undefined` if there are none. */
   report(): ReportedBrittle | undefined
   merge(reported: ReportedBrittle): void
 }
@@ -195,9 +195,16 @@
     report () {
       forgetOld()
       if (statements.size === 0) return undefined
-      return Object.fromEntries([...statements].map(([id, { tolerated: named, answeredMs }]) => {
-        return [id, [named ?? null, Math.round(clock.now() - answeredMs), pauses.get(id)?.isOwn ? pauseMs(id) : 0]]
-      })) as ReportedBrittle
+      const counts = new Map<ServiceId, number>()
+      const reported: [BackendServerId, ReportedBrittleness][] = []
+      for (const [id, { service, tolerated: named, answeredMs }] of [...statements].sort(([, left], [, right]) => right.answeredMs - left.answeredMs)) {
+        const pausedMs = pauses.get(id)?.isOwn ? pauseMs(id) : 0
+        const count = counts.get(service) ?? 0
+        if (named !== undefined && pausedMs === 0 && count >= MAX_REPORTED_BRITTLE) continue
+        if (named !== undefined) counts.set(service, count + 1)
+        reported.push([id, [named ?? null, Math.round(clock.now() - answeredMs), pausedMs]])
+      }
+      return Object.fromEntries(reported) as ReportedBrittle
     },
     merge (reported) {
       for (const [key, [named, ageMs, pausedMs]] of Object.entries(reported)) {
--- a/src/core/backend-pool/constants.ts
+++ b/src/core/backend-pool/constants.ts
@@ -44,6 +44,8 @@
  * no slot. Later on it does not, because the reports are up to a second old and would leave slots unused.
  */
 export const BRITTLE_TRANSITION_MS = 10_000
+/** Brittle backend servers of a service that a VM reports besides those in a pause; one is enough to make the service brittle, and all of a large service would be 30 KB a report. */
+export const MAX_REPORTED_BRITTLE = 4
 /** Time from the start of a brittle time in which rejections are those of requests that were sent before all VMs knew of it. */
 export const BRITTLE_NOTICE_MS = 1500
 /** Shortest and longest pause of a VM after a brittle backend server has rejected a request; the tolerated rejections are counted over a second. */
