Name the waits of the scenarios with several VMs apart

Cause: the step "N ms pass" exists for the configuration lease, and a second definition made four scenarios ambiguous.

Measured: a dry run of all features reports no ambiguous or undefined step.

--- a/features/steps/peer-forwarding.ts
+++ b/features/steps/peer-forwarding.ts
@@ -88,7 +88,7 @@
   for (const number of numbers.split(',')) await cut(this, vmAt(this, number), state)
 })
 
-When(/^(\d+) ms pass(?: with callers)?$/, { timeout: 20_000 }, async function (this: PeerWorld, ms: string) {
+When(/^(\d+) ms pass with callers$/, { timeout: 20_000 }, async function (this: PeerWorld, ms: string) {
   await sleep(Number(ms))
 })
 
