Answer 502 when a further VM refuses a request that may have run

Cause: after the loss of one receiver, the refusal of the next one was passed on as it is, unless its status was 503. A caller got 401, which says that nothing has run, for a request that one VM had sent.

Change: a refusal that states that the request has not run becomes 502 once an earlier attempt may have run it.

Measured: the scenario got 401 before and gets 502 now.

--- a/features/peer-forwarding.feature
+++ b/features/peer-forwarding.feature
@@ -253,3 +253,13 @@
     And VM 1 gets a read with the task break
     Then the answer has status 502
     And it has run 2 times
+
+  # Guards against a refusal of a further VM that tells the caller nothing has run, after the first one may have run the request.
+  Scenario: a key that is withdrawn after a lost run gives 502
+    Given 3 forwarding VMs of which VM 1 is cut off
+    When VM 1 gets a read with the task late 1000
+    And the request runs
+    And VM 1 does not take version 2 of the configuration, which withdraws the key
+    And the VM that serves it ends
+    Then the answer has status 502
+    And it has run 1 time
--- a/src/core/forwarding/peer-attempt.ts
+++ b/src/core/forwarding/peer-attempt.ts
@@ -136,10 +136,11 @@
       uncountAttempt()
       return { kind: 'next', reason: name }
     }
-    if (catalogueEntry(name).run !== 'not_run') progress.mayHaveRun = true
+    const isNotRun = catalogueEntry(name).run === 'not_run'
+    if (!isNotRun) progress.mayHaveRun = true
     // This VM has kept an attempt.
     if (name === 'backend_failed') return retryOrFail(route, undefined, 'failed at another VM')
-    return { kind: 'failed', error: progress.mayHaveRun && status === 503 ? 'backend_failed' : name, reason: 'failed at another VM', retryAfterMs }
+    return { kind: 'failed', error: progress.mayHaveRun && (isNotRun || status === 503) ? 'backend_failed' : name, reason: 'failed at another VM', retryAfterMs }
   }
 
   async function relayStream (forwarded: ForwardedRequest, progress: RequestProgress, { exchange, head, body, deadlineMs, cancelResponseTimer }: ReceivedResponse): Promise<AttemptOutcome> {
