Ask other VMs about a service of which they have no callers

A VM counts as cut off only if another VM has opened a connection since its failures began.

A VM in doubt asks three others, which open a connection to one backend server and answer with their report. A VM that finds the service gone does not ask further ones, so an outage costs three messages a second and VM. The new scenario of a service without other callers fails without the inquiry.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -46,6 +46,24 @@
     And all VMs reach chat except every second server
     Then no VM is cut off from chat in the next 5000 ms
 
+  # Guards against a VM that takes its partition for the end of a service, because no other VM has callers for it.
+  Scenario: a VM whose service has no callers elsewhere asks other VMs
+    Given 9 VMs and the service chat with 4 servers
+    And the VMs ask each other in doubt
+    And VM 1 serves callers of chat
+    When 3000 ms pass for the VMs
+    And VM 1 loses chat
+    And 2000 ms pass for the VMs
+    Then VM 1 is cut off from chat
+
+  Scenario: a VM whose service is gone for all hears so from the others
+    Given 9 VMs and the service chat with 4 servers
+    And the VMs ask each other in doubt
+    And VM 1 serves callers of chat
+    When 3000 ms pass for the VMs
+    And all VMs lose chat
+    Then no VM is cut off from chat in the next 8000 ms
+
   # Guards against a VM that stays connected for lack of a second backend server.
   Scenario: two failures at the only server of a service cut a VM off
     Given 2 VMs and the service chat with 1 server
--- a/features/steps/reachability.ts
+++ b/features/steps/reachability.ts
@@ -67,6 +67,10 @@
   }
 })
 
+Given('the VMs ask each other in doubt', function (this: ReachabilityWorld) {
+  for (const asking of this.fleet.vms) asking.isAsking = true
+})
+
 When(/^the reports of VM (\d+) (are lost|arrive)$/, function (this: ReachabilityWorld, number: string, how: string) {
   vm(this, number).isReporting = how === 'arrive'
 })
--- a/features/support/reaching-vms.ts
+++ b/features/support/reaching-vms.ts
@@ -4,6 +4,7 @@
 import { brandId, type BackendServerId, type ServiceId, type VmId } from '../../src/core/ids/index.ts'
 import { silentLog } from '../../src/core/logging/index.ts'
 import { createMetrics, type Metrics } from '../../src/core/metrics/index.ts'
+import { createInquiries } from '../../src/core/reachability/inquiries.ts'
 import { createReachability, type Reachability } from '../../src/core/reachability/index.ts'
 import { createProbes, type Probes } from '../../src/core/reachability/probes.ts'
 import { createRandom } from '../../src/standin/random.ts'
@@ -23,6 +24,10 @@
   isLinked: (service: ServiceId, server: number) => boolean
   /** Whether the reports of the VM arrive. */
   isReporting: boolean
+  /** Whether the VM asks others in doubt. */
+  isAsking: boolean
+  /** Answers another VM that asks about a service. */
+  answer: (service: unknown) => Promise<unknown>
   returns: number
   /** Connections without a request, and whether the VM was cut off then. */
   probed: { server: number, isCutOff: boolean }[]
@@ -43,21 +48,38 @@
   function createVm (id: VmId): ReachingVm {
     const metrics = createMetrics()
     const reachability = createReachability({
-      self: id, serverCount: service => services.get(service) ?? 0, onReturn () { vm.returns++ }, onDoubt: (service, failed) => vm.probes.check(service, failed), clock, log: silentLog, metrics
+      self: id,
+      serverCount: service => services.get(service) ?? 0,
+      onReturn () { vm.returns++ },
+      clock,
+      log: silentLog,
+      metrics,
+      onDoubt (service, failed) {
+        probes.check(service, failed)
+        if (vm.isAsking) void inquiries.begin(service)
+      }
     })
-    const probes = createProbes({
+    const backendServers = (service: ServiceId) => serversOf(service).map(server => ({ entry: { id: serverId(service, server), service } }) as Backend)
+    async function connect ({ entry }: Backend): Promise<boolean> {
+      const server = Number(entry.id.split('-').at(-1))
+      vm.probed.push({ server, isCutOff: reachability.isCutOff(entry.service) })
+      await clock.sleep(PROBE_MS)
+      return vm.isLinked(entry.service, server)
+    }
+    const probes = createProbes({ reachability, backendServers, connect, clock, random })
+    const inquiries = createInquiries({
       reachability,
-      backendServers: service => serversOf(service).map(server => ({ entry: { id: serverId(service, server), service } }) as Backend),
-      async connect ({ entry }) {
-        const server = Number(entry.id.split('-').at(-1))
-        vm.probed.push({ server, isCutOff: reachability.isCutOff(entry.service) })
-        await clock.sleep(PROBE_MS)
-        return vm.isLinked(entry.service, server)
+      backendServers,
+      connect,
+      otherVms: () => vms.filter(other => other !== vm).map(other => other.id),
+      async ask (to, service) {
+        await clock.sleep(2 * delayMs)
+        return JSON.parse(JSON.stringify(await vms.find(other => other.id === to)!.answer(service) ?? null))
       },
       clock,
       random
     })
-    const vm: ReachingVm = { id, reachability, probes, metrics, requested: new Set(), isLinked: () => true, isReporting: true, returns: 0, probed: [] }
+    const vm: ReachingVm = { id, reachability, probes, metrics, requested: new Set(), isLinked: () => true, isReporting: true, isAsking: false, answer: inquiries.answer, returns: 0, probed: [] }
     probes.start()
     // The reports of the VMs are not sent at the same time.
     clock.after(REPORT_PERIOD_MS * random(), () => clock.every(REPORT_PERIOD_MS, () => { sendReport(vm) }))
--- a/src/core/forwarding-vm/partition.ts
+++ b/src/core/forwarding-vm/partition.ts
@@ -9,6 +9,7 @@
 import type { Pacing } from '../pacing/index.ts'
 import { createPeerForwarding } from '../peer-forwarding/index.ts'
 import { createControl } from '../reachability/control.ts'
+import { createInquiries } from '../reachability/inquiries.ts'
 import { createReachability } from '../reachability/index.ts'
 import { createProbes } from '../reachability/probes.ts'
 import type { FleetRefusals } from '../resource-limits/index.ts'
@@ -33,7 +34,10 @@
   const reachability = createReachability({
     self,
     serverCount: service => usableServers(service).length,
-    onDoubt: (service, failed) => probes.check(service, failed),
+    onDoubt (service, failed) {
+      probes.check(service, failed)
+      void inquiries.begin(service)
+    },
     onReturn (service) {
       for (const { entry } of pool.list(service)) {
         pool.forgetConnectFailures(entry.id)
@@ -50,6 +54,16 @@
     return connection !== undefined
   }
   const probes = createProbes({ reachability, backendServers: usableServers, connect, clock, random })
+  const inquiries = createInquiries({
+    reachability,
+    backendServers: usableServers,
+    connect,
+    otherVms: () => fleet.liveVms().filter(vm => vm !== self),
+    ask: (vm, service, timeoutMs) => fleet.peers.request(vm, 'reachability.ask', service, { timeoutMs }),
+    clock,
+    random
+  })
+  fleet.peers.handle('reachability.ask', inquiries.answer)
   const control = createControl({ backendServers: usableServers, connect, clock, random })
   const peers = createPeerForwarding({
     self: { vm: self, dataCentre },
--- a/src/core/peer/types.ts
+++ b/src/core/peer/types.ts
@@ -7,7 +7,7 @@
   | 'permit.request' | 'permit.release' | 'permit.sync' | 'leader.summary'
   | 'billing.witness' | 'billing.drop'
   | 'rollout.outcomes'
-  | 'load.report' | 'feeds.poll' | 'traffic-config.get' | 'traffic-config.version' | 'capacity.borrow' | 'capacity.return'
+  | 'load.report' | 'feeds.poll' | 'traffic-config.get' | 'traffic-config.version' | 'capacity.borrow' | 'capacity.return' | 'reachability.ask'
   | 'quarantine.report' | 'quarantine.parts' | 'explain.get' | 'answer.join'
 
 /** Handles one message. The returned value is sent as the answer to a request and ignored for a notification. */
--- a/src/core/reachability/constants.ts
+++ b/src/core/reachability/constants.ts
@@ -6,6 +6,12 @@
 export const MIN_CHECKED_SERVERS = 8
 /** Least pause between two checks of the backend servers that have not failed yet. */
 export const CHECK_PERIOD_MS = 1000
+/** VMs that are asked whether they reach a service; one of them may be partitioned as well. */
+export const ASKED_VMS = 3
+/** Timeout of the answer, which may take a connection. */
+export const INQUIRY_TIMEOUT_MS = 800
+/** Least pause between two connections of a VM for inquiries about a service. */
+export const MIN_INQUIRY_PROBE_PAUSE_MS = 200
 /** Failed connections that are needed where a service has a single backend server. */
 export const MIN_FAILURES_OF_ONE_SERVER = 2
 /** Time without a failure after which the next one begins a new run: failures that far apart need no common cause. */
--- a/src/core/reachability/index.ts
+++ b/src/core/reachability/index.ts
@@ -54,7 +54,7 @@
   serverCount: (service: ServiceId) => number
   /** Called when this VM reaches a service again. Default: ignored. */
   onReturn?: (service: ServiceId) => void
-  /** Called when several backend servers have failed and connections to some more would decide; `failed` have failed already. Default: ignored. */
+  /** Called when several backend servers have failed and more evidence would decide; `failed` have failed already. Default: ignored. */
   onDoubt?: (service: ServiceId, failed: ReadonlySet<BackendServerId>) => void
   clock: Pick<Clock, 'now' | 'wallMs'>
   log: Log
@@ -145,7 +145,7 @@
   }
 
   function checkIfDue (service: ServiceId, state: ServiceState): void {
-    if (state.wasCutOff || !isDoubtful(service) || hasCheckedEnough(service, state.failures!) || clock.now() - state.checkedMs < CHECK_PERIOD_MS) return
+    if (!isDoubtful(service) || isCutOff(service) || clock.now() - state.checkedMs < CHECK_PERIOD_MS) return
     state.checkedMs = clock.now()
     onDoubt(service, state.failures!.backendServers)
   }
--- a/src/core/reachability/probes.ts
+++ b/src/core/reachability/probes.ts
@@ -56,7 +56,7 @@
     check (service, failed) {
       const others = backendServers(service).filter(({ entry }) => !failed.has(entry.id))
       const start = Math.floor(random() * others.length)
-      const checked = [...others.slice(start), ...others.slice(0, start)].slice(0, MIN_CHECKED_SERVERS - failed.size)
+      const checked = [...others.slice(start), ...others.slice(0, start)].slice(0, Math.max(0, MIN_CHECKED_SERVERS - failed.size))
       for (const backend of checked) void checkServer(service, backend)
     },
     start: schedule,
