Wait for the decision before connection attempts run out

With links that refuse connections, the first requests after a cut used up their four connection attempts within milliseconds and got 503, before the reports of the others could show that this VM alone is cut off.

A request that another VM has handed on does not wait.

--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -175,7 +175,10 @@
     if (progress.attempts + progress.earlierAttempts >= progress.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
     if (peers?.isRefused(service, forwarded.request)) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : 'vm_cut_off', reason: 'cut off from the service' }
     if (!progress.replacement && mustHandOn(forwarded)) return await handOn(forwarded, progress, deadlineMs)
-    if (!progress.replacement && progress.connectAttempts >= MAX_CONNECT_ATTEMPTS) return { kind: 'failed', error: noAttemptError, reason: 'connection attempt limit reached' }
+    if (!progress.replacement && progress.connectAttempts >= MAX_CONNECT_ATTEMPTS) {
+      await awaitDecision(forwarded, progress)
+      return mustHandOn(forwarded) ? await handOn(forwarded, progress, deadlineMs) : { kind: 'failed', error: noAttemptError, reason: 'connection attempt limit reached' }
+    }
     const reserved = progress.replacement ?? await reserveFirst(forwarded, progress, deadlineMs)
     progress.replacement = undefined
     const obstacle = findObstacle(forwarded, progress, deadlineMs, reserved !== undefined)
@@ -190,10 +193,16 @@
   async function reserveFirst (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number): Promise<ReservedAttempt | undefined> {
     const reservation = await options.reserveCapacity(forwarded, progress, deadlineMs - clock.now())
     if (reservation) return { reservation }
-    for (let waitMs = doubtMs(forwarded.service); waitMs > 0 && !progress.isFinished && !mustHandOn(forwarded); waitMs = doubtMs(forwarded.service)) await clock.sleep(Math.min(waitMs, DOUBT_CHECK_PERIOD_MS))
+    await awaitDecision(forwarded, progress)
     return undefined
   }
 
+  /** Waits while it is in doubt whether this VM is cut off from the service, because another VM could serve the request then. */
+  async function awaitDecision (forwarded: ForwardedRequest, progress: RequestProgress): Promise<void> {
+    if (forwarded.request.origin) return
+    for (let waitMs = doubtMs(forwarded.service); waitMs > 0 && !progress.isFinished && !mustHandOn(forwarded); waitMs = doubtMs(forwarded.service)) await clock.sleep(Math.min(waitMs, DOUBT_CHECK_PERIOD_MS))
+  }
+
   /** Sends the request through another VM. */
   async function handOn (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number): Promise<AttemptOutcome> {
     const obstacle = findObstacle(forwarded, progress, deadlineMs, true)
