Answer 504 at the deadline while a replacement may be running

A late idempotent request whose replacement had been sent got 503, which says that it has not run, when its running attempt was refused and its deadline came within the 200 ms in which the replacement may still be refused. Such a request may run, and gets 504 now. The new scenario got 503 before.

--- a/features/replacement.feature
+++ b/features/replacement.feature
@@ -61,6 +61,12 @@
     Then the caller of the forwarder gets 200 with the events 1, 2, 3, 4 and the end
     And 1 retry is used up and no capacity is taken
 
+  # Guards against a refusal that says that a request has not run while the replacement that was sent may run it.
+  Scenario: a request whose replacement has been sent does not count as not run at the deadline
+    Given a forwarder with 5 retries, replacements that take 5 ms and backend servers that not-run-late, silent
+    When it forwards an idempotent request with a deadline of 300 ms
+    Then the caller of the forwarder gets 504
+
   # Guards against a response that is abandoned although its replacement has no time left.
   Scenario: a low-confidence response is delivered when its replacement is reserved too late
     Given a forwarder with 5 retries, replacements that take 230 ms by the clock and backend servers that stream-low-confidence, stream
--- a/features/steps/replacement.ts
+++ b/features/steps/replacement.ts
@@ -129,6 +129,10 @@
 
 When('it forwards an idempotent request', async function (this: ReplacementWorld) { await forward(this, 'idempotent') })
 
+When(/^it forwards an idempotent request with a deadline of (\d+) ms$/, async function (this: ReplacementWorld, deadlineMs: string) {
+  await forward(this, 'idempotent', { deadlineMs: Number(deadlineMs) })
+})
+
 When(/^it forwards (a stream|an idempotent request) with a choice of models and a deadline of (\d+) ms$/, async function (this: ReplacementWorld, request: string, deadlineMs: string) {
   await forward(this, request === 'a stream' ? 'streaming' : 'idempotent', { models: [brandId<ModelId>('small'), brandId<ModelId>('large')], deadlineMs: Number(deadlineMs) })
 })
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -3,7 +3,7 @@
 
 /** How a backend server responds to one request. */
 export type BackendBehaviour =
-  | 'answer' | 'answer-late' | 'answer-after-1500-ms' | 'crash' | 'answer-limited' | 'answer-leaving' | 'not-run-pause' | 'answer-500' | 'answer-500-late' | 'answer-404' | 'answer-503' | 'answer-429' | 'answer-408' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
+  | 'answer' | 'answer-late' | 'answer-after-1500-ms' | 'crash' | 'answer-limited' | 'answer-leaving' | 'not-run-pause' | 'answer-500' | 'answer-500-late' | 'answer-503-late' | 'not-run-late' | 'answer-404' | 'answer-503' | 'answer-429' | 'answer-408' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
   | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
   | 'low-status' | 'switch-protocols' | 'empty-header-name' | 'stream-empty-header-name' | 'trailer'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
@@ -133,6 +133,8 @@
     'answer-408': () => finish(`HTTP/1.1 408 Request Timeout\r\n${identityHeaders}content-length: 6\r\n\r\nfailed`),
     'answer-404': () => finish(`HTTP/1.1 404 Not Found\r\n${identityHeaders}content-length: 6\r\n\r\nfailed`),
     'answer-500-late': () => setTimeout(() => behaviours['answer-500'](), 650),
+    'answer-503-late': () => setTimeout(() => behaviours['answer-503'](), 520),
+    'not-run-late': () => setTimeout(() => behaviours['not-run'](), 260),
     'not-run': () => finish('HTTP/1.1 503 Service Unavailable\r\nx-test-not-run: 1\r\ncontent-length: 0\r\n\r\n'),
     misdirected: () => finish('HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n'),
     reset: () => { socket.resetAndDestroy() },
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -128,7 +128,8 @@
 
     async function endAtDeadline (): Promise<void> {
       await readPendingInput()
-      finish(progress.mayHaveRun || progress.currentExchange ? 'backend_timeout' : 'overloaded', 'deadline')
+      const mayRun = progress.mayHaveRun || progress.currentExchange || progress.offer || progress.taken
+      finish(mayRun ? 'backend_timeout' : 'overloaded', 'deadline')
     }
 
     function finish (error: ErrorName, reason: string, statedRetryAfterMs?: number): void {
