Use a replacement that was sent when the running attempt fails

While a replacement is offered, the running attempt may answer with a failure. The VM then asked for a further replacement, and without a retry for it the caller got 502, although the replacement that had been sent and paid for was taken. The replacement that is taken is used now, unless another model is wanted. The new scenario, with one retry, failed before.

--- a/features/replacement.feature
+++ b/features/replacement.feature
@@ -67,6 +67,13 @@
     When it forwards an idempotent request with a deadline of 300 ms
     Then the caller of the forwarder gets 504
 
+  # Guards against a sent replacement that is withdrawn for lack of a further retry when the running attempt fails meanwhile.
+  Scenario: a replacement that was sent answers for an attempt that fails meanwhile
+    Given a forwarder with 1 retry, replacements that take 5 ms and backend servers that answer-503-late, answer-late
+    When it forwards an idempotent request
+    Then the caller of the forwarder gets 200 with whole
+    And 1 retry is used up and no capacity is taken
+
   # Guards against a response that is abandoned although its replacement has no time left.
   Scenario: a low-confidence response is delivered when its replacement is reserved too late
     Given a forwarder with 5 retries, replacements that take 230 ms by the clock and backend servers that stream-low-confidence, stream
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -289,6 +289,7 @@
     const reserveRepeat = async (repeat: Pick<ReplacementRequest, 'hasFailed' | 'model' | 'fraction'>) => {
       await progress.pendingReplacement?.settled
       await progress.offer
+      if (progress.taken && repeat.model === progress.model) return true
       return await replacements.reserve(forwarded, progress, deadlineMs, { excluded: NONE_EXCLUDED, ...repeat })
     }
     let awaitsResponse = true
