Ask for capacity again when the doubt about a partition ends

Requests without capacity wait for the decision whether their VM is cut off. The new scenario failed before.

--- a/features/peer-forwarding.feature
+++ b/features/peer-forwarding.feature
@@ -17,6 +17,13 @@
       | reset       |
       | new_refused |
 
+  # Guards against requests that wait for the decision and are refused although the backend servers are reached again.
+  Scenario: requests are served after links that refuse for a moment
+    Given 2 forwarding VMs with callers
+    When the links of VM 1 are refused for 250 ms
+    And 1500 ms pass with callers
+    Then the requests at VM 1 from 0 ms after the cut are served within 600 ms
+
   # Guards against an order that runs a second time because the VM it was handed to has ended.
   Scenario: an order whose receiver ends while it runs gets 502 and has run once
     Given 3 forwarding VMs of which VM 1 is cut off
--- a/features/steps/peer-forwarding.ts
+++ b/features/steps/peer-forwarding.ts
@@ -88,6 +88,14 @@
   for (const number of numbers.split(',')) await cut(this, vmAt(this, number), state)
 })
 
+When(/^the links of VM (\d) are (\w+) for (\d+) ms$/, async function (this: PeerWorld, number: string, state: LinkState, ms: string) {
+  await cut(this, vmAt(this, number), state)
+  const { cutMs } = this
+  await sleep(Number(ms))
+  await cut(this, vmAt(this, number), 'open')
+  this.cutMs = cutMs
+})
+
 When(/^(\d+) ms pass with callers$/, { timeout: 20_000 }, async function (this: PeerWorld, ms: string) {
   await sleep(Number(ms))
 })
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -192,16 +192,21 @@
   }
 
   async function reserveFirst (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number): Promise<ReservedAttempt | undefined> {
-    const reservation = await options.reserveCapacity(forwarded, progress, deadlineMs - clock.now())
-    if (reservation) return { reservation }
-    await awaitDecision(forwarded, progress)
-    return undefined
+    const reserve = async () => await options.reserveCapacity(forwarded, progress, deadlineMs - clock.now())
+    let reservation = await reserve()
+    // The service may have been reached again meanwhile.
+    if (!reservation && await awaitDecision(forwarded, progress) && !mustHandOn(forwarded)) reservation = await reserve()
+    return reservation && { reservation }
   }
 
-  /** Waits while it is in doubt whether this VM is cut off from the service, because another VM could serve the request then. */
-  async function awaitDecision (forwarded: ForwardedRequest, progress: RequestProgress): Promise<void> {
-    if (forwarded.request.origin) return
+  /**
+   * Waits while it is in doubt whether this VM is cut off from the service, because another VM could serve the request then.
+   * Returns whether the request still needs a way after a wait.
+   */
+  async function awaitDecision (forwarded: ForwardedRequest, progress: RequestProgress): Promise<boolean> {
+    if (forwarded.request.origin || doubtMs(forwarded.service) === 0) return false
     for (let waitMs = doubtMs(forwarded.service); waitMs > 0 && !progress.isFinished && !mustHandOn(forwarded); waitMs = doubtMs(forwarded.service)) await clock.sleep(Math.min(waitMs, DOUBT_CHECK_PERIOD_MS))
+    return !progress.isFinished
   }
 
   /** Sends the request through another VM. */
