Mark the refusal of a handed on request while the decision is open

A VM that got a handed on request while it was in doubt itself answered permit_refused, which the VM that handed it on passes to the caller in place of trying a further VM. It answers vm_cut_off now.

--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -187,6 +187,7 @@
     if (reserved) replacements.cancel(service, reserved)
     // The VM may have turned out to be cut off while the request waited for capacity.
     if (!obstacle && mustHandOn(forwarded)) return await handOn(forwarded, progress, deadlineMs)
+    if (!obstacle && !reserved && isCutOffFrom(forwarded)) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : 'vm_cut_off', reason: 'cut off from the service' }
     const { error = noAttemptError, reason = 'no backend server has room' } = progress.capacityRefusal ?? {}
     return obstacle ?? { kind: 'failed', error, reason }
   }
@@ -209,6 +210,11 @@
     return !progress.isFinished
   }
 
+  /** Whether a request that another VM has handed on cannot be served here either, as far as it is known. */
+  function isCutOffFrom ({ service, request }: ForwardedRequest): boolean {
+    return peers !== undefined && request.origin !== undefined && (peers.isRefused(service, request) || doubtMs(service) > 0)
+  }
+
   /** Sends the request through another VM. */
   async function handOn (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number): Promise<AttemptOutcome> {
     const obstacle = findObstacle(forwarded, progress, deadlineMs, true)
