Count no connection as failed that the quarantine gave up

A request that was quarantined while its connection opened suspended the backend server and began a run of failures, which is evidence of a partition.

--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -353,7 +353,7 @@
       progress.hasFailed = true
       endAttempt('not_run')
       // A connection that was given up with its request, at the deadline or when the caller left, has not failed.
-      if (kind === 'not_sent' && !progress.isFinished) options.recordConnection(backend, false)
+      if (kind === 'not_sent' && !progress.isFinished && reason !== QUARANTINE_REASON) options.recordConnection(backend, false)
       return { kind: 'next', reason, backend }
     }
     progress.mayHaveRun = true
