Name the decision of a cut-off VM by the usual terms

Replaces 'lost its way' and 'the way is back' in comments and messages, and the names isNeeded, isRefused, isNews and isEnough, which a reader of the review could not place. No change of behaviour.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -1,5 +1,5 @@
 @reachability
-Feature: A VM decides that it has lost its way to a service, without a network
+Feature: A VM decides that it is cut off from a service, without a network
 
   # Guards against a VM that never learns of its partition, learns it later than 2 s, or does not return.
   Scenario: a partitioned VM is cut off within 2 s and returns within 2 s
@@ -203,7 +203,7 @@
       | 1       | 1+                   | cut off from     |
       | 1       | 1+ 1+                | not cut off from |
 
-  # Guards against requests that are risked to find out whether the way is back, and against a connection that ends the state.
+  # Guards against requests that are risked to find out whether the service can be reached again, and against a connection that ends the state.
   Scenario: a connection for a request does not end the state
     Given 2 VMs and the service chat with 4 servers
     And VM 1 is cut off from chat by callers of VM 2
--- a/src/core/errors/catalogue.ts
+++ b/src/core/errors/catalogue.ts
@@ -38,7 +38,7 @@
   billing_lost: entry(503, 'ran', 'The request ran, but its billing record could not be stored safely, so the answer is withheld.', 'Send the same request with the same Idempotency-Key again.'),
   vm_leaving: entry(503, 'not_run', 'This VM is leaving and takes no new work.', 'Use one of the addresses in `entry_points`.'),
   vm_isolated: entry(503, 'not_run', 'This VM is isolated from the others and takes no new work.', 'Use another address from GET /v1/entry-points.'),
-  vm_cut_off: entry(503, 'not_run', 'This VM has no way to the backend servers of the service now.', 'Use another address or retry after the time given in Retry-After.'),
+  vm_cut_off: entry(503, 'not_run', 'This VM cannot reach the backend servers of the service now.', 'Use another address or retry after the time given in Retry-After.'),
   vm_outdated: entry(503, 'not_run', 'This VM has an older configuration than the one that handed the request on.', 'Use another address or retry shortly.'),
   vm_not_ready: entry(503, 'not_run', 'This VM has not loaded its configuration yet.', 'Use another address or retry shortly.'),
   no_leader: entry(503, 'not_run', 'No data centre that serves this version has a leader now.', 'Retry after the time given in Retry-After.'),
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -106,7 +106,7 @@
     log,
     metrics
   })
-  const mustHandOn = ({ service, request }: ForwardedRequest) => peers?.isNeeded(service, request) ?? false
+  const mustHandOn = ({ service, request }: ForwardedRequest) => peers?.mustForward(service, request) ?? false
 
   /** Forwards the request and sends the response to the caller; never rejects. */
   async function forward (forwarded: ForwardedRequest): Promise<void> {
@@ -122,7 +122,7 @@
       progress.heldAnswer?.drop()
       metrics.count('requests', 'caller_gone')
     })
-    // The VM that sends a request counts it.
+    // The VM that sends the request to a backend server counts it.
     if (!mustHandOn(forwarded) && progress.earlierAttempts === 0) retryAllowance(service).recordRequest()
     escalations.chooseFirstModel(forwarded, progress)
 
@@ -174,7 +174,7 @@
     if (deadlineMs - clock.now() < MIN_ATTEMPT_MS) return outOfTime(progress)
     if (isQuarantined(progress)) return quarantineOutcome(progress)
     if (progress.attempts + progress.earlierAttempts >= progress.maxAttempts) return { kind: 'failed', error: noAttemptError, reason: 'attempt limit reached' }
-    if (peers?.isRefused(service, forwarded.request)) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : 'vm_cut_off', reason: 'cut off from the service' }
+    if (peers?.mustRefuse(service, forwarded.request)) return { kind: 'failed', error: progress.mayHaveRun ? 'backend_failed' : 'vm_cut_off', reason: 'cut off from the service' }
     if (!progress.replacement && mustHandOn(forwarded)) return await handOn(forwarded, progress, deadlineMs)
     if (!progress.replacement && progress.connectAttempts >= MAX_CONNECT_ATTEMPTS) {
       await awaitDecision(forwarded, progress)
@@ -212,14 +212,14 @@
 
   /** Whether a request that another VM has handed on cannot be served here either, as far as it is known. */
   function isCutOffFrom ({ service, request }: ForwardedRequest): boolean {
-    return peers !== undefined && request.origin !== undefined && (peers.isRefused(service, request) || doubtMs(service) > 0)
+    return peers !== undefined && request.origin !== undefined && (peers.mustRefuse(service, request) || doubtMs(service) > 0)
   }
 
   /** Sends the request through another VM. */
   async function handOn (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number): Promise<AttemptOutcome> {
     const obstacle = findObstacle(forwarded, progress, deadlineMs, true)
     if (obstacle) return obstacle
-    // Returned with the request if it is not sent.
+    // The retry that was taken is given back at the end of the request if it is not sent.
     progress.retryReserved = progress.attempts > 0
     const peer = await peerAttempts!.openPeer(forwarded, progress)
     if (peer && !progress.isFinished) return await peerAttempts!.send(forwarded, progress, deadlineMs, peer)
--- a/src/core/forwarding/peer-attempt.ts
+++ b/src/core/forwarding/peer-attempt.ts
@@ -128,7 +128,7 @@
     return outcome
   }
 
-  /** Another VM is tried if this one only speaks for itself; any other error is that of the request. */
+  /** Another VM is tried after an error of the receiver itself; any other error is that of the request. */
   function endWithError ({ route }: ForwardedRequest, progress: RequestProgress, { error, status, retryAfterMs, uncountAttempt }: { error: string, status: number, retryAfterMs: number | undefined, uncountAttempt: () => void }): AttemptOutcome {
     metrics.count('peer_forwarding', VM_ERRORS.has(error) ? 'refused' : 'failed')
     const name = isErrorName(error) ? error : 'backend_failed'
@@ -138,7 +138,7 @@
     }
     const isNotRun = catalogueEntry(name).run === 'not_run'
     if (!isNotRun) progress.mayHaveRun = true
-    // This VM has kept an attempt.
+    // One attempt was not granted to the receiver, see attemptsToGrant.
     if (name === 'backend_failed') return retryOrFail(route, undefined, 'failed at another VM')
     return { kind: 'failed', error: progress.mayHaveRun && (isNotRun || status === 503) ? 'backend_failed' : name, reason: 'failed at another VM', retryAfterMs }
   }
--- a/src/core/peer-forwarding/index.ts
+++ b/src/core/peer-forwarding/index.ts
@@ -1,5 +1,5 @@
 /**
- * Hands requests to other VMs while this one has lost its way to their service, and reads what other VMs hand on. Which
+ * Hands requests to other VMs while this one is cut off from their service, and reads what other VMs hand on. Which
  * services these are is decided in `reachability`.
  */
 import type { Socket } from 'node:net'
@@ -48,10 +48,10 @@
 
   return {
     /** Whether a request must go through another VM. One that another VM has handed on is never handed on again. */
-    isNeeded: (service: ServiceId, { origin }: CallerRequest): boolean => origin === undefined && isCutOff(service),
+    mustForward: (service: ServiceId, { origin }: CallerRequest): boolean => origin === undefined && isCutOff(service),
 
     /** Whether a request that another VM has handed on cannot be served here either. */
-    isRefused: (service: ServiceId, { origin }: CallerRequest): boolean => origin !== undefined && isCutOff(service),
+    mustRefuse: (service: ServiceId, { origin }: CallerRequest): boolean => origin !== undefined && isCutOff(service),
 
     /** Opens a connection to a VM that reaches the service; adds the VMs that it tries. Resolves with `undefined` if there is none. */
     async open (service: ServiceId, tried: Set<VmId>): Promise<PeerConnection | undefined> {
--- a/src/core/reachability/constants.ts
+++ b/src/core/reachability/constants.ts
@@ -1,4 +1,4 @@
-/** Times and counts of the decision that a VM has lost its way to a service. */
+/** Times and counts of the decision that a VM is cut off from a service. */
 
 /** Backend servers that must have failed in a run of failures for it to be in doubt whether they or this VM is at fault; one alone may have crashed. */
 export const MIN_FAILED_SERVERS = 2
@@ -16,7 +16,7 @@
 export const MIN_FAILURES_OF_ONE_SERVER = 2
 /** Time without a failure after which the next one begins a new run: failures that far apart need no common cause. */
 export const MAX_FAILURE_GAP_MS = 5000
-/** Time by which the way of a report may make a connection look newer than it is: one opened before a service was gone for all must not count as later. */
+/** Time by which the delay of a report may make a connection look newer than it is: one opened before a service was gone for all must not count as later. */
 export const MAX_REPORT_DELAY_MS = 300
 /** Age from which on a connection of another VM no longer proves that the service can be reached; several periods of the load reports. */
 export const MAX_EVIDENCE_AGE_MS = 3000
--- a/src/core/reachability/index.ts
+++ b/src/core/reachability/index.ts
@@ -1,5 +1,5 @@
 /**
- * Decides for each service whether this VM has lost its way to it: its own connections to several backend servers fail in
+ * Decides for each service whether this VM is cut off from it: its own connections to several backend servers fail in
  * a row, while other VMs still open connections to the same service. It answers partitions between some VMs and all
  * backend servers, where the requests of this VM can still be served through another one. If nobody reaches the
  * service, it is gone, and no VM counts as cut off.
@@ -30,7 +30,7 @@
 export interface Reachability {
   /** Records whether a connection of this VM to a backend server was opened. */
   recordConnection(service: ServiceId, backendServer: BackendServerId, isOpen: boolean): void
-  /** Whether this VM has lost its way to a service that other VMs reach. */
+  /** Whether this VM is cut off from a service that other VMs reach. */
   isCutOff(service: ServiceId): boolean
   /** Whether connections to several backend servers have failed since one was opened, so that a failure says nothing about a single one. */
   isDoubtful(service: ServiceId): boolean
@@ -40,7 +40,7 @@
   isVmCutOff(vm: VmId, service?: ServiceId): boolean
   /** Services that this VM is cut off from. */
   lostServices(): ServiceId[]
-  /** Records the result of a connection that was opened to find out whether the way is back. */
+  /** Records the result of a connection that was opened to find out whether the service can be reached again. */
   recordProbe(service: ServiceId, backendServer: BackendServerId, isOpen: boolean): void
   /** What is known, for the other VMs; `undefined` if it is nothing. */
   report(): ReachabilityReport | undefined
@@ -94,7 +94,7 @@
   const cutOffVms = new Map<VmId, Statement & { services: ReadonlySet<ServiceId> }>()
   /** By the wall clock at the start, so that stamps also grow over a restart, and do not fall when the wall clock is set back. */
   const firstStamp = clock.wallMs() - clock.now()
-  metrics.gaugeBy('cut_off', 'Whether this VM has lost its way to a service', 'service', () => [...services.keys()].map(service => [service, isCutOff(service) ? 1 : 0] as const))
+  metrics.gaugeBy('cut_off', 'Whether this VM is cut off from a service', 'service', () => [...services.keys()].map(service => [service, isCutOff(service) ? 1 : 0] as const))
 
   function stateOf (service: ServiceId): ServiceState {
     const known = services.get(service)
@@ -169,10 +169,10 @@
   }
 
   function recordOpen (service: ServiceId, state: ServiceState): void {
-    const hadLost = state.wasCutOff
+    const wasCutOff = state.wasCutOff
     state.openedMs = clock.now()
     state.failures = undefined
-    if (!hadLost) return
+    if (!wasCutOff) return
     state.returnedMs = clock.now()
     recordChange(service, state, false)
     onReturn(service)
@@ -196,7 +196,7 @@
     probes.backendServers.clear()
   }
 
-  function isEnough ({ probes, probesToReturn }: ServiceState, service: ServiceId): boolean {
+  function hasEnoughProbes ({ probes, probesToReturn }: ServiceState, service: ServiceId): boolean {
     const goneServers = [...probes.discards.values()].filter(discards => discards >= MAX_DISCARDS_OF_ONE_SERVER).length
     return probes.count >= probesToReturn && probes.backendServers.size >= Math.min(2, serverCount(service) - goneServers)
   }
@@ -236,7 +236,7 @@
       if (!isAge(ageMs, MAX_EVIDENCE_AGE_MS) || typeof vm !== 'string' || vm === self || !isStamp(stamp)) continue
       const { others } = stateOf(service)
       const statement = { atMs: clock.now() - ageMs, stamp }
-      if (isNews(statement, others.get(vm as VmId))) others.set(vm as VmId, statement)
+      if (isNewer(statement, others.get(vm as VmId))) others.set(vm as VmId, statement)
     }
   }
 
@@ -246,7 +246,7 @@
       const [ageMs, lost, stamp] = known as [unknown, unknown, unknown]
       if (!isAge(ageMs, MAX_CUT_OFF_AGE_MS) || !isStamp(stamp) || !Array.isArray(lost) || !lost.every(service => typeof service === 'string')) continue
       const statement = { atMs: clock.now() - ageMs, stamp, services: new Set(lost.slice(0, MAX_REPORTED_SERVICES) as ServiceId[]) }
-      if (isNews(statement, cutOffVms.get(vm))) cutOffVms.set(vm, statement)
+      if (isNewer(statement, cutOffVms.get(vm))) cutOffVms.set(vm, statement)
     }
   }
 
@@ -283,7 +283,7 @@
       probes.count++
       probes.backendServers.add(backendServer)
       probes.discards.delete(backendServer)
-      if (isEnough(state, service)) recordOpen(service, state)
+      if (hasEnoughProbes(state, service)) recordOpen(service, state)
     },
     report () {
       const reached = [...services].flatMap(([service, state]) => {
@@ -307,7 +307,7 @@
 }
 
 /** Whether a statement is newer than the one that is known, or a copy of it that came by a faster way and has its time more exactly. */
-function isNews ({ atMs, stamp }: Statement, known: Statement | undefined): boolean {
+function isNewer ({ atMs, stamp }: Statement, known: Statement | undefined): boolean {
   return !known || stamp > known.stamp || (stamp === known.stamp && atMs < known.atMs)
 }
 
--- a/src/core/reachability/probes.ts
+++ b/src/core/reachability/probes.ts
@@ -1,6 +1,6 @@
 /**
  * Connections that are opened without a request: to one backend server after the other of a service that this VM is cut off
- * from, to find out whether the way is back, and to several at once when it is in doubt whether it is lost.
+ * from, to find out whether it can be reached again, and to several at once while that decision is open.
  */
 import type { Backend } from '../backend-pool/types.ts'
 import type { Clock, TimerCancel } from '../clock/index.ts'
