Bound what a VM holds of a response, however it is split

A chunk of a response is a view of the whole read of up to 64 KiB, so comments of 3 bytes before the first event of a stream kept all that a backend server sent. The same held for unfinished events and for chunks that nobody read yet, and relayed streams were not paused when the byte budget was used up.

All bodies of backend servers and of other VMs now pass one reader, which joins the chunks of a read, charges what is held in full and stops reading while nobody reads or the claim may not grow.

The test callers of replacement.ts now list each event of a write, because the events of one read are written at once.

--- a/features/steps/replacement.ts
+++ b/features/steps/replacement.ts
@@ -106,7 +106,7 @@
     },
     hasStarted: () => hasStarted,
     write (bytes) {
-      world.text += ` ${/^id: (\d+)$/m.exec(bytes.toString())?.[1]}`
+      for (const event of bytes.toString().split('\n\n').slice(0, -1)) world.text += ` ${/^id: (\d+)$/m.exec(event)?.[1]}`
       return true
     },
     onDrain () {},
--- a/features/steps/resource-limits.ts
+++ b/features/steps/resource-limits.ts
@@ -6,7 +6,9 @@
 import fc from 'fast-check'
 import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
 import { createCallerConnection } from '../../src/core/forwarding/caller-connection.ts'
+import { createReadHolds } from '../../src/core/forwarding/read-holds.ts'
 import { readResponse } from '../../src/core/forwarding/relay.ts'
+import { createResponseBody } from '../../src/core/forwarding/response-body.ts'
 import { brandId, type VmId } from '../../src/core/ids/index.ts'
 import type { LoadExchange } from '../../src/core/load-exchange/index.ts'
 import { readInTurns } from '../../src/core/forwarding/new-connection.ts'
@@ -155,8 +157,9 @@
   response.on('error', () => {})
   let chargedBytes = 0
   response.on('data', () => { chargedBytes = Math.max(chargedBytes, budget.usedBytes()) })
-  const exchange = { result: new Promise<never>(() => {}), hasConnectionFailed: () => false, isAborted: () => false, abort () {} }
-  assert.equal(await readResponse(response, exchange, budget.open(holder('a'))), undefined)
+  const claim = budget.open(holder('a'))
+  const body = createResponseBody({ incoming: response, holds: createReadHolds(response.socket), claim, isAborted: () => false })
+  assert.equal(await readResponse(body, { hasConnectionFailed: () => false, isAborted: () => false }, claim), undefined)
   close()
   assert.ok(chargedBytes > 0)
   assert.equal(budget.usedBytes(), 0)
--- a/features/support/forwarding-vm-harness.ts
+++ b/features/support/forwarding-vm-harness.ts
@@ -20,7 +20,7 @@
 const firstValue = (value: string | string[] | undefined) => (Array.isArray(value) ? value[0] : value)
 
 function forwardedHeaders (raw: readonly string[]): string[] {
-  const dropped = new Set(['host', 'connection', 'content-length', 'transfer-encoding', 'authorization'])
+  const dropped = new Set(['host', 'connection', 'content-length', 'transfer-encoding', 'authorization', 'last-event-id'])
   return raw.flatMap((value, index) => (index % 2 === 0 && !dropped.has(value.toLowerCase()) ? [value, raw[index + 1]!] : []))
 }
 
@@ -40,6 +40,7 @@
     const session = firstValue(headers['x-test-session'])
     const waitMs = firstValue(headers['x-test-wait-ms'])
     const model = firstValue(headers['x-test-model'])
+    const lastEventId = firstValue(headers['last-event-id'])
     return {
       id: id === undefined ? undefined : brandId<RequestId>(id),
       method,
@@ -52,7 +53,7 @@
       promptTokens: 100,
       maxOutputTokens: 10,
       prompt: (firstValue(headers['x-test-prompt']) ?? '').split(',').filter(Boolean).map(part => ({ id: part, tokens: 10 })),
-      lastEventId: undefined,
+      lastEventId: lastEventId === undefined ? undefined : Number(lastEventId),
       headers: forwardedHeaders(raw)
     }
   },
--- a/src/core/forwarding/constants.ts
+++ b/src/core/forwarding/constants.ts
@@ -32,6 +32,10 @@
 export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 /** Interim responses (1xx) after which a backend server that sends no final one has failed. */
 export const MAX_INTERIM_RESPONSES = 100
+/** Most header fields of a response; they are kept as strings, which take more memory than their bytes. */
+export const MAX_HEADER_FIELDS = 256
+/** Most bytes of comments before the first event that are kept for the caller; further ones say nothing more. */
+export const MAX_EARLY_COMMENT_BYTES = 16 * 1024
 /** Minimum time that must be left before the deadline for an attempt to start. */
 export const MIN_ATTEMPT_MS = 30
 /** Gap between events, as a multiple of the route's maximum gap, after which a stream is resumed at another backend server. */
--- a/src/core/forwarding/escalation.ts
+++ b/src/core/forwarding/escalation.ts
@@ -2,7 +2,6 @@
  * Applies the choice of models to a forwarded request: sets the model of its first attempt, takes what an escalation
  * needs, and delivers a low-confidence answer that was kept if the larger model fails.
  */
-import type { IncomingMessage } from 'node:http'
 import type { ChoiceRequest, ModelChoice } from '../cascade/model-choice.ts'
 import type { Clock } from '../clock/index.ts'
 import type { ServiceId } from '../ids/index.ts'
@@ -14,6 +13,7 @@
 import { holdAnswer, MAX_HELD_OUTPUT_TOKENS, MAX_HELD_WAIT_MS } from './held-answer.ts'
 import type { ReplacementRequest } from './replacement.ts'
 import type { RequestProgress } from './request-progress.ts'
+import type { ResponseBody } from './response-body.ts'
 import type { RetryAllowance } from './retry-allowance.ts'
 import type { BackendResponseHead } from './types.ts'
 
@@ -21,7 +21,7 @@
 export interface UnsentResponse {
   exchange: Exchange
   head: BackendResponseHead
-  body: IncomingMessage
+  body: ResponseBody
   deadlineMs: number
   /** Takes a retry and capacity at any backend server. */
   reserveRepeat(options: Pick<ReplacementRequest, 'hasFailed' | 'model' | 'fraction'>): Promise<boolean>
--- a/src/core/forwarding/exchange.ts
+++ b/src/core/forwarding/exchange.ts
@@ -6,9 +6,12 @@
 import { Agent, request as httpRequest, type IncomingMessage } from 'node:http'
 import { connect, type Socket } from 'node:net'
 import type { Backend } from '../backend-pool/types.ts'
-import type { Blocks } from '../resource-limits/index.ts'
-import { CONNECT_TIMEOUT_MS, MAX_INTERIM_RESPONSES } from './constants.ts'
+import { HEADER_FIELD_BYTES } from '../resource-limits/constants.ts'
+import type { Blocks, ByteClaim } from '../resource-limits/index.ts'
+import { CONNECT_TIMEOUT_MS, MAX_HEADER_FIELDS, MAX_INTERIM_RESPONSES } from './constants.ts'
 import { readPendingInput } from './pending-input.ts'
+import { createReadHolds, type ReadHolds } from './read-holds.ts'
+import { createResponseBody, type ResponseBody } from './response-body.ts'
 import type { BackendCall, BackendResponseHead, CallerRequest } from './types.ts'
 
 /** Encodes and decodes headers; the platform's adapter provides it. */
@@ -23,7 +26,7 @@
  */
 export type ExchangeFailure = { kind: 'not_sent' | 'not_permitted' | 'lost', reason: string }
 
-export type ExchangeResult = { kind: 'head', head: BackendResponseHead, body: IncomingMessage } | ExchangeFailure
+export type ExchangeResult = { kind: 'head', head: BackendResponseHead, body: ResponseBody } | ExchangeFailure
 
 export interface Exchange {
   /** Resolves with the response head or with the failure; never rejects. */
@@ -48,6 +51,8 @@
 }
 
 interface TransportOptions {
+  /** Charged with what this VM holds of the response. */
+  claim: ByteClaim
   /** Whether the request may still be sent; asked in the turn in which its bytes are written. Default: always. */
   mayStillSend?: () => boolean
   /** Open connection to the backend server that has not been used yet. Default: a new one. */
@@ -101,7 +106,7 @@
   })
 }
 
-export function startAddressedExchange ({ address, request, headers, body, decodeHead, mayStillSend = () => true, connection, connectTimeoutMs = CONNECT_TIMEOUT_MS, onConnected = () => {} }: AddressedExchangeOptions): Exchange {
+export function startAddressedExchange ({ address, request, headers, body, decodeHead, claim, mayStillSend = () => true, connection, connectTimeoutMs = CONNECT_TIMEOUT_MS, onConnected = () => {} }: AddressedExchangeOptions): Exchange {
   const { host, port } = parseAddress(address)
   const transport = connection ? { createConnection: () => connection } : { agent }
   let connected = false
@@ -111,12 +116,16 @@
   const result = new Promise<ExchangeResult>(resolve => { settle = resolve })
 
   const outgoing = httpRequest({ ...transport, host, port, method: request.method, path: request.target, headers, setHost: false } as object, incoming => {
-    const head = decodeHead(incoming.statusCode!, incoming.headers, incoming.rawHeaders)
-    // Prevents an unhandled 'error' event; the reader of the body detects the failure itself.
-    incoming.on('error', () => {})
-    settle({ kind: 'head', head, body: incoming })
+    const { rawHeaders } = incoming
+    // Also prevents an unhandled 'error' event.
+    const responseBody = createResponseBody({ incoming, holds: holds!, claim, isAborted: () => aborted })
+    if (rawHeaders.length > 2 * MAX_HEADER_FIELDS) return fail('too many header fields')
+    claim.add(rawHeaders.reduce((sum, { length }) => sum + length + HEADER_FIELD_BYTES / 2, 0))
+    settle({ kind: 'head', head: decodeHead(incoming.statusCode!, incoming.headers, rawHeaders), body: responseBody })
   })
+  let holds: ReadHolds | undefined
   outgoing.on('socket', socket => {
+    holds = createReadHolds(socket)
     if (socket.connecting) socket.once('connect', send)
     else send()
   })
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -261,7 +261,7 @@
     }
     const permittedAt = readInstant(clock)
     const mayStillSend = () => longestElapsedMs(clock, permittedAt) <= MAX_SEND_DELAY_MS && (progress.attempts > 1 || recheckAccess(forwarded) === undefined)
-    const exchange = startExchange({ backend, request, call, body, codec, mayStillSend, connection, onConnected: () => options.recordConnection(backend, true) })
+    const exchange = startExchange({ backend, request, call, body, codec, claim: forwarded.caller.claim, mayStillSend, connection, onConnected: () => options.recordConnection(backend, true) })
     progress.triedBackends.add(backend)
     const observation = options.observe(backend, forwarded, { isFirst: progress.attempts === 1 && progress.connectAttempts + progress.misdirectedSends === 0, model: progress.model })
     const endAttempt = (end: AttemptEnd) => {
--- a/src/core/forwarding/held-answer.ts
+++ b/src/core/forwarding/held-answer.ts
@@ -3,11 +3,11 @@
  * does not begin to answer before the deadline. Only short answers are kept: they are complete almost at once, and the
  * engine and this VM spend next to nothing on them.
  */
-import type { IncomingMessage } from 'node:http'
+import { createBlockWriter } from '../resource-limits/index.ts'
 import type { CallerConnection } from './caller-connection.ts'
 import { createEventSplitter } from './event-stream.ts'
 import type { Exchange } from './exchange.ts'
-import { isFramed } from './relay.ts'
+import type { ResponseBody } from './response-body.ts'
 import type { BackendResponseHead } from './types.ts'
 
 /** Largest answer that is kept; answers up to MAX_HELD_OUTPUT_TOKENS are smaller. */
@@ -28,31 +28,36 @@
   ended: Promise<void>
 }
 
-export function holdAnswer (head: BackendResponseHead, body: IncomingMessage, exchange: Exchange): HeldAnswer {
+export function holdAnswer (head: BackendResponseHead, body: ResponseBody, exchange: Exchange): HeldAnswer {
   const splitter = createEventSplitter()
-  let chunks: Buffer[] = []
-  let bytes = 0
+  let heldBytes = 0
+  const writer = createBlockWriter({ onGrow: bytes => { heldBytes += bytes } })
   let eventCount = 0
   let isComplete = false
+  let isDropped = false
 
   function drop (): void {
-    chunks = []
+    isDropped = true
     isComplete = false
+    body.setHeld(0)
     exchange.abort('answer not kept')
   }
 
   const ended = new Promise<void>(resolve => {
-    if (body.destroyed) resolve()
-    body.on('close', resolve)
-  })
-  body.on('data', (chunk: Buffer) => {
-    bytes += chunk.length
-    if (bytes > MAX_HELD_BYTES) return drop()
-    eventCount += splitter.push(chunk).filter(({ hasContent }) => hasContent).length
-    chunks.push(chunk)
-  })
-  body.on('end', () => {
-    isComplete = isFramed(body) && body.complete && eventCount > 0 && splitter.bufferedBytes() === 0 && !exchange.isAborted() && !exchange.hasConnectionFailed()
+    body.read({
+      onData (bytes) {
+        if (isDropped) return
+        if (writer.bytes() + bytes.length > MAX_HELD_BYTES) return drop()
+        eventCount += splitter.push(bytes).filter(({ hasContent }) => hasContent).length
+        writer.add(bytes)
+        body.setHeld(heldBytes + splitter.heldBytes())
+      },
+      onEnd () {
+        isComplete = !isDropped && body.isFramed && body.isComplete() && eventCount > 0 && splitter.bufferedBytes() === 0 && !exchange.isAborted() && !exchange.hasConnectionFailed()
+        resolve()
+      },
+      onBroken: () => resolve()
+    })
   })
 
   return {
@@ -60,7 +65,7 @@
     deliver (caller) {
       if (!isComplete || caller.hasStarted()) return false
       caller.startResponse(head.status, head.headers)
-      for (const chunk of chunks) caller.write(chunk)
+      for (const block of writer.finish().blocks) caller.write(block)
       caller.end()
       return true
     },
--- a/src/core/forwarding/peer-attempt.ts
+++ b/src/core/forwarding/peer-attempt.ts
@@ -3,7 +3,6 @@
  * about the backend servers and repeats attempts itself; this one keeps the deadline, passes the response on, and tries
  * a further VM if nothing has run or the request may be repeated.
  */
-import type { IncomingMessage } from 'node:http'
 import type { Clock } from '../clock/index.ts'
 import { catalogueEntry, type ErrorName } from '../errors/index.ts'
 import { CATALOGUE } from '../errors/catalogue.ts'
@@ -16,8 +15,9 @@
 import { startAddressedExchange, type Codec, type Exchange, type ExchangeResult } from './exchange.ts'
 import type { ForwardedRequest } from './forward.ts'
 import { pollAfter } from './poll-after.ts'
-import { isFramed, readResponse, relayEvents } from './relay.ts'
+import { readResponse, relayEvents } from './relay.ts'
 import type { RequestProgress } from './request-progress.ts'
+import type { ResponseBody } from './response-body.ts'
 import { isRepeatable } from './route-table.ts'
 import type { BackendResponseHead, Route } from './types.ts'
 
@@ -54,7 +54,7 @@
 
   /** Sends the request to the other VM and passes its response on; the retry of a repeated request has been taken. */
   async function send (forwarded: ForwardedRequest, progress: RequestProgress, deadlineMs: number, { vm, address, connection }: PeerConnection): Promise<AttemptOutcome> {
-    const { request, route, body } = forwarded
+    const { request, route, body, caller } = forwarded
     const remainingMs = deadlineMs - clock.now()
     const attempts = progress.attempts + progress.earlierAttempts
     const grantedAttempts = attemptsToGrant(route, progress.maxAttempts - attempts)
@@ -76,6 +76,7 @@
       headers: peers.encodeHeaders(request, vm, { remainingMs: Math.max(0, Math.floor(remainingMs)), attempts, maxAttempts: grantedAttempts, configVersion: configVersion(), ...continued }, body?.bytes ?? 0),
       body,
       decodeHead: (status, headers, raw) => codec.decodeBackendHead(request, status, headers, raw),
+      claim: caller.claim,
       mayStillSend: () => mayStillSend(forwarded, progress),
       connection
     })
@@ -168,24 +169,24 @@
     return relayed.kind === 'complete' ? { kind: 'done' } : retryOrFail(route, undefined, relayed.reason)
   }
 
-  async function sendPlain ({ route, caller }: ForwardedRequest, { exchange, head, body }: { exchange: Exchange, head: BackendResponseHead, body: IncomingMessage }): Promise<AttemptOutcome> {
+  async function sendPlain ({ route, caller }: ForwardedRequest, { exchange, head, body }: { exchange: Exchange, head: BackendResponseHead, body: ResponseBody }): Promise<AttemptOutcome> {
     const bytes = await readResponse(body, exchange, caller.claim)
     if (!bytes) return retryOrFail(route, undefined, 'response truncated or too large')
     if (caller.hasStarted()) return { kind: 'failed', error: 'answer_truncated', reason: `status ${head.status} after a part of the response` }
-    caller.sendResponse(head.status, head.headers, bytes, isFramed(body))
+    caller.sendResponse(head.status, head.headers, bytes, body.isFramed)
     return { kind: 'done' }
   }
 
   return { openPeer, send }
 }
 
-function headerOf ({ headers }: IncomingMessage, name: string): string | undefined {
+function headerOf ({ headers }: ResponseBody, name: string): string | undefined {
   const value = headers[name.toLowerCase()]
   return typeof value === 'string' ? value : undefined
 }
 
 /** In milliseconds; `undefined` if the response does not say. */
-function retryAfterMs ({ headers }: IncomingMessage): number | undefined {
+function retryAfterMs ({ headers }: ResponseBody): number | undefined {
   const seconds = Number(headers['retry-after'] ?? NaN)
   return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : undefined
 }
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -1,55 +1,42 @@
 /** Reads a backend server's response: buffers a plain one until it is complete, and relays a stream event by event. */
-import type { IncomingMessage } from 'node:http'
 import type { Backend } from '../backend-pool/types.ts'
 import type { Clock } from '../clock/index.ts'
-import { createBlockWriter, type Blocks, type ByteClaim } from '../resource-limits/index.ts'
+import { compact, createBlockWriter, type Blocks, type ByteClaim } from '../resource-limits/index.ts'
 import type { CallerConnection } from './caller-connection.ts'
-import { MAX_BUFFERED_RESPONSE_BYTES, MAX_EVENT_BYTES, SILENT_SERVER_STALL_FACTOR, STALL_CHECK_PERIOD_MS, STALL_FACTOR } from './constants.ts'
-import { createEventSplitter } from './event-stream.ts'
+import { MAX_BUFFERED_RESPONSE_BYTES, MAX_EARLY_COMMENT_BYTES, MAX_EVENT_BYTES, SILENT_SERVER_STALL_FACTOR, STALL_CHECK_PERIOD_MS, STALL_FACTOR } from './constants.ts'
+import { createEventSplitter, type StreamEvent } from './event-stream.ts'
 import type { Exchange } from './exchange.ts'
 import { readPendingInput } from './pending-input.ts'
+import type { ResponseBody } from './response-body.ts'
 import { isRepeatable } from './route-table.ts'
 import type { BackendResponseHead, Route } from './types.ts'
 
-/** Reads the complete body; `undefined` when it was truncated or is too large to buffer. Pauses while the claim may not grow; returns the bytes of an incomplete body to it. */
-export function readResponse (body: IncomingMessage, exchange: Exchange, claim: ByteClaim): Promise<Blocks | undefined> {
+/** Reads the complete body; `undefined` when it was truncated or is too large to buffer. Its bytes stay charged to the claim if it is complete. */
+export function readResponse (body: ResponseBody, exchange: Pick<Exchange, 'hasConnectionFailed' | 'isAborted'>, claim: Pick<ByteClaim, 'recordCopy'>): Promise<Blocks | undefined> {
   return new Promise(resolve => {
-    let isSettled = false
-    let chargedBytes = 0
-    const writer = createBlockWriter({
-      onGrow (bytes) {
-        chargedBytes += bytes
-        claim.add(bytes)
-      },
-      onCopy: claim.recordCopy
-    })
+    let heldBytes = 0
+    const writer = createBlockWriter({ onGrow: bytes => { heldBytes += bytes }, onCopy: claim.recordCopy })
 
-    function finish (result: Blocks | undefined): void {
-      if (isSettled) return
-      isSettled = true
-      claim.stopWaiting()
-      if (!result) claim.release(chargedBytes)
-      resolve(result)
+    function giveUp (): void {
+      body.setHeld(0)
+      resolve(undefined)
     }
 
-    body.on('data', (chunk: Buffer) => {
-      writer.add(chunk)
-      if (writer.bytes() > MAX_BUFFERED_RESPONSE_BYTES) return body.destroy()
-      if (claim.mayGrow()) return
-      body.pause()
-      claim.awaitRoom(() => body.resume())
+    body.read({
+      onData (bytes) {
+        writer.add(bytes)
+        body.setHeld(heldBytes)
+        if (writer.bytes() > MAX_BUFFERED_RESPONSE_BYTES) body.destroy()
+      },
+      onEnd () {
+        if (body.isComplete() && !exchange.isAborted() && !exchange.hasConnectionFailed()) resolve(writer.finish())
+        else giveUp()
+      },
+      onBroken: giveUp
     })
-    body.on('end', () => finish(body.complete && !exchange.isAborted() && !exchange.hasConnectionFailed() ? writer.finish() : undefined))
-    body.on('close', () => finish(undefined))
-    if (body.destroyed) finish(undefined)
   })
 }
 
-/** Whether the end of a body is marked by its length, chunked encoding or status, and not only by the close of its connection. */
-export function isFramed ({ headers, statusCode }: IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === 204 || statusCode === 304
-}
-
 export interface EventRelayOptions {
   /** Where the stream comes from. */
   backend: Pick<Backend, 'lastReceivedMs'>
@@ -57,7 +44,7 @@
   stallFactors?: { sending: number, silent: number }
   exchange: Exchange
   head: BackendResponseHead
-  body: IncomingMessage
+  body: ResponseBody
   caller: CallerConnection
   route: Route
   /** Id of the last event that the caller received; the next event must follow it without a gap. */
@@ -90,9 +77,9 @@
   let firstEventMs: number | undefined
   let lastEventMs = clock.now()
   let isCallerBlocked = false
-  /** Comments before the first event. */
-  const earlyComments: Buffer[] = []
-  let chargedBytes = 0
+  /** Comments before the first event, and the memory that they take. */
+  const earlyComments = createBlockWriter({ onGrow: bytes => { commentBytes += bytes } })
+  let commentBytes = 0
 
   return new Promise(resolve => {
     let isSettled = false
@@ -102,7 +89,7 @@
       if (isSettled) return
       isSettled = true
       cancelStallCheck()
-      charge(0)
+      body.setHeld(0)
       const endedBeforeFirstEvent = kind === 'broken' && firstEventMs === undefined && !exchange.isAborted()
       if (kind === 'broken') exchange.abort(reason)
       resolve({ kind, reason, endedBeforeFirstEvent, lastEventId })
@@ -111,6 +98,8 @@
     /** A stream stalls sooner if its backend server sends nothing on any connection. */
     function isStalled (): boolean {
       if (isSettled || firstEventMs === undefined || isCallerBlocked) return false
+      // The VM itself has paused the backend server.
+      if (body.awaitsRoom()) lastEventMs = clock.now()
       const gapMs = clock.now() - lastEventMs
       const isServerSilent = clock.now() - backend.lastReceivedMs > route.maxEventGapMs * stallFactors.silent
       return gapMs > route.maxEventGapMs * (isServerSilent ? stallFactors.silent : stallFactors.sending)
@@ -135,55 +124,66 @@
       lastEventMs = clock.now()
     }
 
-    /** Charges the bytes that wait for the end of their event or for the first event. */
-    function charge (heldBytes: number): void {
-      if (heldBytes > chargedBytes) caller.claim.add(heldBytes - chargedBytes)
-      else if (heldBytes < chargedBytes) caller.claim.release(chargedBytes - heldBytes)
-      chargedBytes = heldBytes
-    }
-
     function startResponse (): void {
       if (caller.hasStarted()) return
       caller.startResponse(head.status, head.headers)
-      for (const bytes of earlyComments.splice(0)) caller.write(bytes)
+      for (const bytes of earlyComments.finish().blocks) caller.write(bytes)
+      commentBytes = 0
     }
 
-    /** Returns false when the caller reads more slowly than data arrives. */
-    function writeToCaller (bytes: Buffer): boolean {
+    /** Whether an event goes to the caller; `undefined` if the one before it is missing. */
+    function isNext ({ id }: StreamEvent): boolean | undefined {
+      if (id === undefined || lastEventId === undefined || id === lastEventId + 1) return true
+      return id > lastEventId ? undefined : false
+    }
+
+    /** The response does not start with a comment, so that another backend server can still give it. */
+    function keepComment ({ bytes }: StreamEvent): void {
+      if (earlyComments.bytes() + bytes.length <= MAX_EARLY_COMMENT_BYTES) earlyComments.add(bytes)
+    }
+
+    /** Writes what one read has brought at once; pauses reading when the caller reads more slowly. */
+    function writeToCaller (events: readonly Buffer[]): void {
+      if (events.length === 0) return
       startResponse()
-      return caller.write(bytes)
+      if (!caller.write(events.length === 1 ? compact(events[0]!) : Buffer.concat(events))) pauseUntilDrained()
     }
 
-    body.on('data', (chunk: Buffer) => {
-      backend.lastReceivedMs = clock.now()
+    function takeEvents (chunk: Buffer): void {
+      const taken: Buffer[] = []
       for (const event of splitter.push(chunk)) {
-        if (isSettled) return
-        if (event.id !== undefined && lastEventId !== undefined) {
-          if (event.id <= lastEventId) continue
-          if (event.id > lastEventId + 1) return settle('broken', 'event missing')
+        const isTaken = isNext(event)
+        if (isTaken === undefined) {
+          writeToCaller(taken)
+          return settle('broken', 'event missing')
         }
+        if (!isTaken) continue
         if (event.hasContent) recordProgress()
-        if (event.id !== undefined) lastEventId = event.id
-        // The response does not start with a comment, so that another backend server can still give it.
-        if (!event.hasContent && !caller.hasStarted()) earlyComments.push(event.bytes)
-        else if (!writeToCaller(event.bytes)) pauseUntilDrained()
+        lastEventId = event.id ?? lastEventId
+        if (event.hasContent || taken.length > 0 || caller.hasStarted()) taken.push(event.bytes)
+        else keepComment(event)
       }
-      const heldBytes = splitter.bufferedBytes() + earlyComments.reduce((sum, { length }) => sum + length, 0)
-      charge(heldBytes)
-      if (heldBytes > MAX_EVENT_BYTES) settle('broken', 'event too large')
+      writeToCaller(taken)
+    }
+
+    body.read({
+      onData (chunk) {
+        if (isSettled) return
+        backend.lastReceivedMs = clock.now()
+        takeEvents(chunk)
+        if (isSettled) return
+        body.setHeld(splitter.heldBytes() + commentBytes)
+        if (splitter.bufferedBytes() > MAX_EVENT_BYTES) settle('broken', 'event too large')
+      },
+      onEnd: () => void finish(),
+      onBroken: reason => settle('broken', reason)
     })
-    body.on('end', () => void finish())
-    // The end comes before the close and may still be checked then.
-    body.on('close', () => { if (!body.readableEnded) settle('broken', 'connection closed') })
-    body.on('error', error => settle('broken', error.message))
-    // The connection may have ended while a replacement was being reserved.
-    if (body.destroyed) settle('broken', 'connection closed')
 
     async function finish (): Promise<void> {
       // Node discards what is left of a body that has arrived completely when its request is destroyed, and then ends it.
       if (isSettled || exchange.isAborted()) return settle('broken', 'aborted')
-      if (!body.complete || exchange.hasConnectionFailed() || splitter.bufferedBytes() > 0) return settle('broken', 'stream truncated')
-      if (!isFramed(body) && await mayBeTruncated()) return settle('broken', 'stream truncated')
+      if (!body.isComplete() || exchange.hasConnectionFailed() || splitter.bufferedBytes() > 0) return settle('broken', 'stream truncated')
+      if (!body.isFramed && await mayBeTruncated()) return settle('broken', 'stream truncated')
       if (isSettled || exchange.isAborted() || exchange.hasConnectionFailed()) return settle('broken', 'aborted')
       startResponse()
       caller.end()
@@ -202,11 +202,11 @@
     function pauseUntilDrained (): void {
       if (isCallerBlocked) return
       isCallerBlocked = true
-      body.pause()
+      body.holdForCaller()
       caller.onDrain(() => {
         isCallerBlocked = false
         lastEventMs = clock.now()
-        body.resume()
+        body.releaseForCaller()
       })
     }
   })
--- a/src/core/forwarding/response-handler.ts
+++ b/src/core/forwarding/response-handler.ts
@@ -13,7 +13,7 @@
 import type { Escalations, UnsentResponse } from './escalation.ts'
 import { FORWARDED_MODEL_HEADER } from '../peer-forwarding/message.ts'
 import type { ForwardedRequest } from './forward.ts'
-import { isFramed, readResponse, relayEvents } from './relay.ts'
+import { readResponse, relayEvents } from './relay.ts'
 import type { RequestProgress } from './request-progress.ts'
 import type { BackendResponseHead } from './types.ts'
 
@@ -165,7 +165,7 @@
       await escalations.awaitHeld(progress)
       if (escalations.deliverHeld(forwarded, progress, `status ${head.status}`) || progress.isFinished) return { kind: 'done' }
     }
-    caller.sendResponse(head.status, head.headers, bytes, isFramed(response.body))
+    caller.sendResponse(head.status, head.headers, bytes, response.body.isFramed)
     metrics.count('requests', isFailed(head) ? 'backend_failure' : 'answered')
     logResponse(forwarded, progress, response)
     return { kind: 'done' }
--- a/src/core/resource-limits/blocks.ts
+++ b/src/core/resource-limits/blocks.ts
@@ -26,6 +26,19 @@
   onCopy?: (bytes: number) => void
 }
 
+/** Whether a chunk is at least half of the buffer that it keeps in memory. */
+function fillsBuffer ({ length, buffer }: Buffer): boolean {
+  return length * 2 >= buffer.byteLength
+}
+
+/** The bytes of a chunk that is kept for longer, without a much larger buffer in which they arrived. */
+export function compact (chunk: Buffer): Buffer {
+  if (fillsBuffer(chunk)) return chunk
+  const copy = Buffer.allocUnsafeSlow(chunk.length)
+  chunk.copy(copy)
+  return copy
+}
+
 export function createBlockWriter ({ expectedBytes = Infinity, onGrow = () => {}, onCopy = () => {} }: BlockWriterOptions = {}): BlockWriter {
   const blocks: Buffer[] = []
   let current: Buffer | undefined
@@ -49,12 +62,12 @@
 
   return {
     add (chunk) {
-      if (chunk.length >= KEPT_CHUNK_BYTES) {
+      if (chunk.length >= KEPT_CHUNK_BYTES && fillsBuffer(chunk)) {
         closeBlock()
         blocks.push(chunk)
         bytes += chunk.length
         copiedBytes = 0
-        onGrow(chunk.length)
+        onGrow(chunk.buffer.byteLength)
         return
       }
       for (let offset = 0; offset < chunk.length;) {
--- a/src/core/resource-limits/constants.ts
+++ b/src/core/resource-limits/constants.ts
@@ -88,6 +88,27 @@
 /** Bodies that wait for their turns, from which on such a body is refused. A turn takes some 30 ms, so each gets two in a second. */
 export const MAX_TURN_WAITERS = 16
 
+/**
+ * Steps of the work on what backend servers and other VMs send: one for each chunk, 4 KiB received or 32 lines of an event
+ * stream. A step takes some 3 µs.
+ */
+export const RECEIVED_BYTES_PER_STEP = 4096
+export const LINES_PER_STEP = 32
+/** Steps in one turn of the event loop after which no more of their connections is read in it; about 5 ms. */
+export const STEPS_PER_TURN = 2000
+/** Steps of one connection in one turn from which it is dense: 500 tokens of a sound stream are those of several seconds. */
+export const DENSE_STEPS = 500
+/** Rate of steps that all dense connections share: some 3 % of a core, or 40 MB/s of a response in large chunks. */
+export const DENSE_STEPS_PER_MS = 10
+/** Minimum time between reads of two dense connections, in which the first is read. */
+export const MIN_DENSE_GAP_MS = 1
+/** Steps up to which the end of a turn is not awaited. */
+export const MIN_COUNTED_STEPS = 256
+/** Bytes that a reader may hold of a body without waiting for room: the part of an event in REQUEST_OVERHEAD_BYTES. */
+export const UNCHECKED_HELD_BYTES = 4 * 1024
+/** Cost of a header field of a response in addition to its bytes. */
+export const HEADER_FIELD_BYTES = 64
+
 /** Bytes and time for which the rest of a refused body is read, so that the response arrives before the connection closes. */
 export const MAX_DISCARDED_BYTES = 256 * 1024
 export const MAX_DISCARD_MS = 1000
--- a/src/core/resource-limits/read-turns.ts
+++ b/src/core/resource-limits/read-turns.ts
@@ -6,9 +6,7 @@
  * is the newest, because an ordinary request that arrives behind a crowd must not wait for the whole crowd.
  */
 import { MAX_TINY_CHUNKS, MAX_TURN_WAITERS, MAX_TURNS_FOR_ARRIVALS, TINY_CHUNK_BYTES, TINY_CHUNKS_PER_TURN } from './constants.ts'
-
-/** How reading from a connection pauses and goes on. */
-export interface PausableReading { pause(): void, resume(): void }
+import type { PausableReading } from './types.ts'
 
 /** A connection that may turn out to send tiny chunks. */
 export interface UnknownSender {
--- a/src/core/resource-limits/types.ts
+++ b/src/core/resource-limits/types.ts
@@ -61,3 +61,6 @@
   open(close: () => void): LimitedConnection | undefined
   count(): number
 }
+
+/** How reading from a connection pauses and goes on. */
+export interface PausableReading { pause(): void, resume(): void }
