Count only a silence in which entries can lapse as a store outage

Every failed call counted as an outage of the store, also a watch that was cut off, and missing entries stay in use after an outage, because they lapse while the store is away.

An entry lapses after three heartbeat intervals, of which an outage must hide two. A feed now states for how long the store may have been away, by the last answer to any call of the VM or through another VM, and 1.5 intervals and more are an outage. After less, a missing entry has left.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -429,6 +429,26 @@
     Then every caller gets status 200
     And the first backend server received 0 requests
 
+  # Guards against a backend server that gets orders for seconds after it has left, because a watch that was cut off counted as an outage.
+  Scenario: a backend server whose entry is removed while the watches are cut off gets no new requests
+    Given a forwarding VM with 2 backend servers that answer
+    When the watches are cut off as the entry of the first backend server is removed
+    And 6 callers send a request to /order/1
+    Then every caller gets status 200
+    And the first backend server received 0 requests
+
+  Scenario Outline: a backend server whose entry is missing after an outage of <ms> ms gets <requests> requests
+    Given a forwarding VM with 2 backend servers that answer
+    When the store is away for <ms> ms and the entry of the first backend server is removed meanwhile
+    And 6 callers send a request to /order/1
+    Then every caller gets status 200
+    And the first backend server received <requests> requests
+
+    Examples:
+      | ms   | requests |
+      | 500  | no       |
+      | 2000 | some     |
+
   Scenario: a data centre out of service gets no new requests
     Given a forwarding VM with 2 backend servers that answer
     When the data centre of the first backend server is evacuated
--- a/features/support/memory-store.ts
+++ b/features/support/memory-store.ts
@@ -11,6 +11,8 @@
   setRemovalsSilent(silent: boolean): void
   /** While set, lists of the kind fail. */
   setListDown(kind: string, down: boolean): void
+  /** Cuts off the watches of the kind that wait, while the store goes on answering. */
+  cutWatches(kind: string): void
   /** Drops the history, so that watches from older revisions return undefined. */
   dropHistory(): void
   /** While set, watches return no changes. */
@@ -38,6 +40,7 @@
   let removalsSilent = false
   const kindsDown = new Set<string>()
   let changesHidden = false
+  const cutOff = new Map<string, number>()
 
   const objectsOf = (kind: string) => {
     const objects = kinds.get(kind) ?? new Map<string, StoredObject>()
@@ -82,6 +85,10 @@
       if (value) kindsDown.add(kind)
       else kindsDown.delete(kind)
     },
+    cutWatches (kind) {
+      cutOff.set(kind, (cutOff.get(kind) ?? 0) + 1)
+      for (const wake of [...waiting]) wake()
+    },
     dropHistory () {
       history = []
       oldestRevision = revision
@@ -109,6 +116,8 @@
     },
     async watch (kind, after, waitMs) {
       recordCall(`watch ${kind}`)
+      const cuts = cutOff.get(kind)
+      const isCutOff = () => cutOff.get(kind) !== cuts
       const isUnknown = () => after.era !== era || after.number < oldestRevision || after.number > revision
       if (isUnknown()) return undefined
       if (changesHidden || changesSince(kind, after.number).length === 0) {
@@ -119,11 +128,11 @@
             resolve()
           }
           const timer = setTimeout(finish, waitMs)
-          const wake = () => { if (down || isUnknown() || changesSince(kind, after.number).length > 0) finish() }
+          const wake = () => { if (down || isCutOff() || isUnknown() || changesSince(kind, after.number).length > 0) finish() }
           waiting.add(wake)
         })
       }
-      if (down) throw new ObjectApiError('object_api_unavailable')
+      if (down || isCutOff()) throw new ObjectApiError('object_api_unavailable')
       if (isUnknown()) return undefined
       return { changes: changesHidden ? [] : changesSince(kind, after.number), revision: store.revision() }
     },
--- a/src/core/feed-relay/index.ts
+++ b/src/core/feed-relay/index.ts
@@ -29,6 +29,11 @@
   vmKind: string
   /** Whether the list of the VMs contains an entry of an earlier process of this VM. Default: it does not. */
   isRestart?: () => boolean
+  /**
+   * Time from which the silence of the store counts as an outage, in milliseconds: shorter ones, such as a call that is cut
+   * off, let no entries lapse. Default: any silence.
+   */
+  minOutageMs?: number
   /** Live VMs; may leave out this one. */
   liveVms: () => readonly PlacedVm[]
   poll(to: VmId, poll: FeedPoll, timeoutMs: number): Promise<FeedPollResponse>
@@ -50,12 +55,12 @@
 interface Kind { subscription: KindSubscription, replica: Replica, feed: ObjectFeed }
 
 export function createFeedRelay (options: FeedRelayOptions) {
-  const { self, store, relistMs, confirmationKind, vmKind, isRestart = () => false, liveVms, poll, clock, log, metrics, random } = options
+  const { self, store, relistMs, confirmationKind, vmKind, isRestart = () => false, minOutageMs = 0, liveVms, poll, clock, log, metrics, random } = options
   const kinds = new Map<string, Kind>()
   const backoffUntilMs = new Map<VmId, number>()
   /** Polls of other VMs that wait for changes. */
   const heldPolls = new Set<HeldPoll>()
-  const retryTurns = createRetryTurns({ clock, random })
+  const retryTurns = createRetryTurns({ clock, random, relayedMs: () => Math.max(-Infinity, ...[...kinds.values()].map(({ replica }) => replica.confirmedMs())) })
   let running = false
   let startedMs = -Infinity
   /** Monotonic time of the last current answer of a relay. */
@@ -95,7 +100,12 @@
       whenListed: kind === vmKind ? undefined : () => sourceChoice,
       onSnapshot: replica.applySnapshot,
       onChange: replica.applyChange,
-      onStoreRecovered: () => replica.recordRecovery(),
+      onStoreRecovered (awayMs) {
+        // Another VM may have passed on confirmations meanwhile.
+        const silentMs = Math.min(awayMs, clock.now() - replica.confirmedMs())
+        if (silentMs >= minOutageMs) replica.recordRecovery()
+        else log.info('the store was not away for long enough for entries to lapse', { kind, silentMs: Math.round(silentMs) })
+      },
       onConfirmed: replica.confirm,
       clock,
       log,
--- a/src/core/forwarding-vm/constants.ts
+++ b/src/core/forwarding-vm/constants.ts
@@ -10,6 +10,11 @@
 export const CONFIG_REQUEST_DELAY_MS = 1000
 /** Maximum wait of a long poll for all other kinds. A poll without a response times out one second later, which detects a dead connection. */
 export const FEED_POLL_WAIT_MS = 2000
+/**
+ * Heartbeats of a backend server that an outage of the store must hide to let its entry lapse. It lapses after three
+ * intervals, of which one may have passed before the outage; the rest allows for heartbeats that come early.
+ */
+export const LAPSE_HEARTBEATS = 1.5
 /** Pause after changes of backend servers, to coalesce further ones; a tenth of the time after which a leaving one must receive no more requests. */
 export const BACKENDS_COALESCE_MS = 200
 /** Share of the time covered by the store's history after which the objects are listed again. */
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -32,7 +32,7 @@
 import { createFleet } from '../fleet/index.ts'
 import { createFleetRefusals, preferAccepting } from '../resource-limits/index.ts'
 import { createResourceLimits } from './resource-limits.ts'
-import { RELIST_HISTORY_SHARE, VERSION_TIMEOUT_MS } from './constants.ts'
+import { LAPSE_HEARTBEATS, RELIST_HISTORY_SHARE, VERSION_TIMEOUT_MS } from './constants.ts'
 import { createAdmission } from './admission.ts'
 import { createAttemptObserver } from './attempt-observer.ts'
 import { createAssignments } from './assignment.ts'
@@ -89,6 +89,7 @@
     confirmationKind: kinds.config,
     vmKind: FLEET_KIND,
     isRestart: () => fleet.isRestart(),
+    minOutageMs: settings.backendHeartbeatMs * LAPSE_HEARTBEATS,
     liveVms: () => fleet.relayCandidates(),
     poll: (to, poll, timeoutMs) => fleet.peers.request(to, 'feeds.poll', poll, { timeoutMs }),
     clock,
--- a/src/core/object-feed/index.ts
+++ b/src/core/object-feed/index.ts
@@ -36,8 +36,12 @@
   onSnapshot(objects: StoredObject[], revision: Revision): void
   /** Called with a change and the revision of the response that contained it. */
   onChange(change: Change, revision: Revision): void
-  /** Called at the first response after failed calls, before the changes in it are applied. */
-  onStoreRecovered?: () => void
+  /**
+   * Called at the first response after failed calls, before the changes in it are applied, with the longest time for which
+   * the store may have been away: since any call of this VM was last answered before the failure. After a call whose
+   * connection was cut off, this is short.
+   */
+  onStoreRecovered?: (awayMs: number) => void
   /** Called when all changes up to a call are applied, with the times at which the call was sent. */
   onConfirmed?: (sent: SendTime) => void
   clock: Clock
@@ -70,14 +74,15 @@
   let listed = new Map<string, Revision>()
   let lastListMs = -Infinity
   let lastResponseMs = clock.now()
-  let disconnected = false
+  /** Monotonic time from which the store may have been away; `undefined` after an answered call. */
+  let awaySinceMs: number | undefined
   let failures = 0
   let loaded = false
 
   async function runLoop (runId: number): Promise<void> {
     const isCurrentRun = () => activeRun === runId
     // A feed that has waited for the end of an outage reports the recovery as well.
-    if (await retryTurns.next(isCurrentRun)) disconnected = true
+    awaySinceMs ??= await retryTurns.next(isCurrentRun)
     for (;;) {
       if (!isCurrentRun()) return
       try {
@@ -136,19 +141,20 @@
 
   function recordResponse (): void {
     retryTurns.recordAnswer()
-    if (disconnected) {
-      log.info('the store answers again', { kind, silentMs: Math.round(clock.now() - lastResponseMs) })
-      onStoreRecovered?.()
+    if (awaySinceMs !== undefined) {
+      const awayMs = clock.now() - awaySinceMs
+      log.info('the store answers again', { kind, silentMs: Math.round(clock.now() - lastResponseMs), awayMs: Math.round(awayMs) })
+      onStoreRecovered?.(awayMs)
     }
     lastResponseMs = clock.now()
-    disconnected = false
+    awaySinceMs = undefined
   }
 
   async function handleFailure (error: unknown): Promise<void> {
     metrics.count('object_api_failures', kind)
     retryTurns.recordFailure()
-    if (!disconnected) log.warn('the store does not answer', { kind, error: errorMessage(error) })
-    disconnected = true
+    if (awaySinceMs === undefined) log.warn('the store does not answer', { kind, error: errorMessage(error) })
+    awaySinceMs ??= retryTurns.lastContactMs()
     const delayMs = Math.min(MAX_RETRY_DELAY_MS, MIN_RETRY_DELAY_MS * 2 ** failures++)
     // Changes since the last response may have been lost with the connection, so the next call lists the objects.
     lastListMs = -Infinity
@@ -166,6 +172,6 @@
     },
     stop () { activeRun = undefined },
     isLoaded: () => loaded,
-    isDisconnected: () => disconnected
+    isDisconnected: () => awaySinceMs !== undefined
   }
 }
--- a/src/core/object-feed/retry-turns.ts
+++ b/src/core/object-feed/retry-turns.ts
@@ -12,17 +12,26 @@
   /** Mean time between two turns, in milliseconds; doubled after each turn up to the maximum. */
   minDelayMs?: number
   maxDelayMs?: number
+  /** Monotonic time of the latest confirmation by the store that another VM has passed on. Default: never. */
+  relayedMs?: () => number
 }
 
-interface Waiting { isNeeded(): boolean, resume(hasFailed: boolean): void }
+interface Waiting { isNeeded(): boolean, resume(failingSinceMs: number | undefined): void }
 
-export function createRetryTurns ({ clock, random, minDelayMs = MIN_RETRY_DELAY_MS, maxDelayMs = MAX_TURN_DELAY_MS }: RetryTurnsOptions) {
+export function createRetryTurns ({ clock, random, minDelayMs = MIN_RETRY_DELAY_MS, maxDelayMs = MAX_TURN_DELAY_MS, relayedMs = () => -Infinity }: RetryTurnsOptions) {
   let state: 'answers' | 'unknown' | 'fails' = 'answers'
   let waiting: Waiting[] = []
+  /** Monotonic time of the last answer before the first failed call; `undefined` unless the store fails. */
+  let failingSinceMs: number | undefined
+  let lastAnswerMs = clock.now()
   let turns = 0
   let nextTurnMs = -Infinity
   let cancelTimer: TimerCancel | undefined
 
+  function lastContactMs (): number {
+    return Math.max(lastAnswerMs, relayedMs())
+  }
+
   function leaveAnswering (next: 'unknown' | 'fails'): void {
     if (state === 'answers') {
       turns = 0
@@ -37,7 +46,7 @@
       cancelTimer = undefined
       const unneeded = waiting.filter(({ isNeeded }) => !isNeeded())
       waiting = waiting.filter(entry => !unneeded.includes(entry))
-      for (const { resume } of [...unneeded, ...waiting.splice(0, 1)]) resume(state === 'fails')
+      for (const { resume } of [...unneeded, ...waiting.splice(0, 1)]) resume(failingSinceMs)
       nextTurnMs = clock.now() + Math.min(maxDelayMs, minDelayMs * 2 ** turns++) * (0.5 + random())
       schedule()
     })
@@ -45,26 +54,34 @@
 
   return {
     /**
-     * Resolves when the caller may call the store, at once while the store answers. Returns whether a call has failed
-     * since the store last answered. `isNeeded` tells whether the caller still wants the turn.
+     * Resolves when the caller may call the store, at once while the store answers. If calls have failed since the store
+     * last answered, returns the monotonic time from which it may have been away. `isNeeded` tells whether the caller still
+     * wants the turn.
      */
-    next (isNeeded: () => boolean): Promise<boolean> {
-      if (state === 'answers') return Promise.resolve(false)
+    next (isNeeded: () => boolean): Promise<number | undefined> {
+      if (state === 'answers') return Promise.resolve(undefined)
       return new Promise(resolve => {
         waiting.push({ isNeeded, resume: resolve })
         schedule()
       })
     },
     recordAnswer (): void {
-      const hasFailed = state === 'fails'
+      const sinceMs = failingSinceMs
       state = 'answers'
+      failingSinceMs = undefined
+      lastAnswerMs = clock.now()
       const resumed = waiting
       waiting = []
       cancelTimer?.()
       cancelTimer = undefined
-      for (const { resume } of resumed) resume(hasFailed)
+      for (const { resume } of resumed) resume(sinceMs)
+    },
+    recordFailure (): void {
+      leaveAnswering('fails')
+      failingSinceMs ??= lastContactMs()
     },
-    recordFailure (): void { leaveAnswering('fails') },
+    /** Monotonic time at which the store, or another VM that follows it, last answered. */
+    lastContactMs,
     /** Makes the next calls wait for the answer to the first of them, if it is not known whether the store answers. */
     recordUnknown (): void { if (state === 'answers') leaveAnswering('unknown') }
   }
