Pace the reading from backend servers by the work that it brings

Every connection to a backend server or another VM now counts the steps of its work. A turn ends for all after 2,000, and connections with over 500 in a turn share a rate of 10 per ms, those with the fewest steps so far first.

--- a/features/endless-response.feature
+++ b/features/endless-response.feature
@@ -20,3 +20,23 @@
       | 1       | a body in tiny chunks   | /order/                 | 8  |
       | 100     | a body in tiny chunks   | /order/                 | 60 |
       | 100     | low-confidence comments | /cascade/               | 60 |
+
+  # Guards against VMs that answer nobody for seconds, because a backend server sends many small pieces.
+  Scenario Outline: <callers> callers of a backend server that sends <bytes> without end stop a VM for at most 250 ms
+    Given a forwarding VM with a backend server that sends <bytes> without end
+    When <callers> callers send a request to <path>, and the VM is measured for 3 s
+    Then no turn of its event loop takes longer than 250 ms
+
+    Examples:
+      | callers | bytes                   | path                    |
+      | 1       | repeated events         | /stream/ after event 50 |
+      | 100     | repeated events         | /stream/ after event 50 |
+      | 1       | comments in tiny chunks | /stream/                |
+      | 100     | comments in tiny chunks | /stream/                |
+      | 1       | an event in tiny chunks | /stream/                |
+      | 100     | an event in tiny chunks | /stream/                |
+      | 1       | blank lines             | /stream/                |
+      | 100     | blank lines             | /stream/                |
+      | 100     | a body in tiny chunks   | /order/                 |
+      | 100     | low-confidence comments | /cascade/               |
+      | 100     | zeros of a chunk size   | /stream/                |
--- a/features/resource-limits.feature
+++ b/features/resource-limits.feature
@@ -70,6 +70,17 @@
       | keeps coming             | 1     |
 
   # Guards against a new connection that is read although its turn has not come.
+  # Guards against senders without end that take all of a VM's time, or keep a sound response waiting behind them.
+  Scenario: 50 backend servers that send small pieces without end share a rate, and a sound response goes on before them
+    Given 50 connections that bring 8000 steps at each read
+    When a connection brings 600 steps once
+    Then it is read again after at most 1001 ms
+    And the 50 connections bring at most 108000 steps in the next 10 s
+
+  Scenario: a turn that brought too much ends for all connections and the next one reads them again
+    Given 300 connections that bring 100 steps in each turn
+    Then each is read in 10 of 200 turns at least, and no turn brings more than 2100 steps
+
   Scenario: a new connection is not read before its turn
     Then a connection that is paused on arrival delivers its request only after it is resumed
 
--- a/features/steps/resource-limits.ts
+++ b/features/steps/resource-limits.ts
@@ -4,9 +4,9 @@
 import type { AddressInfo } from 'node:net'
 import { Given, Then, When } from '@cucumber/cucumber'
 import fc from 'fast-check'
-import { createManualClock, type ManualClock } from '../../src/core/clock/index.ts'
+import { createManualClock, systemClock, type ManualClock } from '../../src/core/clock/index.ts'
 import { createCallerConnection } from '../../src/core/forwarding/caller-connection.ts'
-import { createReadHolds } from '../../src/core/forwarding/read-holds.ts'
+import { createPacedConnection } from '../../src/core/forwarding/paced-connection.ts'
 import { readResponse } from '../../src/core/forwarding/relay.ts'
 import { createResponseBody } from '../../src/core/forwarding/response-body.ts'
 import { brandId, type VmId } from '../../src/core/ids/index.ts'
@@ -14,7 +14,7 @@
 import { readInTurns } from '../../src/core/forwarding/new-connection.ts'
 import { createRequestBody } from '../../src/core/forwarding/request-body.ts'
 import { PROGRESS_WINDOW_MS, RELIEF_PERIOD_MS } from '../../src/core/resource-limits/constants.ts'
-import { createBlockWriter, createByteBudget, createConnectionLimit, createFleetRefusals, createReadTurns, preferAccepting, type ByteBudget, type ByteClaim, type FleetRefusals } from '../../src/core/resource-limits/index.ts'
+import { createBlockWriter, createByteBudget, createConnectionLimit, createFleetRefusals, createReadPace, createReadTurns, preferAccepting, type ByteBudget, type ByteClaim, type FleetRefusals } from '../../src/core/resource-limits/index.ts'
 import { startConnectedExchange } from '../support/load-exchange.ts'
 
 interface RefusalWorld { clock: ManualClock, names: VmId[], refusing: VmId[], isCut: boolean, vms: { exchange: LoadExchange, refusals: FleetRefusals }[], reportBytes: number }
@@ -158,7 +158,7 @@
   let chargedBytes = 0
   response.on('data', () => { chargedBytes = Math.max(chargedBytes, budget.usedBytes()) })
   const claim = budget.open(holder('a'))
-  const body = createResponseBody({ incoming: response, holds: createReadHolds(response.socket), claim, isAborted: () => false })
+  const body = createResponseBody({ incoming: response, connection: createPacedConnection(response.socket, createReadPace({ clock: systemClock })), claim, isAborted: () => false })
   assert.equal(await readResponse(body, { hasConnectionFailed: () => false, isAborted: () => false }, claim), undefined)
   close()
   assert.ok(chargedBytes > 0)
--- a/src/core/forwarding-vm/index.ts
+++ b/src/core/forwarding-vm/index.ts
@@ -270,6 +270,7 @@
   const forwarder = createForwarder({
     codec: refuseUnsendableHeads(adapter, () => metrics.count('bad_input', 'response_head')),
     reserveCapacity: capacity.reserve,
+    pace: resources.pace,
     retryAfterMs: fairCapacity?.retryAfterMs,
     onCapacityFreed: capacityQueue.wake,
     reserveReplacement: capacity.reserveReplacement,
--- a/src/core/forwarding-vm/resource-limits.ts
+++ b/src/core/forwarding-vm/resource-limits.ts
@@ -4,7 +4,7 @@
 import type { Log } from '../logging/index.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { DEFAULT_HEADER_TIMEOUT_MS, LOOKUP_REQUEST_TIMEOUT_MS, REFUSAL_END_MS, RELIEF_PERIOD_MS } from '../resource-limits/constants.ts'
-import { createByteBudget, createCollector, createConnectionLimit, createRefusalLog, limitConnections, resourceShares, type ConnectionLimit } from '../resource-limits/index.ts'
+import { createByteBudget, createCollector, createConnectionLimit, createReadPace, createRefusalLog, limitConnections, resourceShares, type ConnectionLimit } from '../resource-limits/index.ts'
 import type { ForwardingVmSettings } from './types.ts'
 
 export type LimitedPort = 'callers' | 'directory' | 'readiness' | 'metrics' | 'peers'
@@ -31,8 +31,10 @@
     },
     clock
   })
+  const pace = createReadPace({ clock, onDense: () => metrics.count('resource_limits', 'dense_response') })
   const callerLimit = connectionLimit('callers')
   metrics.gauge('budget_used_bytes', 'Bytes held on behalf of callers', budget.usedBytes)
+  metrics.gauge('dense_responses', 'Connections to backend servers and other VMs that wait because they bring too much work for their bytes', pace.delayed)
   metrics.gauge('caller_connections', 'Open connections of callers', callerLimit.count)
   const cancelCheck = clock.every(RELIEF_PERIOD_MS, () => {
     budget.relieve()
@@ -59,6 +61,8 @@
 
   return {
     budget,
+    /** Paces the reading from backend servers and other VMs. */
+    pace,
     /** Whether callers were recently refused for lack of memory or connections. */
     isRefusing: () => memoryRefusals.isRefusing() || clock.now() - callerRefusedMs < REFUSAL_END_MS,
     connectionLimit,
--- a/src/core/forwarding/event-stream.ts
+++ b/src/core/forwarding/event-stream.ts
@@ -20,8 +20,8 @@
   bufferedBytes(): number
   /** Memory that the incomplete event takes. */
   heldBytes(): number
-  /** Number of lines so far. */
-  lines(): number
+  /** Number of lines since the last call. */
+  takeLines(): number
 }
 
 const LF = 0x0a
@@ -95,7 +95,11 @@
     },
     bufferedBytes: () => partial?.bytes() ?? 0,
     heldBytes: () => heldBytes,
-    lines: () => lines
+    takeLines () {
+      const taken = lines
+      lines = 0
+      return taken
+    }
   }
 }
 
--- a/src/core/forwarding/exchange.ts
+++ b/src/core/forwarding/exchange.ts
@@ -7,10 +7,10 @@
 import { connect, type Socket } from 'node:net'
 import type { Backend } from '../backend-pool/types.ts'
 import { HEADER_FIELD_BYTES } from '../resource-limits/constants.ts'
-import type { Blocks, ByteClaim } from '../resource-limits/index.ts'
+import type { Blocks, ByteClaim, ReadPace } from '../resource-limits/index.ts'
 import { CONNECT_TIMEOUT_MS, MAX_HEADER_FIELDS, MAX_INTERIM_RESPONSES } from './constants.ts'
 import { readPendingInput } from './pending-input.ts'
-import { createReadHolds, type ReadHolds } from './read-holds.ts'
+import { createPacedConnection, type PacedConnection } from './paced-connection.ts'
 import { createResponseBody, type ResponseBody } from './response-body.ts'
 import type { BackendCall, BackendResponseHead, CallerRequest } from './types.ts'
 
@@ -53,6 +53,8 @@
 interface TransportOptions {
   /** Charged with what this VM holds of the response. */
   claim: ByteClaim
+  /** Limits the time that is spent on what backend servers and other VMs send. */
+  pace: ReadPace
   /** Whether the request may still be sent; asked in the turn in which its bytes are written. Default: always. */
   mayStillSend?: () => boolean
   /** Open connection to the backend server that has not been used yet. Default: a new one. */
@@ -106,7 +108,7 @@
   })
 }
 
-export function startAddressedExchange ({ address, request, headers, body, decodeHead, claim, mayStillSend = () => true, connection, connectTimeoutMs = CONNECT_TIMEOUT_MS, onConnected = () => {} }: AddressedExchangeOptions): Exchange {
+export function startAddressedExchange ({ address, request, headers, body, decodeHead, claim, pace, mayStillSend = () => true, connection, connectTimeoutMs = CONNECT_TIMEOUT_MS, onConnected = () => {} }: AddressedExchangeOptions): Exchange {
   const { host, port } = parseAddress(address)
   const transport = connection ? { createConnection: () => connection } : { agent }
   let connected = false
@@ -118,14 +120,14 @@
   const outgoing = httpRequest({ ...transport, host, port, method: request.method, path: request.target, headers, setHost: false } as object, incoming => {
     const { rawHeaders } = incoming
     // Also prevents an unhandled 'error' event.
-    const responseBody = createResponseBody({ incoming, holds: holds!, claim, isAborted: () => aborted })
+    const responseBody = createResponseBody({ incoming, connection: paced!, claim, isAborted: () => aborted })
     if (rawHeaders.length > 2 * MAX_HEADER_FIELDS) return fail('too many header fields')
     claim.add(rawHeaders.reduce((sum, { length }) => sum + length + HEADER_FIELD_BYTES / 2, 0))
     settle({ kind: 'head', head: decodeHead(incoming.statusCode!, incoming.headers, rawHeaders), body: responseBody })
   })
-  let holds: ReadHolds | undefined
+  let paced: PacedConnection | undefined
   outgoing.on('socket', socket => {
-    holds = createReadHolds(socket)
+    paced = createPacedConnection(socket, pace)
     if (socket.connecting) socket.once('connect', send)
     else send()
   })
--- a/src/core/forwarding/forward.ts
+++ b/src/core/forwarding/forward.ts
@@ -24,7 +24,7 @@
 import { createReplacements, type ReplacementRequest, type ReplacementsOptions, type BackendAttempt, type ReservedAttempt } from './replacement.ts'
 import type { RetryAllowance } from './retry-allowance.ts'
 import { urgencyOf } from './route-table.ts'
-import type { Blocks } from '../resource-limits/index.ts'
+import { createReadPace, type Blocks, type ReadPace } from '../resource-limits/index.ts'
 import type { CallerConnection } from './caller-connection.ts'
 import type { CallerRequest, Route, Team } from './types.ts'
 
@@ -57,6 +57,8 @@
   recheckAccess(forwarded: ForwardedRequest): ErrorName | undefined
   /** Refuses requests that crash backend servers. */
   partQuarantine: PartQuarantine
+  /** Limits the time that is spent on what backend servers and other VMs send. Default: one for this forwarder. */
+  pace?: ReadPace
   /** Records whether a connection to a backend server was opened. */
   recordConnection(backend: Backend, isOpen: boolean): void
   /** Hands requests to other VMs while this one is cut off from their service. Default: never. */
@@ -82,7 +84,7 @@
 }
 
 export function createForwarder (options: ForwarderOptions) {
-  const { codec, peers, retryAllowance, recheckAccess, partQuarantine, clock, metrics, log, random, doubtMs = () => 0, configVersion = () => undefined } = options
+  const { pace = createReadPace({ clock: options.clock }), codec, peers, retryAllowance, recheckAccess, partQuarantine, clock, metrics, log, random, doubtMs = () => 0, configVersion = () => undefined } = options
 
   const replacements = createReplacements({
     reserveCapacity: options.reserveReplacement,
@@ -99,6 +101,7 @@
   const peerAttempts = peers && createPeerAttempts({
     peers,
     codec,
+    pace,
     configVersion: () => configVersion() ?? 0,
     reserveFailover: (forwarded, progress, deadlineMs, isDue) => replacements.reserve(forwarded, progress, deadlineMs, { excluded: progress.triedBackends, hasFailed: true, model: progress.model, isDue }),
     mayStillSend: (forwarded, progress) => progress.attempts > 1 || recheckAccess(forwarded) === undefined,
@@ -261,7 +264,7 @@
     }
     const permittedAt = readInstant(clock)
     const mayStillSend = () => longestElapsedMs(clock, permittedAt) <= MAX_SEND_DELAY_MS && (progress.attempts > 1 || recheckAccess(forwarded) === undefined)
-    const exchange = startExchange({ backend, request, call, body, codec, claim: forwarded.caller.claim, mayStillSend, connection, onConnected: () => options.recordConnection(backend, true) })
+    const exchange = startExchange({ backend, request, call, body, codec, claim: forwarded.caller.claim, pace, mayStillSend, connection, onConnected: () => options.recordConnection(backend, true) })
     progress.triedBackends.add(backend)
     const observation = options.observe(backend, forwarded, { isFirst: progress.attempts === 1 && progress.connectAttempts + progress.misdirectedSends === 0, model: progress.model })
     const endAttempt = (end: AttemptEnd) => {
--- a/src/core/forwarding/held-answer.ts
+++ b/src/core/forwarding/held-answer.ts
@@ -49,6 +49,7 @@
         if (isDropped) return
         if (writer.bytes() + bytes.length > MAX_HELD_BYTES) return drop()
         eventCount += splitter.push(bytes).filter(({ hasContent }) => hasContent).length
+        body.countLines(splitter.takeLines())
         writer.add(bytes)
         body.setHeld(heldBytes + splitter.heldBytes())
       },
--- a/src/core/forwarding/peer-attempt.ts
+++ b/src/core/forwarding/peer-attempt.ts
@@ -11,6 +11,7 @@
 import type { Metrics } from '../metrics/index.ts'
 import { MAX_PEERS_TRIED, PEER_RESPONSE_MARGIN_MS, PEER_STALL_FACTOR } from '../peer-forwarding/constants.ts'
 import { FORWARDED_ERROR_HEADER, FORWARDED_MODEL_HEADER, withoutHeader, type PeerConnection, type PeerForwarding } from '../peer-forwarding/index.ts'
+import type { ReadPace } from '../resource-limits/index.ts'
 import { firstResponseTimeoutMs, retryOrFail, type AttemptOutcome } from './attempt-outcome.ts'
 import { startAddressedExchange, type Codec, type Exchange, type ExchangeResult } from './exchange.ts'
 import type { ForwardedRequest } from './forward.ts'
@@ -24,6 +25,8 @@
 export interface PeerAttemptsOptions {
   peers: PeerForwarding
   codec: Pick<Codec, 'decodeBackendHead'>
+  /** Limits the time that is spent on what backend servers and other VMs send. */
+  pace: ReadPace
   /** Version of the configuration in force. */
   configVersion: () => number
   /** Takes a retry and a way for another attempt, which is still due then. */
@@ -40,7 +43,7 @@
 /** Errors of the other VM itself, after which a further one may serve the request. */
 const VM_ERRORS: ReadonlySet<string> = new Set<ErrorName>(['vm_leaving', 'vm_not_ready', 'vm_cut_off', 'vm_outdated', 'keys_unproven', 'memory_short'])
 
-export function createPeerAttempts ({ peers, codec, configVersion, reserveFailover, mayStillSend, clock, log, metrics }: PeerAttemptsOptions) {
+export function createPeerAttempts ({ peers, codec, pace, configVersion, reserveFailover, mayStillSend, clock, log, metrics }: PeerAttemptsOptions) {
   /** Opens a connection to a VM that may serve the request; tries several. */
   async function openPeer ({ service }: ForwardedRequest, { triedPeers }: RequestProgress): Promise<PeerConnection | undefined> {
     while (triedPeers.size < MAX_PEERS_TRIED) {
@@ -77,6 +80,7 @@
       body,
       decodeHead: (status, headers, raw) => codec.decodeBackendHead(request, status, headers, raw),
       claim: caller.claim,
+      pace,
       mayStillSend: () => mayStillSend(forwarded, progress),
       connection
     })
--- a/src/core/forwarding/relay.ts
+++ b/src/core/forwarding/relay.ts
@@ -171,6 +171,7 @@
         if (isSettled) return
         backend.lastReceivedMs = clock.now()
         takeEvents(chunk)
+        body.countLines(splitter.takeLines())
         if (isSettled) return
         body.setHeld(splitter.heldBytes() + commentBytes)
         if (splitter.bufferedBytes() > MAX_EVENT_BYTES) settle('broken', 'event too large')
--- a/src/core/forwarding/response-body.ts
+++ b/src/core/forwarding/response-body.ts
@@ -2,13 +2,14 @@
  * The body of a response of a backend server or of another VM. Everything that is read of one passes here, so that it has
  * one bound and one price however it is split: the chunks of one read are joined before they are handled, because a
  * buffer for each chunk takes hundreds of bytes and keeps the whole read in memory; all that is held is charged to the
- * claim of the request, and the connection is not read while nobody reads the body or the claim may not grow.
+ * claim of the request, and the connection is not read while nobody reads the body or the claim may not grow. The work on
+ * it is counted, because a few bytes in each chunk or line cost as much as some KB in one.
  */
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
-import { UNCHECKED_HELD_BYTES } from '../resource-limits/constants.ts'
+import { LINES_PER_STEP, UNCHECKED_HELD_BYTES } from '../resource-limits/constants.ts'
 import type { ByteClaim } from '../resource-limits/index.ts'
 import { createChunkJoiner } from './chunk-joiner.ts'
-import type { ReadHolds } from './read-holds.ts'
+import type { PacedConnection } from './paced-connection.ts'
 
 export interface BodyReader {
   /** Takes bytes that are not changed any more. What it keeps of them must be compact and part of `setHeld`. */
@@ -28,6 +29,8 @@
   read(reader: BodyReader): void
   /** Sets how many bytes the reader holds; reading pauses while the claim may not grow. */
   setHeld(bytes: number): void
+  /** Counts work on what has been read, in lines. */
+  countLines(lines: number): void
   /** Whether reading is paused because the claim may not grow. */
   awaitsRoom(): boolean
   /** Pauses reading while the caller takes nothing; what has been received is still passed on. */
@@ -38,13 +41,13 @@
 
 export interface ResponseBodyOptions {
   incoming: IncomingMessage
-  holds: ReadHolds
+  connection: PacedConnection
   claim: ByteClaim
   /** Whether this VM has closed the connection. Nothing is passed on then. */
   isAborted: () => boolean
 }
 
-export function createResponseBody ({ incoming, holds, claim, isAborted }: ResponseBodyOptions): ResponseBody {
+export function createResponseBody ({ incoming, connection: { holds, count }, claim, isAborted }: ResponseBodyOptions): ResponseBody {
   const { headers, statusCode } = incoming
   const joiner = createChunkJoiner()
   let reader: BodyReader | undefined
@@ -58,6 +61,7 @@
   holds.attach(incoming)
   holds.hold('no reader')
   incoming.on('data', (chunk: Buffer) => {
+    count(1)
     joiner.add(chunk)
     scheduleFlush()
   })
@@ -122,6 +126,7 @@
       holds.hold('room')
       claim.awaitRoom(() => holds.unhold('room'))
     },
+    countLines: lines => count(lines / LINES_PER_STEP),
     awaitsRoom: () => holds.has('room'),
     holdForCaller: () => holds.hold('caller'),
     releaseForCaller: () => holds.unhold('caller'),
--- a/src/core/resource-limits/constants.ts
+++ b/src/core/resource-limits/constants.ts
@@ -100,6 +100,8 @@
 export const DENSE_STEPS = 500
 /** Rate of steps that all dense connections share: some 3 % of a core, or 40 MB/s of a response in large chunks. */
 export const DENSE_STEPS_PER_MS = 10
+/** Longest time for which no dense connection is read, also after many were read in one turn. */
+export const MAX_DENSE_DEBT_MS = 1000
 /** Minimum time between reads of two dense connections, in which the first is read. */
 export const MIN_DENSE_GAP_MS = 1
 /** Steps up to which the end of a turn is not awaited. */
--- a/src/core/resource-limits/read-pace.ts
+++ b/src/core/resource-limits/read-pace.ts
@@ -6,7 +6,7 @@
  * fewest so far goes on first, so that a long response does not wait behind senders without end.
  */
 import type { Clock, TimerCancel } from '../clock/index.ts'
-import { DENSE_STEPS, DENSE_STEPS_PER_MS, MIN_COUNTED_STEPS, MIN_DENSE_GAP_MS, STEPS_PER_TURN } from './constants.ts'
+import { DENSE_STEPS, DENSE_STEPS_PER_MS, MAX_DENSE_DEBT_MS, MIN_COUNTED_STEPS, MIN_DENSE_GAP_MS, STEPS_PER_TURN } from './constants.ts'
 import type { PausableReading } from './types.ts'
 
 export interface PacedReading {
@@ -39,6 +39,7 @@
 }
 
 export function createReadPace ({ clock, afterTurn = run => { setImmediate(run) }, onDense = () => {} }: ReadPaceOptions): ReadPace {
+  /** Those that were read last come last, as connections are read in the order in which they are resumed. */
   const entries = new Set<Entry>()
   /** Those with steps in this turn. */
   const counted = new Set<Entry>()
@@ -71,8 +72,10 @@
     isScheduled = false
     turnSteps = 0
     for (const entry of counted) {
-      if (dense.has(entry)) nextDenseMs = Math.max(nextDenseMs, clock.now()) + entry.turnSteps / DENSE_STEPS_PER_MS
+      if (dense.has(entry)) payLater(entry.turnSteps)
       entry.turnSteps = 0
+      entries.delete(entry)
+      entries.add(entry)
     }
     counted.clear()
     if (isTurnOver) {
@@ -82,6 +85,12 @@
     scheduleRelease()
   }
 
+  /** Moves the next read of a dense connection by the time that these steps are worth. */
+  function payLater (steps: number): void {
+    const nowMs = clock.now()
+    nextDenseMs = Math.min(Math.max(nextDenseMs, nowMs) + steps / DENSE_STEPS_PER_MS, nowMs + MAX_DENSE_DEBT_MS)
+  }
+
   function scheduleRelease (): void {
     if (dense.size === 0 || cancelRelease) return
     cancelRelease = clock.after(Math.max(MIN_DENSE_GAP_MS, nextDenseMs - clock.now()), release)
@@ -90,6 +99,8 @@
   /** Lets one dense connection go on. If it brings many steps again, it waits again. */
   function release (): void {
     cancelRelease = undefined
+    // The one before has been read meanwhile.
+    if (clock.now() < nextDenseMs) return scheduleRelease()
     let next: Entry | undefined
     for (const entry of dense) if (!next || entry.totalSteps < next.totalSteps) next = entry
     if (!next) return
