--- a/features/support/processes.ts
+++ b/features/support/processes.ts
@@ -3,7 +3,7 @@
 import { once } from 'node:events'
 import { createInterface } from 'node:readline'
 
-const PROGRAM = 'dist/lacewingstage.cjs'
+export const PROGRAM = 'dist/lacewingstage.cjs'
 const MAX_LOG_LINES = 200
 
 export interface RunningProcess {
@@ -24,9 +24,9 @@
   for (const child of started) child.kill('SIGKILL')
 })
 
-/** Starts the program, with additional environment variables, and resolves once it has printed its first line, which is JSON. */
-export async function startProcess (args: string[], variables: Record<string, string> = {}): Promise<RunningProcess> {
-  const child = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...variables } })
+/** Starts the program, or another build of it, with additional environment variables, and resolves once it has printed its first line, which is JSON. */
+export async function startProcess (args: string[], variables: Record<string, string> = {}, program = PROGRAM): Promise<RunningProcess> {
+  const child = spawn(process.execPath, [program, ...args], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...variables } })
   started.add(child)
   child.once('exit', () => started.delete(child))
   const log: string[] = []
