Keep running sessions on the old version in the first half of a roll-out

A log with the sessions shows four that had begun before or at the order and one that had gone back after failures.

VMs now remember which sessions run, or ended within the longest pause, on which version, tell each other those of the old version in the hash range of the first stage, and leave them there.

The new scenario fails before the change (13 of 35, 13 of 35 and 13 of 21 requests on the new version had moved, 3 allowed) and passes with it.

--- a/features/steps/doubtful-attempts.ts
+++ b/features/steps/doubtful-attempts.ts
@@ -34,7 +34,7 @@
   this.pacing = createPacing({ groupOf: () => 'chat', slotsOf: () => 16, isCold: () => false, serverCount: () => 4, loadOf: () => 0, onRecovered () {}, vms: () => [self], self, ...options })
   this.counter = createRequestCounter(clock)
   this.served = 0
-  this.observer = createAttemptObserver({ pool, pacing: this.pacing, trials: { observe: () => this.counter.observe() }, isDoubtful: reachability.isDoubtful, onServed: () => { this.served++ } })
+  this.observer = createAttemptObserver({ pool, pacing: this.pacing, trials: { observe: () => this.counter.observe(), beginRun: () => () => {} }, isDoubtful: reachability.isDoubtful, onServed: () => { this.served++ } })
   for (let round = 0; round < USUAL_ROUNDS; round++) await run(this, { end: 'completed', hasEvents: true, ms: Number(ms) })
   this.served = 0
   this.before = seen(this)
--- a/features/steps/version-trial.ts
+++ b/features/steps/version-trial.ts
@@ -57,7 +57,7 @@
 })
 
 Then(/^the other VM (keeps|forgets) the session on trial$/, function (this: TrialWorld, verdict: string) {
-  assert.equal(this.sessionsOfVms[1]!.has('session'), verdict === 'keeps')
+  assert.equal(this.sessionsOfVms[1]!.lastMs('session') !== undefined, verdict === 'keeps')
   for (const unreadable of [7, '', 'abc', 'ABCDEFG', 'abcdefg'.repeat(76)]) assert.ok(!this.sessionsOfVms[1]!.merge(unreadable))
 })
 
--- a/features/traffic-decisions.feature
+++ b/features/traffic-decisions.feature
@@ -355,6 +355,18 @@
       | 195 | 6          |
       | 340 | 6          |
 
+  # Guards against sessions that change to a version on trial although they run on the old one, at any VM.
+  Scenario Outline: no running session moves in the first half of a roll-out of <seconds> s at <vms> VMs
+    Given <vms> VMs that serve 600 sessions with answers of up to 5 s
+    When a roll-out of <seconds> s begins and its first half passes
+    Then at most 3 requests have moved their session to the new version, and sessions that began there have used it
+
+    Examples:
+      | vms | seconds |
+      | 9   | 24      |
+      | 79  | 24      |
+      | 79  | 16      |
+
   Scenario Outline: the splitter finds the events of a stream that arrives in chunks of <bytes> bytes
     Given a stream of 3 events in chunks of <bytes> bytes
     Then the splitter finds the events 1, 2, 3 unchanged
--- a/src/core/forwarding-vm/attempt-observer.ts
+++ b/src/core/forwarding-vm/attempt-observer.ts
@@ -11,7 +11,7 @@
 export interface AttemptObserverOptions {
   pool: Pick<BackendPool, 'recordResult'>
   pacing: Pick<Pacing, 'observe' | 'expectedTimes'>
-  trials: Pick<VersionTrials, 'observe'>
+  trials: Pick<VersionTrials, 'observe' | 'beginRun'>
   /** Whether failures at a service may be those of this VM's way to it. Default: never. */
   isDoubtful?: (service: ServiceId) => boolean
   /** Called when an attempt has completed. */
@@ -26,9 +26,10 @@
 export function createAttemptObserver ({ pool, pacing, trials, isDoubtful = () => false, onServed }: AttemptObserverOptions): AttemptObserver {
   return {
     observe (backend, forwarded, { isFirst, model }) {
-      const { service, route } = forwarded
+      const { service, route, request: { session } } = forwarded
       const pace = pacing.observe(backend, workOf(forwarded, model))
       const observation = isFirst ? trials.observe(service, backend.entry.version, route.name) : undefined
+      const endRun = session === undefined ? undefined : trials.beginRun(service, session, backend.entry.version)
       let hasEvent = false
 
       /** Ends the observation without a failure, and without a time that the partition of the VM has made longer. */
@@ -44,6 +45,7 @@
           observation?.recordEvent()
         },
         end (end) {
+          endRun?.()
           if (UNCLEAR_ENDS.has(end) && isDoubtful(service)) return endWithoutResult()
           const result = end === 'escalated' ? 'completed' : end === 'deadline' ? 'failed' : end
           if (result !== 'not_run') pool.recordResult(backend, result !== 'completed')
--- a/src/core/forwarding-vm/load-reports.ts
+++ b/src/core/forwarding-vm/load-reports.ts
@@ -58,16 +58,17 @@
       const departures = pool.recentDepartures()
       const paces = pacing.report(audience)
       return withoutMissing({
-        promptParts, limits: hasLimits ? limits : undefined, brittle: pool.brittle.report(), departures, paces, trialSessions: trials.sessionsReport(audience), refusals: refusals.report(), reachability: reachability.report()
+        promptParts, limits: hasLimits ? limits : undefined, brittle: pool.brittle.report(), departures, paces, trialSessions: trials.sessionsReport(audience), oldSessions: trials.sessionsReport(audience, 'old'), refusals: refusals.report(), reachability: reachability.report()
       })
     },
-    onEvidence ({ promptParts, limits, brittle, departures, paces, trialSessions, refusals: refusing, reachability: reached }, from) {
+    onEvidence ({ promptParts, limits, brittle, departures, paces, trialSessions, oldSessions, refusals: refusing, reachability: reached }, from) {
       if (promptParts) partQuarantine.merge(promptParts)
       if (limits) pool.namedLimits.merge(limits)
       if (brittle) pool.brittle.merge(brittle)
       if (departures) pool.mergeDepartures(departures)
       if (paces) pacing.merge(paces, { isRelay: isRelayedFrom(from) })
       if (trialSessions) trials.mergeSessions(trialSessions)
+      if (oldSessions) trials.mergeSessions(oldSessions, 'old')
       if (refusing) refusals.merge(refusing)
       if (reached) reachability.merge(reached)
     },
--- a/src/core/load-exchange/index.ts
+++ b/src/core/load-exchange/index.ts
@@ -28,7 +28,7 @@
 export interface VmReport { loads: LoadReport, evidence?: FleetEvidence, configVersion?: number, usage?: UsageReport }
 
 /** Evidence that one VM has and all must know; receivers pass on what is new to them. */
-export interface FleetEvidence { promptParts?: PartEvidence, limits?: ReportedLimits, brittle?: ReportedBrittle, departures?: ReportedDepartures, paces?: PaceReport, trialSessions?: TrialSessionsReport, refusals?: RefusalReport, reachability?: ReachabilityReport }
+export interface FleetEvidence { promptParts?: PartEvidence, limits?: ReportedLimits, brittle?: ReportedBrittle, departures?: ReportedDepartures, paces?: PaceReport, trialSessions?: TrialSessionsReport, oldSessions?: TrialSessionsReport, refusals?: RefusalReport, reachability?: ReachabilityReport }
 
 /** The VMs that sum the reports of a large fleet. */
 export interface Collectors {
--- a/src/core/version-trial/constants.ts
+++ b/src/core/version-trial/constants.ts
@@ -52,3 +52,11 @@
 export const MAX_REPORTED_SESSIONS = 75
 /** Sessions on trial that a VM remembers; those with the oldest last request are forgotten first. */
 export const MAX_TRIAL_SESSIONS = 2000
+/** Sessions with recent requests that a VM remembers by service; 400 requests per second have 2,000 in the longest pause. */
+export const MAX_RECENT_SESSIONS = 4000
+/**
+ * Time from the order in which no session starts on the new version: the VMs tell each other which sessions run on the old
+ * one, which takes up to 1.5 s through collectors. In a short order, this part of its duration.
+ */
+export const TRIAL_START_MS = 2000
+export const MAX_TRIAL_START_SHARE = 0.15
--- a/src/core/version-trial/index.ts
+++ b/src/core/version-trial/index.ts
@@ -15,12 +15,13 @@
 import type { Audience } from '../pacing/index.ts'
 import { hashFraction, rendezvousOrder } from '../placement/rendezvous.ts'
 import {
-  BACKEND_SHARE_FACTOR, DECIDER_DELAY_MS, MIN_TRIAL_SAMPLE, REPORT_RECEIVERS, STOP_EVIDENCE, TRIAL_PERIOD_MS, WAIT_EVIDENCE
+  BACKEND_SHARE_FACTOR, DECIDER_DELAY_MS, MAX_TRIAL_START_SHARE, MIN_TRIAL_SAMPLE, REPORT_RECEIVERS, STOP_EVIDENCE, TRIAL_PERIOD_MS, TRIAL_START_MS, WAIT_EVIDENCE
 } from './constants.ts'
 import { createRequestCounter, sumByRoute, sumTrialCounts, type RequestCounter, type RequestObservation, type RouteCounts } from './counts.ts'
 import { createTrialEvaluator, hasEnoughRequests, type TrialEvaluator } from './evidence.ts'
+import { createRecentSessions } from './recent-sessions.ts'
 import { nextStateDueMs } from './schedule.ts'
-import { maxTrialRequests, stageShare, type TrialLimit } from './trial-share.ts'
+import { isFirstStage, maxTrialRequests, stageShare, type TrialLimit } from './trial-share.ts'
 import { createTrialSessions, type TrialSessions } from './trial-sessions.ts'
 import type { RolloutOrder, RolloutState } from './types.ts'
 
@@ -36,9 +37,12 @@
   counts: RouteCounts
 }
 
-/** Sessions that trials have put on the new version, by order; see `TrialSessions`. */
+/** Sessions on one of the versions of trials, by order; see `TrialSessions`. */
 export type TrialSessionsReport = Record<string, string>
 
+/** The version of the sessions in a report: the one on trial, or the one before. */
+export type TrialSide = 'new' | 'old'
+
 /** Which versions a request may use. */
 export interface VersionRule {
   allows(version: VersionId): boolean
@@ -91,7 +95,8 @@
   /** Attempts of this VM that could be put on trial, and how many of them were. */
   requests: number
   trialRequests: number
-  sessions: TrialSessions
+  /** Sessions on the new version, and in the first stage those on the old one that would be put on trial if they were new. */
+  sessions: Record<TrialSide, TrialSessions>
   isWriting: boolean
 }
 
@@ -103,6 +108,7 @@
 export function createVersionTrials (options: VersionTrialsOptions) {
   const { vm, boot, vms, report, writeStatus, sessionMs, trialLimit, clock, log, metrics } = options
   const trials = new Map<string, Trial>()
+  const recentSessions = createRecentSessions({ sessionMs, clock })
   let cancelTicks: TimerCancel | undefined
 
   function apply (order: RolloutOrder): void {
@@ -118,7 +124,7 @@
       return
     }
     log.info('roll-out', { service: order.service, target: order.target, state: order.state ?? 'ordered' })
-    trials.set(order.name, {
+    const trial: Trial = {
       order,
       receivedAtMs: clock.now(),
       unconfirmedState: undefined,
@@ -129,11 +135,52 @@
       evaluator: createTrialEvaluator(),
       requests: 0,
       trialRequests: 0,
-      sessions: createTrialSessions({ trial: `${order.name}/${order.target}`, sessionMs, clock }),
+      sessions: {
+        new: createTrialSessions({ trial: `${order.name}/${order.target}`, sessionMs, clock }),
+        old: createTrialSessions({ trial: `${order.name}/${order.target}/old`, sessionMs, clock })
+      },
       isWriting: false
-    })
+    }
+    trials.set(order.name, trial)
+    for (const { sessionKey, version, lastMs } of recentSessions.list(order.service)) recordRun(trial, sessionKey, version, lastMs)
   }
 
+  /** Records that a session runs on a version; of those on the old one only the sessions that could be put on trial. */
+  function recordRun (trial: Trial, sessionKey: string, version: VersionId, atMs = clock.now()): void {
+    if (version === trial.order.target) return trial.sessions.new.record(sessionKey, atMs)
+    const elapsed = elapsedFraction(trial)
+    if (isFirstStage(elapsed) && trialHash(trial, sessionKey) < stageShare(elapsed, trialLimit().share)) trial.sessions.old.record(sessionKey, atMs)
+  }
+
+  /** Records an attempt of a request of a session; returns a function that records its end. */
+  function beginRun (service: ServiceId, sessionKey: string, version: VersionId): () => void {
+    const end = recentSessions.begin(service, sessionKey, version)
+    const record = () => {
+      const trial = findTrial(service)
+      if (trial && !isFinal(stateOf(trial))) recordRun(trial, sessionKey, version)
+    }
+    record()
+    return () => {
+      end()
+      record()
+    }
+  }
+
+  /** Whether a session is on trial: its latest request ran on the new version, on any VM. */
+  function isSessionOnTrial ({ sessions }: Trial, sessionKey: string): boolean {
+    const newMs = sessions.new.lastMs(sessionKey)
+    return newMs !== undefined && newMs >= (sessions.old.lastMs(sessionKey) ?? -Infinity)
+  }
+
+  /** Whether a session may be put on trial now, as far as its earlier requests and the time decide. */
+  function isSessionFree ({ sessions, receivedAtMs, order }: Trial, sessionKey: string, elapsed: number): boolean {
+    if (!isFirstStage(elapsed)) return true
+    const startMs = receivedAtMs + Math.min(TRIAL_START_MS, MAX_TRIAL_START_SHARE * order.durationMs)
+    return clock.now() >= startMs && sessions.old.lastMs(sessionKey) === undefined
+  }
+
+  const trialHash = ({ order: { name, target } }: Trial, sessionKey: string) => hashFraction(`${name}/${target}/${sessionKey}`)
+
   const isFinal = (state: RolloutState | undefined) => state === 'completed' || state === 'rolled_back'
   const stateOf = ({ order, unconfirmedState }: Trial) => (isFinal(order.state) ? order.state : unconfirmedState ?? order.state)
   const isInProgress = (trial: Trial) => ['running', 'taking_over'].includes(stateOf(trial) ?? '')
@@ -151,7 +198,7 @@
   function versionRule (service: ServiceId, sessionKey: string, { version: lastVersion, hasFailed, hasSession = true }: EarlierAttempts = NO_ATTEMPTS): VersionRule {
     const trial = findTrial(service)
     if (!trial) return ANY_VERSION
-    const { order: { target, name } } = trial
+    const { order: { target } } = trial
     const state = stateOf(trial)
     if (state === 'completed' || state === 'taking_over') return { allows: version => version === target, backendShare: 1 }
     const oldVersionOnly: VersionRule = { allows: version => version !== target, backendShare: 1 }
@@ -162,12 +209,12 @@
     const limit = trialLimit()
     const share = stageShare(elapsed, limit.share)
     // A session that any VM has put on trial stays on it: it must not change its version when this VM has used its share.
-    const isOnTrial = lastVersion === undefined ? hasSession && trial.sessions.has(sessionKey) : lastVersion === target
-    const mayStart = () => lastVersion === undefined && hashFraction(`${name}/${target}/${sessionKey}`) < share &&
+    const isOnTrial = lastVersion === undefined ? hasSession && isSessionOnTrial(trial, sessionKey) : lastVersion === target
+    const mayStart = () => lastVersion === undefined && trialHash(trial, sessionKey) < share && isSessionFree(trial, sessionKey, elapsed) &&
       trial.trialRequests + 1 <= maxTrialRequests({ ownRequests: trial.requests, limit, vms: vms().length, elapsed })
     if (!isOnTrial && !mayStart()) return oldVersionOnly
     trial.trialRequests++
-    if (hasSession) trial.sessions.record(sessionKey)
+    if (hasSession) trial.sessions.new.record(sessionKey)
     return { allows: version => version === target, backendShare: share * BACKEND_SHARE_FACTOR }
   }
 
@@ -188,25 +235,31 @@
     if (trial && trial.order.target === target) trial.reports.set(`${vmId}/${bootId}`, counts)
   }
 
-  /** Sessions on trial that the other VMs should know; `undefined` if there are none. */
-  function sessionsReport (audience: Audience): TrialSessionsReport | undefined {
+  /** Sessions on one of the versions that the other VMs should know; `undefined` if there are none. */
+  function sessionsReport (audience: Audience, side: TrialSide = 'new'): TrialSessionsReport | undefined {
     const entries = [...trials].flatMap(([name, trial]) => {
-      const report = stateOf(trial) === 'running' ? trial.sessions.report(audience) : undefined
+      const report = isFinal(stateOf(trial)) || stateOf(trial) === 'taking_over' ? undefined : trial.sessions[side].report(audience)
       return report === undefined ? [] : [[name, report] as const]
     })
     return entries.length > 0 ? Object.fromEntries(entries) : undefined
   }
 
-  function mergeSessions (report: TrialSessionsReport): void {
+  function mergeSessions (report: TrialSessionsReport, side: TrialSide = 'new'): void {
     for (const [name, sessions] of Object.entries(report)) {
       const trial = trials.get(name)
-      if (trial && !trial.sessions.merge(sessions)) metrics.count('bad_input', 'trial_sessions')
+      if (trial && !trial.sessions[side].merge(sessions)) metrics.count('bad_input', 'trial_sessions')
     }
   }
 
+  /** Keeps the sessions of requests that run for long. */
+  function refreshRunning (trial: Trial): void {
+    for (const { sessionKey, version, running } of recentSessions.list(trial.order.service)) if (running > 0) recordRun(trial, sessionKey, version)
+  }
+
   function tick (): void {
     for (const trial of trials.values()) {
       const deciders = rendezvousOrder(trial.order.name, vms())
+      if (!isFinal(stateOf(trial))) refreshRunning(trial)
       if (isInProgress(trial)) sendReport(trial, deciders)
       decide(trial, deciders.indexOf(vm))
       // A completion that is due before the next period is not delayed until then: a short order leaves less time at its end.
@@ -281,6 +334,7 @@
     },
     remove (name: string): void { trials.delete(name) },
     versionRule,
+    beginRun,
     observe,
     acceptReport,
     sessionsReport,
--- a/src/core/version-trial/trial-sessions.ts
+++ b/src/core/version-trial/trial-sessions.ts
@@ -1,7 +1,7 @@
 /**
- * The sessions that a trial has put on the new version, on any VM. A session must not change its version back, but each
- * VM refuses further sessions once it has used its share of the trial, and the requests of a session may reach any VM.
- * The VMs therefore tell each other which sessions are on trial, with the load reports. A session is named by a hash of
+ * The sessions that run on one of the two versions of a trial, on any VM. A session on the new version must not change
+ * back, and one on the old version must not move in the first stage, but each VM puts only a part of the sessions on
+ * trial, and the requests of a session may reach any VM. The VMs therefore tell each other with the load reports. A session is named by a hash of
  * its key and passed on when it is new, or when its last request is much later than the one that was passed on before.
  * The age of the request is sent along, so a session that two VMs tell each other does not become younger.
  */
@@ -51,11 +51,12 @@
   }
 
   return {
-    /** Records a request of the session that this VM has put on trial. */
-    record (sessionKey: string): void { update(codeOf(sessionKey), clock.now()) },
-    has (sessionKey: string): boolean {
+    /** Records a request of the session on the version, at a monotonic time. */
+    record (sessionKey: string, atMs = clock.now()): void { update(codeOf(sessionKey), atMs) },
+    /** Monotonic time of the latest known request of the session on the version; `undefined` if there is no recent one. */
+    lastMs (sessionKey: string): number | undefined {
       const session = sessions.get(codeOf(sessionKey))
-      return session !== undefined && isCurrent(session)
+      return session && isCurrent(session) ? session.lastMs : undefined
     },
     /** The latest sessions worth passing on, or `undefined` if there are none; at most 7 bytes for each of 75. */
     report (audience: Audience): string | undefined {
--- a/src/core/version-trial/trial-share.ts
+++ b/src/core/version-trial/trial-share.ts
@@ -15,10 +15,15 @@
 export function stageShare (elapsed: number, allowedShare: number): number {
   const average = allowedShare * SHARE_SAFETY_FACTOR
   const first = Math.min(average, FIRST_STAGE_SHARE)
-  if (elapsed < SECOND_STAGE_START) return first
+  if (isFirstStage(elapsed)) return first
   return Math.min(MAX_SECOND_STAGE_SHARE, (average * COMPLETION_DEADLINE - first * SECOND_STAGE_START) / (COMPLETION_DEADLINE - SECOND_STAGE_START))
 }
 
+/** Whether the first stage lasts, in which no running session may be moved. */
+export function isFirstStage (elapsed: number): boolean {
+  return elapsed < SECOND_STAGE_START
+}
+
 export interface VmTrialState {
   /** Requests of this VM that could be put on trial. */
   ownRequests: number
