Give up a request at the end of what its caller sends

A VM noticed this at the close of the connection, which comes up to two turns of the event loop after the end of the caller's data, and on a busy VM a turn takes as long as the way of the request to the backend server. The end is now heeded itself, and a request is sent on a new connection only after the rest of the turn's input has been read.

The new scenario fails before the change (most of 20 requests arrive over 500 ms late with turns of 100 ms) and passes with it.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -422,6 +422,17 @@
     Then the backend server's connection is closed within 500 ms
     And the backend servers received 1 request
 
+  # Guards against work for callers that have left, which a VM under load learns some turns of its event loop too late.
+  Scenario Outline: a VM whose turns take <turn> ms starts no work for callers that have left
+    Given a forwarding VM with a backend server that takes 3 s
+    When each turn of its event loop takes <turn> ms while 20 callers send a request and leave after 300 ms
+    Then at most 3 of their requests reach the backend server over half a second later, and it works on none for so long
+
+    Examples:
+      | turn |
+      | 50   |
+      | 100  |
+
   Scenario: a leaving backend server gets no new requests
     Given a forwarding VM with 2 backend servers that answer
     When the first backend server is leaving
--- a/src/core/forwarding/caller-connection.ts
+++ b/src/core/forwarding/caller-connection.ts
@@ -142,9 +142,16 @@
       discardBody(() => outgoing.end())
     },
     onDisconnect (callback) {
+      const { socket } = incoming
+      const hasLeft = () => { if (!isFinished) callback() }
       // The caller may have disconnected before this registration.
-      if (outgoing.destroyed) callback()
-      else outgoing.once('close', () => { if (!isFinished) callback() })
+      if (outgoing.destroyed || socket.readableEnded) return callback()
+      // The end of what the caller sends comes some turns of the event loop before the connection is closed.
+      socket.once('end', hasLeft)
+      outgoing.once('close', () => {
+        socket.off('end', hasLeft)
+        hasLeft()
+      })
     }
   }
 }
--- a/src/core/forwarding/exchange.ts
+++ b/src/core/forwarding/exchange.ts
@@ -111,9 +111,12 @@
 export function startAddressedExchange ({ address, request, headers, body, decodeHead, claim, pace, mayStillSend = () => true, connection, connectTimeoutMs = CONNECT_TIMEOUT_MS, onConnected = () => {} }: AddressedExchangeOptions): Exchange {
   const { host, port } = parseAddress(address)
   const transport = connection ? { createConnection: () => connection } : { agent }
-  let connected = false
+  let isOpen = connection !== undefined
+  /** Whether the request has been sent. */
+  let isSent = false
   let connectionFailed = false
   let aborted = false
+  let isSettled = false
   let settle: (result: ExchangeResult) => void = () => {}
   const result = new Promise<ExchangeResult>(resolve => { settle = resolve })
 
@@ -128,7 +131,7 @@
   let paced: PacedConnection | undefined
   outgoing.on('socket', socket => {
     paced = createPacedConnection(socket, pace)
-    if (socket.connecting) socket.once('connect', send)
+    if (socket.connecting) socket.once('connect', () => void sendAfterInput())
     else send()
   })
   let interimResponses = 0
@@ -139,14 +142,21 @@
   })
   outgoing.on('close', () => fail('connection closed'))
   const timer = setTimeout(() => {
-    void readPendingInput().then(() => { if (!connected) fail('connect timeout') })
+    void readPendingInput().then(() => { if (!isOpen) fail('connect timeout') })
   }, connectTimeoutMs)
 
+  /** The connection may have opened in a late turn of the event loop, in which the caller's leaving is still to be read. */
+  async function sendAfterInput (): Promise<void> {
+    isOpen = true
+    await readPendingInput()
+    if (!isSettled) send()
+  }
+
   /** The headers are sent with the body, so nothing leaves before this. */
   function send (): void {
     if (!connection) onConnected()
     if (!mayStillSend()) return fail('not permitted any more', 'not_permitted')
-    connected = true
+    isSent = true
     clearTimeout(timer)
     const blocks = body?.blocks ?? []
     // Node sends the headers and a single block in one write.
@@ -157,7 +167,8 @@
     outgoing.uncork()
   }
 
-  function fail (reason: string, kind: ExchangeFailure['kind'] = connected ? 'lost' : 'not_sent'): void {
+  function fail (reason: string, kind: ExchangeFailure['kind'] = isSent ? 'lost' : 'not_sent'): void {
+    isSettled = true
     clearTimeout(timer)
     settle({ kind, reason })
     outgoing.destroy()
