Do not pace responses in large chunks

A read of 2 MiB counted 512 steps, so a stream of 90 MB in large events was paced to 40 MB/s and missed its deadline of 3 s in the scenario of the slow reader (once, at a load average of 14). A step is 16 KiB now.

--- a/src/core/resource-limits/constants.ts
+++ b/src/core/resource-limits/constants.ts
@@ -89,16 +89,16 @@
 export const MAX_TURN_WAITERS = 16
 
 /**
- * Steps of the work on what backend servers and other VMs send: one for each chunk, 4 KiB received or 32 lines of an event
+ * Steps of the work on what backend servers and other VMs send: one for each chunk, 16 KiB received or 32 lines of an event
  * stream. A step takes some 3 µs.
  */
-export const RECEIVED_BYTES_PER_STEP = 4096
+export const RECEIVED_BYTES_PER_STEP = 16 * 1024
 export const LINES_PER_STEP = 32
 /** Steps in one turn of the event loop after which no more of their connections is read in it; about 5 ms. */
 export const STEPS_PER_TURN = 2000
 /** Steps of one connection in one turn from which it is dense: 500 tokens of a sound stream are those of several seconds. */
 export const DENSE_STEPS = 500
-/** Rate of steps that all dense connections share: some 3 % of a core, or 40 MB/s of a response in large chunks. */
+/** Rate of steps that all dense connections share: some 3 % of a core. A response in large chunks is never dense: a turn reads 2 MiB of it at most, 160 steps. */
 export const DENSE_STEPS_PER_MS = 10
 /** Longest time for which no dense connection is read, also after many were read in one turn. */
 export const MAX_DENSE_DEBT_MS = 1000
