Tell a reset from the end of an answer without a length

After the end of a connection, a write of zero bytes fails after a reset and succeeds after an orderly close, and the end of a body without framing counts only after that. Between VMs, such an answer has a length and a header about it, so that the end of a VM does not look like that of the answer. Statuses from 600 on count as failures like those below 200.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -24,8 +24,12 @@
       | order | no-mark                             | 502    | -      | 1        |
       | order | garbage                             | 502    | -      | 1        |
       | order | no-length-reset                     | 502    | -      | 1        |
+      | order | no-length-reset-at-once             | 502    | -      | 1        |
       | order | extra-answer                        | 200    | whole  | 1        |
       | order | low-status                          | 502    | -      | 1        |
+      | order | zero-status                         | 502    | -      | 1        |
+      | order | status-600                          | 502    | -      | 1        |
+      | order | status-999                          | 502    | -      | 1        |
       | order | switch-protocols                    | 502    | -      | 1        |
       | order | empty-header-name                   | 502    | -      | 1        |
       | read  | low-status, answer                  | 200    | whole  | 2        |
@@ -233,6 +237,7 @@
       | behaviour             |
       | stream-unframed-part  |
       | stream-unframed-reset |
+      | stream-unframed-reset-at-once |
       | stream-unframed-crash |
 
   Scenario: a stream that cannot be resumed is visibly truncated
--- a/features/peer-forwarding.feature
+++ b/features/peer-forwarding.feature
@@ -182,6 +182,13 @@
       | task       | status | runs | retry |
       | status 500 | 500    | 1    | no    |
       | break      | 502    | 1    | no    |
+      | unframed reset | 502 | 1   | no    |
+
+  Scenario: an answer without a length has none for the caller behind two VMs
+    Given 2 forwarding VMs of which VM 1 is cut off
+    When VM 1 gets an order with the task unframed
+    Then the answer has status 200
+    And the answer has neither a length nor a statement of a VM
 
   # Guards against an order that runs again because a backend server's answer looks like a refusal of the second VM.
   Scenario: an answer with the name of an error of a VM is passed on
--- a/features/steps/peer-forwarding.ts
+++ b/features/steps/peer-forwarding.ts
@@ -3,7 +3,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { KEY_KIND, KEY_NAME } from '../../src/core/fleet/constants.ts'
 import { brandId, type ModelId, type RequestId } from '../../src/core/ids/index.ts'
-import { encodeOrigin, FORWARDED_ERROR_HEADER, FORWARDED_HEADER } from '../../src/core/peer-forwarding/message.ts'
+import { encodeOrigin, FORWARDED_ERROR_HEADER, FORWARDED_HEADER, FORWARDED_STATEMENTS } from '../../src/core/peer-forwarding/message.ts'
 import { eventsOf, sendTo, startPartitionedFleet, type Answer, type FleetVm, type PartitionedFleet, type RequestOptions, type SentRequest } from '../support/partitioned-fleet.ts'
 import type { LinkState } from '../support/links.ts'
 import { digestOf, STREAM_LENGTH, type Run } from '../support/task-backend.ts'
@@ -167,6 +167,11 @@
   if (ms) assert.ok(answer.afterMs <= Number(ms), `after ${Math.round(answer.afterMs)} ms`)
 })
 
+Then('the answer has neither a length nor a statement of a VM', async function (this: PeerWorld) {
+  const { headers } = await this.sent.at(-1)!.answer
+  assert.deepEqual(['content-length', 'transfer-encoding', ...FORWARDED_STATEMENTS].filter(name => headers[name.toLowerCase()] !== undefined), [])
+})
+
 Then(/^it has run (\d+) times?$/, async function (this: PeerWorld, times: string) {
   await sleep(300)
   assert.equal(runsOf(this, this.sent.at(-1)!).length, Number(times))
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -3,12 +3,12 @@
 
 /** How a backend server responds to one request. */
 export type BackendBehaviour =
-  | 'answer' | 'answer-late' | 'answer-after-1500-ms' | 'crash' | 'answer-limited' | 'answer-leaving' | 'not-run-pause' | 'answer-500' | 'answer-500-late' | 'answer-503-late' | 'not-run-late' | 'answer-404' | 'answer-503' | 'answer-429' | 'answer-408' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset'
+  | 'answer' | 'answer-late' | 'answer-after-1500-ms' | 'crash' | 'answer-limited' | 'answer-leaving' | 'not-run-pause' | 'answer-500' | 'answer-500-late' | 'answer-503-late' | 'not-run-late' | 'answer-404' | 'answer-503' | 'answer-429' | 'answer-408' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset' | 'no-length-reset-at-once'
   | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
-  | 'low-status' | 'switch-protocols' | 'empty-header-name' | 'stream-empty-header-name' | 'trailer'
+  | 'low-status' | 'zero-status' | 'status-600' | 'status-999' | 'switch-protocols' | 'empty-header-name' | 'stream-empty-header-name' | 'trailer'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
-  | 'stream-crash' | 'stream-comment-crash' | 'stream-headless-crash' | 'stream-head-reset' | 'stream' | 'stream-break-mid-event' | 'stream-break-late' | 'stream-gap' | 'stream-no-length' | 'stream-unframed' | 'stream-unframed-part' | 'stream-unframed-reset' | 'stream-unframed-crash' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-brief-pause' | 'stream-brief-break' | 'stream-late' | 'stream-late-head' | 'stream-low-confidence' | 'stream-low-confidence-slow' | 'stream-low-confidence-stall' | 'stream-low-confidence-break' | 'stream-slow'
+  | 'stream-crash' | 'stream-comment-crash' | 'stream-headless-crash' | 'stream-head-reset' | 'stream' | 'stream-break-mid-event' | 'stream-break-late' | 'stream-gap' | 'stream-no-length' | 'stream-unframed' | 'stream-unframed-part' | 'stream-unframed-reset' | 'stream-unframed-reset-at-once' | 'stream-unframed-crash' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-brief-pause' | 'stream-brief-break' | 'stream-late' | 'stream-late-head' | 'stream-low-confidence' | 'stream-low-confidence-slow' | 'stream-low-confidence-stall' | 'stream-low-confidence-break' | 'stream-slow'
 
 export interface ScriptedBackend {
   address: string
@@ -144,12 +144,19 @@
       socket.write(`HTTP/1.1 200 OK\r\n${identityHeaders}\r\nwho`)
       setTimeout(() => socket.resetAndDestroy(), 30)
     },
+    'no-length-reset-at-once': () => {
+      socket.write(`HTTP/1.1 200 OK\r\n${identityHeaders}\r\nwho`)
+      socket.resetAndDestroy()
+    },
     'foreign-id': () => finish('HTTP/1.1 200 OK\r\nx-test-mark: m\r\nx-test-id: other\r\ncontent-length: 5\r\n\r\nother'),
     encoded: () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}content-encoding: br\r\ncontent-length: 5\r\n\r\nother`),
     'no-mark': () => finish(`HTTP/1.1 200 OK\r\nx-test-id: ${id}\r\ncontent-length: 5\r\n\r\nother`),
     silent: () => {},
     'extra-answer': () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}content-length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\n${identityHeaders}content-length: 5\r\n\r\nextra`),
     'low-status': () => finish(`HTTP/1.1 099 Odd\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
+    'zero-status': () => finish(`HTTP/1.1 000 Odd\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
+    'status-600': () => finish(`HTTP/1.1 600 Odd\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
+    'status-999': () => finish(`HTTP/1.1 999 Odd\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
     'switch-protocols': () => finish(`HTTP/1.1 101 Switching Protocols\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
     'empty-header-name': () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}: odd\r\ncontent-length: 5\r\n\r\nwhole`),
     // The harness's adapter does not drop this header, which Node refuses beside a length.
@@ -204,6 +211,10 @@
       socket.write(stream + '\r\n' + all.join(''))
       setTimeout(() => socket.resetAndDestroy(), 30)
     },
+    'stream-unframed-reset-at-once': () => {
+      socket.write(stream + '\r\n' + events(after + 2).join(''))
+      socket.resetAndDestroy()
+    },
     'stream-unframed-crash': () => {
       socket.write(stream + '\r\n' + all.join(''))
       setTimeout(crash, 30)
--- a/features/support/task-backend.ts
+++ b/features/support/task-backend.ts
@@ -29,7 +29,7 @@
 /**
  * `late MS`, `status CODE`, `busy` (503 that says that the request has not run), `gap MS` (between the events of a stream),
  * `bytes N` (size of each event), `events N`, `break` (the connection is reset in place of the response), `error NAME` (a header
- * that names an error of a VM).
+ * that names an error of a VM), `unframed` (a response without a length that ends with its connection, or `unframed reset`, with its reset).
  */
 export async function startTaskBackend (name: string, runs: Run[]): Promise<TaskBackend> {
   async function respond (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
@@ -52,6 +52,12 @@
     if (incoming.url!.startsWith('/stream/') || incoming.url!.startsWith('/cascade/')) return await stream(incoming, outgoing, run, { gapMs: numberOf('gap', 50), bytes: numberOf('bytes', 1), length: numberOf('events', STREAM_LENGTH) })
     outgoing.statusCode = numberOf('status', 200)
     const text = JSON.stringify({ digest: run.digest, bytes: body.length })
+    if (actions.has('unframed')) {
+      outgoing.useChunkedEncodingByDefault = outgoing.shouldKeepAlive = false
+      if (actions.get('unframed') !== 'reset') return void outgoing.end(text)
+      outgoing.write(text)
+      return void incoming.socket.resetAndDestroy()
+    }
     outgoing.setHeader('content-length', Buffer.byteLength(text))
     outgoing.end(text)
   }
--- a/src/core/forwarding/caller-connection.ts
+++ b/src/core/forwarding/caller-connection.ts
@@ -1,7 +1,7 @@
 /** The caller's side of one request. If a response cannot be completed, its connection is destroyed so that the caller sees it as truncated. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { LacewingError } from '../errors/index.ts'
-import { FORWARDED_ERROR_HEADER } from '../peer-forwarding/message.ts'
+import { FORWARDED_ERROR_HEADER, FORWARDED_UNFRAMED_HEADER } from '../peer-forwarding/message.ts'
 import { RESPONSE_PIECE_BYTES, RESPONSE_PROGRESS_WINDOW_MS } from '../resource-limits/constants.ts'
 import type { Blocks, ByteClaim } from '../resource-limits/index.ts'
 
@@ -10,7 +10,8 @@
   claim: ByteClaim
   /**
    * Sends a response with a complete body. A body that the backend server delimited only by closing its connection is
-   * sent to the caller in the same way: it may be truncated, and a Content-Length would present it as complete.
+   * sent to the caller in the same way: it may be truncated, and a Content-Length would present it as complete. Another VM
+   * gets a length and a header that says so, because it could not tell the end of this process from the end of the body.
    */
   sendResponse(status: number, headers: readonly string[], body: Blocks, isFramed: boolean): void
   /** Sends the head of a streamed response. */
@@ -84,7 +85,8 @@
     claim,
     sendResponse (status, headers, body, isFramed) {
       const framedHeaders = responseHeaders(headers)
-      if (!isFramed) {
+      if (!isFramed && isPeer) framedHeaders.push(FORWARDED_UNFRAMED_HEADER, '1')
+      if (!isFramed && !isPeer) {
         outgoing.useChunkedEncodingByDefault = false
         outgoing.shouldKeepAlive = false
         onClosing()
--- a/src/core/forwarding/exchange.ts
+++ b/src/core/forwarding/exchange.ts
@@ -3,7 +3,7 @@
  * earlier responses, and a failure to connect proves that nothing was sent. A new connection costs a fraction of
  * what repeating one request costs.
  */
-import { Agent, request as httpRequest, type IncomingMessage } from 'node:http'
+import { request as httpRequest, type IncomingMessage } from 'node:http'
 import { connect, type Socket } from 'node:net'
 import type { Backend } from '../backend-pool/types.ts'
 import { HEADER_FIELD_BYTES } from '../resource-limits/constants.ts'
@@ -74,11 +74,14 @@
   decodeHead: (status: number, headers: IncomingMessage['headers'], raw: string[]) => BackendResponseHead
 }
 
-const agent = new Agent({ keepAlive: false, maxSockets: Infinity })
+/** Opens a connection whose own side stays open at the end of the other one, so that a reset can be told from an end. */
+function connectTo (address: string): Socket {
+  return connect({ ...parseAddress(address), noDelay: true, allowHalfOpen: true })
+}
 
 /** Opens a connection before the request for it is due; resolves with `undefined` if that fails or takes longer. */
 export function openConnection (address: string, timeoutMs: number): Promise<Socket | undefined> {
-  const socket = connect({ ...parseAddress(address), noDelay: true })
+  const socket = connectTo(address)
   return new Promise(resolve => {
     const timer = setTimeout(() => void readPendingInput().then(() => { settle(false) }), timeoutMs)
     function settle (isOpen: boolean): void {
@@ -110,7 +113,7 @@
 
 export function startAddressedExchange ({ address, request, headers, body, decodeHead, claim, pace, mayStillSend = () => true, connection, connectTimeoutMs = CONNECT_TIMEOUT_MS, onConnected = () => {} }: AddressedExchangeOptions): Exchange {
   const { host, port } = parseAddress(address)
-  const transport = connection ? { createConnection: () => connection } : { agent }
+  const createConnection = () => connection ?? connectTo(address)
   let isOpen = connection !== undefined
   /** Whether the request has been sent. */
   let isSent = false
@@ -120,7 +123,7 @@
   let settle: (result: ExchangeResult) => void = () => {}
   const result = new Promise<ExchangeResult>(resolve => { settle = resolve })
 
-  const outgoing = httpRequest({ ...transport, host, port, method: request.method, path: request.target, headers, setHost: false } as object, incoming => {
+  const outgoing = httpRequest({ createConnection, host, port, method: request.method, path: request.target, headers, setHost: false } as object, incoming => {
     const { rawHeaders } = incoming
     // Also prevents an unhandled 'error' event.
     const responseBody = createResponseBody({ incoming, connection: paced!, claim, isAborted: () => aborted })
--- a/src/core/forwarding/peer-attempt.ts
+++ b/src/core/forwarding/peer-attempt.ts
@@ -10,7 +10,7 @@
 import type { DecisionLog } from '../logging/decision-log.ts'
 import type { Metrics } from '../metrics/index.ts'
 import { MAX_PEERS_TRIED, PEER_RESPONSE_MARGIN_MS, PEER_STALL_FACTOR } from '../peer-forwarding/constants.ts'
-import { FORWARDED_ERROR_HEADER, FORWARDED_MODEL_HEADER, withoutHeader, type PeerConnection, type PeerForwarding } from '../peer-forwarding/index.ts'
+import { FORWARDED_ERROR_HEADER, FORWARDED_MODEL_HEADER, FORWARDED_UNFRAMED_HEADER, withoutHeader, type PeerConnection, type PeerForwarding } from '../peer-forwarding/index.ts'
 import type { ReadPace } from '../resource-limits/index.ts'
 import { firstResponseTimeoutMs, retryOrFail, type AttemptOutcome } from './attempt-outcome.ts'
 import { startAddressedExchange, type Codec, type Exchange, type ExchangeResult } from './exchange.ts'
@@ -177,7 +177,9 @@
     const bytes = await readResponse(body, exchange, caller.claim)
     if (!bytes) return retryOrFail(route, undefined, 'response truncated or too large')
     if (caller.hasStarted()) return { kind: 'failed', error: 'answer_truncated', reason: `status ${head.status} after a part of the response` }
-    caller.sendResponse(head.status, head.headers, bytes, body.isFramed)
+    // The other VM knows that the backend server's own framing did not mark the end.
+    const isFramed = body.isFramed && headerOf(body, FORWARDED_UNFRAMED_HEADER) === undefined
+    caller.sendResponse(head.status, withoutHeader(head.headers, FORWARDED_UNFRAMED_HEADER), bytes, isFramed)
     return { kind: 'done' }
   }
 
--- a/src/core/forwarding/response-body.ts
+++ b/src/core/forwarding/response-body.ts
@@ -47,8 +47,9 @@
   isAborted: () => boolean
 }
 
-export function createResponseBody ({ incoming, connection: { holds, count }, claim, isAborted }: ResponseBodyOptions): ResponseBody {
+export function createResponseBody ({ incoming, connection: { holds, count, wasReset }, claim, isAborted }: ResponseBodyOptions): ResponseBody {
   const { headers, statusCode } = incoming
+  const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === 204 || statusCode === 304
   const joiner = createChunkJoiner()
   let reader: BodyReader | undefined
   /** Bytes that the reader holds, and those that are charged, which include the ones that wait for a reader. */
@@ -57,6 +58,8 @@
   let isFlushScheduled = false
   let outcome: 'open' | 'ended' | 'closed' = 'open'
   let failure = 'connection closed'
+  /** Whether the end has been read, and may still turn out to be a reset. */
+  let isEnding = false
 
   holds.attach(incoming)
   holds.hold('no reader')
@@ -65,9 +68,9 @@
     joiner.add(chunk)
     scheduleFlush()
   })
-  incoming.on('end', () => finish('ended'))
+  incoming.on('end', () => void endInOrder())
   incoming.on('error', error => { failure = error.message })
-  incoming.on('close', () => finish('closed'))
+  incoming.on('close', () => { if (!isEnding) finish('closed') })
 
   function scheduleFlush (): void {
     if (isFlushScheduled) return
@@ -84,6 +87,13 @@
     if (outcome !== 'open') endReader()
   }
 
+  async function endInOrder (): Promise<void> {
+    isEnding = true
+    if (isFramed || !await wasReset()) return finish('ended')
+    failure = 'connection reset'
+    finish('closed')
+  }
+
   function finish (end: 'ended' | 'closed'): void {
     if (outcome === 'open') outcome = end
     flush()
@@ -112,7 +122,7 @@
 
   return {
     headers,
-    isFramed: headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === 204 || statusCode === 304,
+    isFramed,
     isComplete: () => incoming.complete,
     read (newReader) {
       reader = newReader
--- a/src/core/peer-forwarding/index.ts
+++ b/src/core/peer-forwarding/index.ts
@@ -8,9 +8,9 @@
 import type { Metrics } from '../metrics/index.ts'
 import { choosePeer, type Candidate, type ChoiceOptions } from './choice.ts'
 import { PEER_CONNECT_TIMEOUT_MS } from './constants.ts'
-import { decodeOrigin, encodeOrigin, FORWARDED_ERROR_HEADER, FORWARDED_HEADER, FORWARDED_MODEL_HEADER, type Origin } from './message.ts'
+import { decodeOrigin, encodeOrigin, FORWARDED_HEADER, FORWARDED_STATEMENTS, type Origin } from './message.ts'
 
-export { FORWARDED_ERROR_HEADER, FORWARDED_MODEL_HEADER, type Origin } from './message.ts'
+export { FORWARDED_ERROR_HEADER, FORWARDED_MODEL_HEADER, FORWARDED_UNFRAMED_HEADER, type Origin } from './message.ts'
 
 /** Another VM with an open connection for one request. */
 export interface PeerConnection { vm: VmId, address: string, connection: Socket }
@@ -82,7 +82,7 @@
 
     /** Headers of a backend server's response for the VM that handed the request on, which must not take them for statements of this VM. */
     responseHeaders: (headers: string[], { origin }: CallerRequest): string[] =>
-      origin ? withoutHeader(withoutHeader(headers, FORWARDED_ERROR_HEADER), FORWARDED_MODEL_HEADER) : headers,
+      origin ? FORWARDED_STATEMENTS.reduce(withoutHeader, headers) : headers,
 
     /** Adds to a decoded request what the VM that handed it on states about it, if one did. */
     receive (request: CallerRequest, rawHeaders: readonly string[]): CallerRequest {
--- a/src/core/peer-forwarding/message.ts
+++ b/src/core/peer-forwarding/message.ts
@@ -13,6 +13,11 @@
 /** In a stream for such a request: the model that makes it. */
 export const FORWARDED_MODEL_HEADER = 'Lacewingstage-Model'
 
+/** In a response to such a request whose end only the close of its connection marked at the backend server. */
+export const FORWARDED_UNFRAMED_HEADER = 'Lacewingstage-Unframed'
+/** Headers of a response that are statements of the VM that received the request. */
+export const FORWARDED_STATEMENTS: readonly string[] = [FORWARDED_ERROR_HEADER, FORWARDED_MODEL_HEADER, FORWARDED_UNFRAMED_HEADER]
+
 const FORMAT = 1
 /** Longest value that is read. */
 const MAX_HEADER_LENGTH = 2048
