--- a/features/endless-response.feature
+++ b/features/endless-response.feature
@@ -40,3 +40,8 @@
       | 100     | a body in tiny chunks   | /order/                 |
       | 100     | low-confidence comments | /cascade/               |
       | 100     | zeros of a chunk size   | /stream/                |
+
+  # Guards against unfinished events that grow although the byte budget is used up.
+  Scenario: an event without end is read no further while there is no room
+    When an event without end arrives and others hold the whole byte budget
+    Then at most 256 KB of it are read until they give it back, and more after that
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -27,6 +27,7 @@
       | order | no-length-reset-at-once             | 502    | -      | 1        |
       | order | extra-answer                        | 200    | whole  | 1        |
       | order | low-status                          | 502    | -      | 1        |
+      | order | many-fields                         | 502    | -      | 1        |
       | order | zero-status                         | 502    | -      | 1        |
       | order | status-600                          | 502    | -      | 1        |
       | order | status-999                          | 502    | -      | 1        |
--- a/features/steps/endless-response.ts
+++ b/features/steps/endless-response.ts
@@ -1,8 +1,14 @@
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { createServer, get, type IncomingMessage } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { systemClock } from '../../src/core/clock/index.ts'
+import { createPacedConnection } from '../../src/core/forwarding/paced-connection.ts'
+import { createResponseBody } from '../../src/core/forwarding/response-body.ts'
 import { BACKENDS_COALESCE_MS } from '../../src/core/forwarding-vm/constants.ts'
-import { createCollector } from '../../src/core/resource-limits/index.ts'
+import { createByteBudget, createCollector, createReadPace } from '../../src/core/resource-limits/index.ts'
 import { startEndlessBackend, type EndlessBackend, type EndlessBytes } from '../support/endless-backend.ts'
 import { backendEntry, exchangeBytes, KINDS, startForwardingVmHarness, type ForwardingVmHarness } from '../support/forwarding-vm-harness.ts'
 import { isReady, requestBytes } from './forwarding.ts'
@@ -12,6 +18,8 @@
   endless: EndlessBackend
   heldMb: number
   longestTurnMs: number
+  /** Bytes that were read without room, and with room again. */
+  readBytes: { before: number, after: number }
 }
 
 const MB = 2 ** 20
@@ -66,3 +74,41 @@
 Then(/^no turn of its event loop takes longer than (\d+) ms$/, function (this: EndlessWorld, maxMs: string) {
   assert.ok(this.longestTurnMs <= Number(maxMs), `${this.longestTurnMs.toFixed(0)} ms`)
 })
+
+When('an event without end arrives and others hold the whole byte budget', async function (this: EndlessWorld) {
+  const server = createServer((_incoming, outgoing) => {
+    const write = () => { while (!outgoing.destroyed && outgoing.write(Buffer.alloc(16_384, 'x'))) { /* until the buffers are full */ } }
+    outgoing.on('drain', write)
+    write()
+  }).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const outgoing = get({ port: (server.address() as AddressInfo).port, host: '127.0.0.1', agent: false })
+  const budget = createByteBudget({ totalBytes: MB, reserveBytes: 0, clock: systemClock })
+  const others = budget.open({ connection: {}, address: undefined, team: undefined })
+  others.add(MB)
+  const claim = budget.open({ connection: server, address: undefined, team: undefined })
+  const [incoming] = await once(outgoing, 'response') as [IncomingMessage]
+  const body = createResponseBody({ incoming, connection: createPacedConnection(incoming.socket, createReadPace({ clock: systemClock })), claim, isAborted: () => false })
+  let bytes = 0
+  body.read({
+    onData (chunk) {
+      bytes += chunk.length
+      body.setHeld(bytes)
+    },
+    onEnd () {},
+    onBroken () {}
+  })
+  await sleep(500)
+  const before = bytes
+  others.end()
+  await sleep(500)
+  this.readBytes = { before, after: bytes }
+  outgoing.destroy()
+  server.closeAllConnections()
+  server.close()
+})
+
+Then(/^at most (\d+) KB of it are read until they give it back, and more after that$/, function (this: EndlessWorld, maxKb: string) {
+  const { before, after } = this.readBytes
+  assert.ok(before <= Number(maxKb) * 1024 && after > before, `${before} bytes, then ${after}`)
+})
--- a/features/support/scripted-backend.ts
+++ b/features/support/scripted-backend.ts
@@ -5,7 +5,7 @@
 export type BackendBehaviour =
   | 'answer' | 'answer-late' | 'answer-after-1500-ms' | 'crash' | 'answer-limited' | 'answer-leaving' | 'not-run-pause' | 'answer-500' | 'answer-500-late' | 'answer-503-late' | 'not-run-late' | 'answer-404' | 'answer-503' | 'answer-429' | 'answer-408' | 'not-run' | 'misdirected' | 'reset' | 'cut-body' | 'no-length' | 'no-length-reset' | 'no-length-reset-at-once'
   | 'foreign-id' | 'encoded' | 'no-mark' | 'silent' | 'extra-answer' | 'garbage'
-  | 'low-status' | 'zero-status' | 'status-600' | 'status-999' | 'switch-protocols' | 'empty-header-name' | 'stream-empty-header-name' | 'trailer'
+  | 'many-fields' | 'low-status' | 'zero-status' | 'status-600' | 'status-999' | 'switch-protocols' | 'empty-header-name' | 'stream-empty-header-name' | 'trailer'
   | 'endless-head' | 'endless-interim' | 'endless-bytes' | 'endless-body' | 'endless-trailer'
   | 'stream-endless-event' | 'stream-endless-chunk-extension'
   | 'stream-crash' | 'stream-comment-crash' | 'stream-headless-crash' | 'stream-head-reset' | 'stream' | 'stream-break-mid-event' | 'stream-break-late' | 'stream-gap' | 'stream-no-length' | 'stream-unframed' | 'stream-unframed-part' | 'stream-unframed-reset' | 'stream-unframed-reset-at-once' | 'stream-unframed-crash' | 'stream-stall' | 'stream-stall-ping' | 'stream-pause' | 'stream-brief-pause' | 'stream-brief-break' | 'stream-late' | 'stream-late-head' | 'stream-low-confidence' | 'stream-low-confidence-slow' | 'stream-low-confidence-stall' | 'stream-low-confidence-break' | 'stream-slow'
@@ -154,6 +154,7 @@
     silent: () => {},
     'extra-answer': () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}content-length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\n${identityHeaders}content-length: 5\r\n\r\nextra`),
     'low-status': () => finish(`HTTP/1.1 099 Odd\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
+    'many-fields': () => finish(`HTTP/1.1 200 OK\r\n${identityHeaders}${'a: b\r\n'.repeat(300)}content-length: 5\r\n\r\nwhole`),
     'zero-status': () => finish(`HTTP/1.1 000 Odd\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
     'status-600': () => finish(`HTTP/1.1 600 Odd\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
     'status-999': () => finish(`HTTP/1.1 999 Odd\r\n${identityHeaders}content-length: 5\r\n\r\nwhole`),
