--- a/review/11/case.ts
+++ b/review/11/case.ts
@@ -69,7 +69,7 @@
   await sleep(STOP_AFTER_MS)
   stopped!.signal('SIGTERM')
   const lost = (await Promise.all(atStop)).filter(stream => !isWhole(stream))
-  await Promise.race([stopped!.ended, sleep(9000)])
+  await Promise.race([stopped!.ended(), sleep(9000)])
   return {
     broken: closed.length > MAX_CLOSED || lost.length > 0,
     why: `of ${streams.length} streams on kept channels ${closed.length} were closed without the end of the answer (${MAX_CLOSED} are allowed); of ${STREAMS_AT_STOP} that ran at a SIGTERM, ${lost.length} ended without a complete answer`
--- a/review/standin-3/fleet.ts
+++ b/review/standin-3/fleet.ts
@@ -9,6 +9,7 @@
 
 /** The words of the line `run` of the deploy file. */
 const RUN = ['--max-semi-space-size=4', 'target/lacewingstage.cjs', 'platform']
+const { execPath: RUNTIME, env: { PATH, HOME } } = process
 const READY_TIMEOUT_MS = 25_000
 export const BOUNDS = {
   seed_lag_s: 3, reuse_after_s: 2, contact_ms: 3000, ack_ms: 4000, catch_up_s: 4, drain_ms: 2000, grace_s: 8, loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, max_stretch_ms: 5000, revoke_strict: true, revoke_ms: 5000, retry_budget_ratio: 0.9, retry_window_s: 10, retry_slack: 56, canary_share: 0.15, canary_slack: 30, rollback_ms: 5000, cold_overshoot: 1.5, cold_slack: 5, evacuate_ms: 5000, recover_s: 12, pass_ms: 120, reuse_window_s: 9.4, session_s: 5, ttl_max_s: 5
@@ -36,12 +37,13 @@
   host: string
   /** Port for consumers. */
   port: number
-  child: ChildProcess
   log: string[]
   isReady(): Promise<boolean>
   signal(signal: NodeJS.Signals): void
-  /** Exit code and signal, once the process has ended. */
-  ended: Promise<string>
+  /** Exit code or signal of the process, once it has ended. */
+  ended(): Promise<string>
+  /** Starts the process again after its end, as the platform does. */
+  restart(): void
 }
 
 export interface FleetOptions {
@@ -97,26 +99,37 @@
     bounds: BOUNDS,
     platform: { address: storeAddress, form: 'objects', writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1_048_576, ttl_min_ms: 1000 }
   }))
-  const child = spawn(process.execPath, RUN, { stdio: ['ignore', 'pipe', 'pipe'], env: { PATH: process.env.PATH, HOME: process.env.HOME, LACEWINGSTAGE_BOOT: path } })
   const log: string[] = []
-  for (const stream of [child.stdout, child.stderr]) stream.on('data', chunk => log.push(...String(chunk).split('\n').filter(Boolean)))
-  const ended = new Promise<string>(resolve => child.once('exit', (code, signal) => {
-    recorder.record('VM has ended', { name, code, signal })
-    resolve(String(code ?? signal))
-  }))
+  let child: ChildProcess
+  let ended: Promise<string>
+
+  function launch (): void {
+    const process = spawn(RUNTIME, RUN, { stdio: ['ignore', 'pipe', 'pipe'], env: { PATH, HOME, LACEWINGSTAGE_BOOT: path } })
+    for (const stream of [process.stdout, process.stderr]) stream.on('data', chunk => log.push(...String(chunk).split('\n').filter(Boolean)))
+    ended = new Promise(resolve => process.once('exit', (code, signal) => {
+      recorder.record('VM has ended', { name, code, signal })
+      resolve(String(code ?? signal))
+    }))
+    child = process
+  }
+
+  launch()
   onEnd(() => { child.kill('SIGKILL') })
   recorder.record('VM starts', { name, front: `${host}:${front}` })
   return {
     name,
     host,
     port: front,
-    child,
     log,
     isReady: () => fetch(`http://${host}:${ready}/api/ready`, { signal: AbortSignal.timeout(1000) }).then(({ status }) => status === 200, () => false),
     signal (signal) {
       recorder.record('signal', { name, signal })
       child.kill(signal)
     },
-    ended
+    ended: () => ended,
+    restart () {
+      recorder.record('VM starts again', { name })
+      launch()
+    }
   }
 }
