--- a/review/standin-3/fleet.ts
+++ b/review/standin-3/fleet.ts
@@ -38,6 +38,7 @@
   /** Port for consumers. */
   port: number
   log: string[]
+  pid(): number
   isReady(): Promise<boolean>
   signal(signal: NodeJS.Signals): void
   /** Exit code or signal of the process, once it has ended. */
@@ -121,6 +122,7 @@
     host,
     port: front,
     log,
+    pid: () => child.pid!,
     isReady: () => fetch(`http://${host}:${ready}/api/ready`, { signal: AbortSignal.timeout(1000) }).then(({ status }) => status === 200, () => false),
     signal (signal) {
       recorder.record('signal', { name, signal })
--- a/review/standin-3/runner.ts
+++ b/review/standin-3/runner.ts
@@ -36,6 +36,8 @@
   /** Number of runs by attempt id. */
   runs: Map<string, number>
   arrivals: { id: string, atMs: number }[]
+  /** Reports that it leaves; it goes on serving. */
+  drain(): void
   close(): void
 }
 
@@ -47,6 +49,7 @@
   const address = `${host}:${port}`
   const born = Date.now()
   let calls = 0
+  let state = 'ready'
 
   async function handle (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     if (incoming.url === '/health') return void outgoing.writeHead(200, { 'x-lacewingstage-runner-id': id, 'content-length': 0 }).end()
@@ -72,6 +75,10 @@
     address,
     runs,
     arrivals,
+    drain () {
+      state = 'draining'
+      beat()
+    },
     close () {
       clearInterval(heartbeat)
       server.close()
@@ -82,7 +89,7 @@
     server.once('error', reject)
     server.listen(port, host, resolve)
   })
-  const beat = () => store.put('servers', id, { service, address, zone, version, slots, state: 'ready', cold_left_ms: 0, stage: 'prefill_decode', models: [], call_seq: calls, born })
+  const beat = () => store.put('servers', id, { service, address, zone, version, slots, state, cold_left_ms: 0, stage: 'prefill_decode', models: [], call_seq: calls, born })
   beat()
   const heartbeat = setInterval(beat, HEARTBEAT_MS)
   return runner
