--- a/review/standin-3/runner.ts
+++ b/review/standin-3/runner.ts
@@ -38,10 +38,13 @@
   arrivals: { id: string, atMs: number }[]
   /** Reports that it leaves; it goes on serving. */
   drain(): void
+  /** Cuts it off from the store, which removes its entry after three intervals without a status report, or ends the cut. */
+  setCut(isCut: boolean): void
   close(): void
 }
 
 const HEARTBEAT_MS = 1200
+const HEARTBEATS_TO_EXPIRY = 3
 
 export async function startRunner ({ id, host, port, service, zone = 'zone-1', version = 'v1', slots = 16, store, recorder, run, refuse = () => false }: RunnerOptions): Promise<Runner> {
   const runs = new Map<string, number>()
@@ -50,6 +53,8 @@
   const born = Date.now()
   let calls = 0
   let state = 'ready'
+  let isCut = false
+  let reportedMs = -Infinity
 
   async function handle (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     if (incoming.url === '/health') return void outgoing.writeHead(200, { 'x-lacewingstage-runner-id': id, 'content-length': 0 }).end()
@@ -79,6 +84,11 @@
       state = 'draining'
       beat()
     },
+    setCut (value) {
+      isCut = value
+      recorder.record(value ? 'backend server is cut off from the store' : 'backend server reaches the store', { id })
+      if (!value) beat()
+    },
     close () {
       clearInterval(heartbeat)
       server.close()
@@ -89,7 +99,20 @@
     server.once('error', reject)
     server.listen(port, host, resolve)
   })
-  const beat = () => store.put('servers', id, { service, address, zone, version, slots, state, cold_left_ms: 0, stage: 'prefill_decode', models: [], call_seq: calls, born })
+  const report = () => store.put('servers', id, { service, address, zone, version, slots, state, cold_left_ms: 0, stage: 'prefill_decode', models: [], call_seq: calls, born })
+  function beat (): void {
+    if (!isCut) {
+      reportedMs = performance.now()
+      report()
+    } else if (performance.now() - reportedMs >= HEARTBEATS_TO_EXPIRY * HEARTBEAT_MS) expire()
+  }
+
+  function expire (): void {
+    if (!store.peek('servers', id)) return
+    store.remove('servers', id)
+    recorder.record('the entry of the backend server has expired', { id })
+  }
+
   beat()
   const heartbeat = setInterval(beat, HEARTBEAT_MS)
   return runner
