--- a/review/14/case.ts
+++ b/review/14/case.ts
@@ -8,9 +8,11 @@
 const LEAVING = 'i-1'
 const WORK_MS = 60
 /** Requests for long reviews, which wait for their first event when the backend server begins to leave. */
-const REVIEWS = 8
-const CONSUMERS = 8
+const REVIEWS = 24
+const CONSUMERS = 12
 const PAUSE_MS = 150
+/** Time from the start of the first cut to the reviews; the entry expires after that. */
+const REVIEWS_AFTER_MS = 2500
 /** Times from the start of the reviews, in milliseconds: the end of the first cut, and the start of the second one, in which it leaves. */
 const FIRST_CUT_END_MS = 3000
 const LEAVE_MS = 6000
@@ -71,7 +73,7 @@
 
   await sleep(4000)
   if (hasTrouble) leaver.setCut(true)
-  await sleep(3000)
+  await sleep(REVIEWS_AFTER_MS)
   const reviews = Array.from({ length: REVIEWS }, () => send('review', '/review/1', 20_000))
   const consumers = Array.from({ length: CONSUMERS }, order)
   await sleep(FIRST_CUT_END_MS)
@@ -79,7 +81,7 @@
   await sleep(LEAVE_MS - FIRST_CUT_END_MS)
   recorder.record('backend server begins to leave', { id: LEAVING })
   isLeaving = true
-  // It cannot report that it is draining.
+  // Its last status report still says that it is ready; it cannot report that it is draining.
   leaver.setCut(true)
   for (const begin of openReviews) begin()
   await sleep(EXIT_AFTER_MS)
--- a/review/standin-3/runner.ts
+++ b/review/standin-3/runner.ts
@@ -85,9 +85,11 @@
       beat()
     },
     setCut (value) {
+      // The cut begins right after a status report.
+      isCut = false
+      beat()
       isCut = value
       recorder.record(value ? 'backend server is cut off from the store' : 'backend server reaches the store', { id })
-      if (!value) beat()
     },
     close () {
       clearInterval(heartbeat)
