--- a/review/standin-3/runner.ts
+++ b/review/standin-3/runner.ts
@@ -40,6 +40,8 @@
   drain(): void
   /** Cuts it off from the store, which removes its entry after three intervals without a status report, or ends the cut. */
   setCut(isCut: boolean): void
+  /** Ends its process with all channels and starts it again after a time; returns false if it has ended already. */
+  crash(awayMs: number): boolean
   close(): void
 }
 
@@ -50,7 +52,8 @@
   const runs = new Map<string, number>()
   const arrivals: Runner['arrivals'] = []
   const address = `${host}:${port}`
-  const born = Date.now()
+  let born = Date.now()
+  let restart: NodeJS.Timeout | undefined
   let calls = 0
   let state = 'ready'
   let isCut = false
@@ -91,7 +94,23 @@
       isCut = value
       recorder.record(value ? 'backend server is cut off from the store' : 'backend server reaches the store', { id })
     },
+    crash (awayMs) {
+      if (!server.listening) return false
+      recorder.record('backend server crashes', { id })
+      isCut = true
+      server.close()
+      server.closeAllConnections()
+      restart = setTimeout(() => server.listen(port, host, () => {
+        recorder.record('backend server is back', { id })
+        born = Date.now()
+        calls = 0
+        isCut = false
+        beat()
+      }), awayMs)
+      return true
+    },
     close () {
+      clearTimeout(restart)
       clearInterval(heartbeat)
       server.close()
       server.closeAllConnections()
