--- a/review/11/case.ts
+++ b/review/11/case.ts
@@ -6,15 +6,17 @@
 import { route, startSetting } from '../standin-3/setting.ts'
 
 const LEAVING = 'i-1'
+/** One of five is cut off from the store. */
+const RUNNERS = 5
 const WORK_MS = 60
 /** Requests for long reviews, which wait for their first event when the backend server begins to leave. */
-const REVIEWS = 24
-const CONSUMERS = 24
+const REVIEWS = 40
+const CONSUMERS = 40
 const PAUSE_MS = 100
 /** Time from the start of the first cut to the reviews; the entry expires after that. */
 const REVIEWS_AFTER_MS = 2500
 /** Times from the start of the reviews, in milliseconds: the end of the first cut, and the start of the second one, in which it leaves. */
-const FIRST_CUT_END_MS = 3000
+const FIRST_CUT_END_MS = 2500
 const LEAVE_MS = 6000
 /** Time from the first answer with the announcement until the backend server exits. */
 const EXIT_AFTER_MS = BOUNDS.drain_ms + 1500
@@ -45,7 +47,7 @@
   }
 
   // Without tenants no request needs a key.
-  const { vms, runners } = await startSetting({ recorder, onEnd, tenants: [], routes: [route('review', 'streaming', { stream_resume: false, max_attempts: 1 }), route('start', 'non_idempotent')], runners: [{ run }, { run }, { run }] })
+  const { vms, runners } = await startSetting({ recorder, onEnd, tenants: [], routes: [route('review', 'streaming', { stream_resume: false, max_attempts: 1 }), route('start', 'non_idempotent')], runners: Array.from({ length: RUNNERS }, () => ({ run })) })
   const leaver = runners.find(({ id }) => id === LEAVING)!
   const ending = new AbortController()
   let count = 0
